--- /dev/null
+++ b/greengagedale/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Everything heard from callers, and answered to them."""
--- /dev/null
+++ b/greengagedale/callers/http_server.py
@@ -0,0 +1,146 @@
+"""Answers callers over HTTP, with aiohttp."""
+
+from aiohttp import web
+
+from greengagedale import exceptions
+from greengagedale import http_replies
+from greengagedale import outcomes
+from greengagedale.callers import base
+from greengagedale.callers import wire
+
+_MAX_KEY_LENGTH = 200
+_UNKNOWN_STATUS = 502
+
+
+def application(
+    service: base.CallerService, max_body_bytes: int
+) -> web.Application:
+    """Makes the application that serves callers."""
+    handlers = _Handlers(service)
+    app = web.Application(
+        middlewares=[http_replies.typed_errors],
+        client_max_size=max_body_bytes,
+    )
+    app.add_routes(
+        [
+            web.get("/v1/locate", handlers.locate),
+            web.post("/v1/workspaces/{workspace}/search", handlers.search),
+            web.post("/v1/workspaces/{workspace}/act", handlers.act),
+            web.get("/v1/explain/{request_id}", handlers.explain),
+            web.get("/healthz", handlers.healthz),
+            web.get("/readyz", handlers.readyz),
+            web.get("/metrics", handlers.metrics),
+        ]
+    )
+    return app
+
+
+class _Handlers:
+    def __init__(self, service: base.CallerService) -> None:
+        self._service = service
+
+    async def locate(self, request: web.Request) -> web.Response:
+        """Answers which hosts to use."""
+        data_centre = request.query.get("data_centre")
+        return http_replies.reply(self._service.locate(data_centre))
+
+    async def search(self, request: web.Request) -> web.Response:
+        """Runs a search."""
+        body = await http_replies.read(request, wire.SearchBody)
+        workspace = request.match_info["workspace"]
+        if not self._service.has_workspace(workspace):
+            return _no_workspace(workspace)
+        limit = _positive("limit", body.get("limit"))
+        timeout_ms = _positive("timeout_ms", body.get("timeout_ms"))
+        reply = await self._service.search(
+            base.SearchCall(workspace, body["text"], limit, timeout_ms)
+        )
+        if isinstance(reply.outcome, outcomes.Ran):
+            answer = reply.outcome.value
+            return http_replies.reply(
+                wire.search_reply(reply.request_id, answer)
+            )
+        return _failure(reply, reply.outcome)
+
+    async def act(self, request: web.Request) -> web.Response:
+        """Runs a request that is not safe to repeat."""
+        body = await http_replies.read(request, wire.ActionBody)
+        workspace = request.match_info["workspace"]
+        if not self._service.has_workspace(workspace):
+            return _no_workspace(workspace)
+        _check_key(body["key"])
+        timeout_ms = _positive("timeout_ms", body.get("timeout_ms"))
+        reply = await self._service.act(
+            base.ActionCall(
+                workspace, body["key"], body["target"], body["body"], timeout_ms
+            )
+        )
+        if isinstance(reply.outcome, outcomes.Ran):
+            return http_replies.reply(
+                wire.ActionReply(
+                    request_id=reply.request_id,
+                    outcome=outcomes.Ran.tag,
+                    body=reply.outcome.value,
+                )
+            )
+        return _failure(reply, reply.outcome)
+
+    async def explain(self, request: web.Request) -> web.Response:
+        """Answers what was done for a request."""
+        request_id = request.match_info["request_id"]
+        record = await self._service.explain_anywhere(request_id)
+        if record is None:
+            return http_replies.error(
+                404, "unknown_request", f"no record of {request_id!r}"
+            )
+        return http_replies.reply(record)
+
+    async def healthz(self, request: web.Request) -> web.Response:
+        """Answers that the process runs."""
+        del request
+        return http_replies.reply({"status": "ok"})
+
+    async def readyz(self, request: web.Request) -> web.Response:
+        """Answers whether the host can serve."""
+        del request
+        if self._service.ready():
+            return http_replies.reply({"status": "ready"})
+        return http_replies.reply({"status": "not_ready"}, status=503)
+
+    async def metrics(self, request: web.Request) -> web.Response:
+        """Answers all metrics."""
+        del request
+        return web.Response(
+            body=self._service.metrics(), content_type="text/plain"
+        )
+
+
+def _failure(
+    reply: base.Reply, outcome: outcomes.NotRun | outcomes.Unknown
+) -> web.Response:
+    body = wire.failure_reply(reply, outcome)
+    if isinstance(outcome, outcomes.NotRun):
+        return http_replies.retry_later(body, outcome.retry_after_ms)
+    return http_replies.reply(body, status=_UNKNOWN_STATUS)
+
+
+def _no_workspace(workspace: str) -> web.Response:
+    return http_replies.error(
+        404, "unknown_workspace", f"no workspace is named {workspace!r}"
+    )
+
+
+def _positive(key: str, value: int | None) -> int | None:
+    if value is not None and value < 1:
+        raise exceptions.InvalidInputError(
+            "request", [exceptions.Mistake(key, "must be at least 1")]
+        )
+    return value
+
+
+def _check_key(key: str) -> None:
+    if not 0 < len(key) <= _MAX_KEY_LENGTH:
+        message = f"must have 1 to {_MAX_KEY_LENGTH} characters"
+        raise exceptions.InvalidInputError(
+            "request", [exceptions.Mistake("key", message)]
+        )
--- /dev/null
+++ b/greengagedale/callers/wire.py
@@ -0,0 +1,136 @@
+"""Messages of the callers' HTTP protocol, in JSON."""
+
+from typing import Any, NotRequired, TypedDict
+
+from greengagedale import exceptions
+from greengagedale import outcomes
+from greengagedale.callers import base
+from greengagedale.query import fanout
+from greengagedale.query import hits
+
+
+class SearchBody(TypedDict):
+    """Body of `POST /v1/workspaces/{workspace}/search`."""
+
+    text: str
+    limit: NotRequired[int]
+    timeout_ms: NotRequired[int]
+
+
+class ActionBody(TypedDict):
+    """Body of `POST /v1/workspaces/{workspace}/act`."""
+
+    key: str
+    target: int
+    body: Any
+    timeout_ms: NotRequired[int]
+
+
+class SnapshotReply(TypedDict):
+    """The snapshot that an answer was drawn from."""
+
+    index_version: int
+    map_version: int
+
+
+class MissingReply(TypedDict):
+    """A range that is not in the answer, and why."""
+
+    low: int
+    high: int
+    reason: str
+
+
+class CoverageReply(TypedDict):
+    """Keys covered, of all keys."""
+
+    covered: int
+    total: int
+    missing: list[MissingReply]
+
+
+class SearchReply(TypedDict):
+    """Answer to a search that ran."""
+
+    request_id: str
+    outcome: str
+    snapshot: SnapshotReply
+    coverage: CoverageReply
+    hits: list[hits.Hit]
+
+
+class ActionReply(TypedDict):
+    """Answer to an action that ran."""
+
+    request_id: str
+    outcome: str
+    body: Any
+
+
+class FailureReply(TypedDict):
+    """Answer to a request that was not run, or may not have been."""
+
+    request_id: str
+    outcome: str
+    reason: str
+    retry_after_ms: NotRequired[int]
+
+
+class MistakeReply(TypedDict):
+    """One thing wrong with a request."""
+
+    key: str
+    message: str
+
+
+class ErrorReply(TypedDict):
+    """Answer to a request that is not valid; it was not run."""
+
+    error: str
+    message: str
+    mistakes: list[MistakeReply]
+
+
+def search_reply(request_id: str, answer: fanout.SearchAnswer) -> SearchReply:
+    """Makes the answer to a search that ran."""
+    return SearchReply(
+        request_id=request_id,
+        outcome=outcomes.Ran.tag,
+        snapshot=SnapshotReply(**answer.snapshot._asdict()),
+        coverage=CoverageReply(
+            covered=answer.coverage.covered,
+            total=answer.coverage.total,
+            missing=[
+                MissingReply(
+                    low=item.key_range.low,
+                    high=item.key_range.high,
+                    reason=item.reason,
+                )
+                for item in answer.coverage.missing
+            ],
+        ),
+        hits=answer.hits,
+    )
+
+
+def failure_reply(
+    reply: base.Reply, outcome: outcomes.NotRun | outcomes.Unknown
+) -> FailureReply:
+    """Makes the answer to a request that has no result."""
+    made = FailureReply(
+        request_id=reply.request_id, outcome=outcome.tag, reason=outcome.reason
+    )
+    if isinstance(outcome, outcomes.NotRun):
+        made["retry_after_ms"] = outcome.retry_after_ms
+    return made
+
+
+def error_reply(
+    error: str, message: str, mistakes: list[exceptions.Mistake]
+) -> ErrorReply:
+    """Makes the answer to a request that is not valid."""
+    return ErrorReply(
+        error=error,
+        message=message,
+        mistakes=[MistakeReply(**item._asdict()) for item in mistakes],
+    )
--- /dev/null
+++ b/greengagedale/catalog/__init__.py
@@ -0,0 +1,1 @@
+"""Templates, workspaces and the catalog that binds them, free of I/O."""
--- /dev/null
+++ b/greengagedale/catalog/documents.py
@@ -0,0 +1,210 @@
+"""Templates and workspaces as operators declare them."""
+
+import re
+from typing import Any, Literal
+
+import pydantic
+
+from greengagedale import exceptions
+from greengagedale.config import options
+from greengagedale.config import settings as settings_lib
+
+_PLACEHOLDER = re.compile(r"\$\{([a-z][a-z0-9_]*)\}")
+
+ParameterValue = bool | int | float | str
+
+
+class Parameter(settings_lib.Section):
+    """A typed parameter of a template."""
+
+    type: Literal["integer", "number", "text", "boolean"]
+    default: ParameterValue | None = None
+    minimum: float | None = None
+    maximum: float | None = None
+    choices: list[ParameterValue] | None = None
+
+
+class Template(settings_lib.Section):
+    """A shared shape of workspaces; `workspace` may hold `${parameter}`."""
+
+    name: options.Name
+    parameters: dict[str, Parameter] = {}
+    workspace: dict[str, ParameterValue]
+
+
+class Workspace(settings_lib.Section):
+    """A member's use of a template."""
+
+    name: options.Name
+    member: options.Name
+    template: options.Name
+    parameters: dict[str, ParameterValue] = {}
+
+
+class WorkspacePlan(settings_lib.Section):
+    """What a workspace comes to once its template is filled in.
+
+    Attributes:
+        service: Service whose upstreams hold the data.
+        timeout_ms: Time a request has if its caller names none.
+        hits_limit: Most hits that an answer holds.
+        prefer: Whether stragglers are waited for or left out.
+        weight: Share of the tier under load, relative to other workspaces.
+        queue_length: Requests that may wait.
+        extra_load_share: Most attempts for speed alone, as a share.
+    """
+
+    service: options.Name
+    timeout_ms: options.DurationMs = 1000
+    hits_limit: options.Count = 20
+    prefer: Literal["early", "complete"] = "complete"
+    weight: options.Count = 1
+    queue_length: options.Count = 100
+    extra_load_share: options.Share = 0.02
+
+
+def parse_template(body: Any) -> Template:
+    """Checks a template.
+
+    Raises:
+        InvalidInputError: It has mistakes; all of them are listed.
+    """
+    template = _parse(Template, body, "template")
+    mistakes = [
+        *_unknown_placeholders(template),
+        *_bad_defaults(template),
+        *_unknown_settings(template),
+    ]
+    if mistakes:
+        raise exceptions.InvalidInputError("template", mistakes)
+    return template
+
+
+def parse_workspace(body: Any) -> Workspace:
+    """Checks a workspace by itself, without its template.
+
+    Raises:
+        InvalidInputError: It has mistakes; all of them are listed.
+    """
+    return _parse(Workspace, body, "workspace")
+
+
+def resolve(workspace: Workspace, template: Template) -> WorkspacePlan:
+    """Fills a template in with a workspace's parameters.
+
+    Raises:
+        InvalidInputError: The two don't fit; all mistakes are listed.
+    """
+    mistakes = [
+        *_unknown_parameters(workspace, template),
+        *_bad_parameters(workspace, template),
+    ]
+    if mistakes:
+        raise exceptions.InvalidInputError(
+            f"workspace {workspace.name}", mistakes
+        )
+    values = {
+        name: workspace.parameters.get(name, spec.default)
+        for name, spec in template.parameters.items()
+    }
+    filled = {
+        key: _fill(value, values) for key, value in template.workspace.items()
+    }
+    return _parse(WorkspacePlan, filled, f"workspace {workspace.name}")
+
+
+def _parse(model: type[Any], body: Any, subject: str) -> Any:
+    try:
+        return model.model_validate(body)
+    except pydantic.ValidationError as error:
+        mistakes = settings_lib.mistakes_of(error)
+        raise exceptions.InvalidInputError(subject, mistakes) from error
+
+
+def _fill(value: ParameterValue, values: dict[str, Any]) -> Any:
+    if not isinstance(value, str):
+        return value
+    whole = _PLACEHOLDER.fullmatch(value)
+    if whole:
+        return values[whole[1]]
+    return _PLACEHOLDER.sub(lambda found: str(values[found[1]]), value)
+
+
+def _unknown_placeholders(template: Template) -> list[exceptions.Mistake]:
+    return [
+        exceptions.Mistake(
+            f"workspace.{key}", f"no parameter is named {name!r}"
+        )
+        for key, value in template.workspace.items()
+        if isinstance(value, str)
+        for name in _PLACEHOLDER.findall(value)
+        if name not in template.parameters
+    ]
+
+
+def _unknown_settings(template: Template) -> list[exceptions.Mistake]:
+    return [
+        exceptions.Mistake(f"workspace.{key}", "unknown key")
+        for key in template.workspace
+        if key not in WorkspacePlan.model_fields
+    ]
+
+
+def _bad_defaults(template: Template) -> list[exceptions.Mistake]:
+    return [
+        exceptions.Mistake(f"parameters.{name}.default", message)
+        for name, spec in template.parameters.items()
+        if spec.default is not None
+        for message in _faults_of(spec.default, spec)
+    ]
+
+
+def _unknown_parameters(
+    workspace: Workspace, template: Template
+) -> list[exceptions.Mistake]:
+    return [
+        exceptions.Mistake(
+            f"parameters.{name}",
+            f"template {template.name!r} has no such parameter",
+        )
+        for name in workspace.parameters
+        if name not in template.parameters
+    ]
+
+
+def _bad_parameters(
+    workspace: Workspace, template: Template
+) -> list[exceptions.Mistake]:
+    mistakes = []
+    for name, spec in template.parameters.items():
+        value = workspace.parameters.get(name, spec.default)
+        faults = ["missing"] if value is None else _faults_of(value, spec)
+        mistakes.extend(
+            exceptions.Mistake(f"parameters.{name}", fault) for fault in faults
+        )
+    return mistakes
+
+
+_TYPES: dict[str, tuple[type, ...]] = {
+    "integer": (int,),
+    "number": (int, float),
+    "text": (str,),
+    "boolean": (bool,),
+}
+
+
+def _faults_of(value: ParameterValue, spec: Parameter) -> list[str]:
+    is_bool = isinstance(value, bool)
+    if not isinstance(value, _TYPES[spec.type]) or (
+        is_bool and spec.type != "boolean"
+    ):
+        return [f"must be of type {spec.type}"]
+    faults = []
+    if spec.choices is not None and value not in spec.choices:
+        faults.append(f"must be one of {spec.choices}")
+    if isinstance(value, int | float) and not is_bool:
+        if spec.minimum is not None and value < spec.minimum:
+            faults.append(f"must be at least {spec.minimum:g}")
+        if spec.maximum is not None and value > spec.maximum:
+            faults.append(f"must be at most {spec.maximum:g}")
+    return faults
--- /dev/null
+++ b/greengagedale/catalog/services.py
@@ -0,0 +1,123 @@
+"""Services: upstreams and pinned maps, as the platform publishes them."""
+
+from typing import NamedTuple, TypedDict
+
+import msgspec
+
+from greengagedale.query import ranges
+from greengagedale.query import snapshots
+from greengagedale.upstreams import base as upstreams_base
+
+KIND_SERVICE = "services"
+
+
+class UpstreamObject(TypedDict):
+    """One upstream in a service's object."""
+
+    name: str
+    endpoint: str
+    data_centre: str
+    slots: int
+    connections: int
+    leaving: bool
+
+
+class RangeObject(TypedDict):
+    """One range of a map in a service's object."""
+
+    low: int
+    high: int
+    upstreams: list[str]
+
+
+class MapObject(TypedDict):
+    """One pinned map in a service's object."""
+
+    index_version: int
+    map_version: int
+    ranges: list[RangeObject]
+
+
+class ServiceObject(TypedDict):
+    """A service as the platform keeps it."""
+
+    upstreams: list[UpstreamObject]
+    maps: list[MapObject]
+
+
+class Service(NamedTuple):
+    """A service as this host knows it.
+
+    Attributes:
+        name: Name of the service.
+        version: Version of the platform's object that it was read from.
+        upstreams: Upstreams by name.
+        maps: Pinned maps that upstreams still hold.
+    """
+
+    name: str
+    version: int
+    upstreams: dict[str, upstreams_base.Upstream]
+    maps: tuple[snapshots.PinnedMap, ...]
+
+
+_decoder = msgspec.json.Decoder(ServiceObject)
+
+
+def from_object(name: str, version: int, value: bytes) -> Service:
+    """Reads a service.
+
+    Raises:
+        msgspec.DecodeError: The value is not a service.
+    """
+    found = _decoder.decode(value)
+    return Service(
+        name,
+        version,
+        {
+            item["name"]: upstreams_base.Upstream(**item)
+            for item in found["upstreams"]
+        },
+        tuple(_pinned_map(item) for item in found["maps"]),
+    )
+
+
+def to_object(service: Service) -> bytes:
+    """Encodes a service as the platform keeps it."""
+    return msgspec.json.encode(
+        ServiceObject(
+            upstreams=[
+                UpstreamObject(**item._asdict())
+                for item in service.upstreams.values()
+            ],
+            maps=[_map_object(item) for item in service.maps],
+        )
+    )
+
+
+def _pinned_map(item: MapObject) -> snapshots.PinnedMap:
+    return snapshots.PinnedMap(
+        snapshots.Snapshot(item["index_version"], item["map_version"]),
+        tuple(
+            snapshots.RangeReplicas(
+                ranges.KeyRange(entry["low"], entry["high"]),
+                tuple(entry["upstreams"]),
+            )
+            for entry in sorted(item["ranges"], key=lambda r: r["low"])
+        ),
+    )
+
+
+def _map_object(item: snapshots.PinnedMap) -> MapObject:
+    return MapObject(
+        index_version=item.snapshot.index_version,
+        map_version=item.snapshot.map_version,
+        ranges=[
+            RangeObject(
+                low=entry.key_range.low,
+                high=entry.key_range.high,
+                upstreams=list(entry.upstreams),
+            )
+            for entry in item.ranges
+        ],
+    )
--- /dev/null
+++ b/greengagedale/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands of the command line, one module each."""
--- /dev/null
+++ b/greengagedale/commands/act.py
@@ -0,0 +1,41 @@
+"""`greengagedale act`: runs one request that is not safe to repeat."""
+
+from typing import Annotated, Any
+
+import msgspec
+import typer
+
+from greengagedale import client as client_lib
+from greengagedale import exceptions
+from greengagedale import outcomes
+from greengagedale.commands import query
+from greengagedale.commands import remote
+
+
+def act(
+    host: remote.CallerEndpoint,
+    workspace: Annotated[str, typer.Argument(help="Workspace to act in.")],
+    target: Annotated[int, typer.Argument(help="Key of the document.")],
+    body: Annotated[str, typer.Argument(help="What to do, in JSON.")],
+    key: Annotated[
+        str | None, typer.Option(help="Idempotency key; made up if absent.")
+    ] = None,
+) -> None:
+    """Run one booking or the like, at most once, and print the answer."""
+    try:
+        decoded = msgspec.json.decode(body)
+    except msgspec.DecodeError as error:
+        mistake = exceptions.Mistake("body", f"is not JSON: {error}")
+        raise exceptions.InvalidInputError("request", [mistake]) from error
+    outcome = remote.run(_act(host, workspace, target, decoded, key))
+    query.show_outcome(outcome)
+
+
+async def _act(
+    host: str, workspace: str, target: int, body: Any, key: str | None
+) -> outcomes.Outcome:
+    client = client_lib.Client.from_config([host])
+    try:
+        return await client.act(workspace, target, body, key)
+    finally:
+        await client.close()
--- /dev/null
+++ b/greengagedale/commands/query.py
@@ -0,0 +1,57 @@
+"""`greengagedale query`: runs one search as a caller would."""
+
+from typing import Annotated
+
+import typer
+
+from greengagedale import client as client_lib
+from greengagedale import outcomes
+from greengagedale.commands import remote
+
+EXIT_NOT_RUN = 3
+EXIT_UNKNOWN = 4
+
+
+def query(
+    host: remote.CallerEndpoint,
+    workspace: Annotated[str, typer.Argument(help="Workspace to search.")],
+    text: Annotated[str, typer.Argument(help="What to search for.")],
+    limit: Annotated[int | None, typer.Option(help="Most hits.")] = None,
+    timeout_ms: Annotated[int | None, typer.Option(help="Deadline.")] = None,
+) -> None:
+    """Run one search and print the answer as a JSON line."""
+    outcome = remote.run(_query(host, workspace, text, limit, timeout_ms))
+    show_outcome(outcome)
+
+
+def show_outcome(outcome: outcomes.Outcome) -> None:
+    """Prints an outcome and ends the command with its exit code."""
+    match outcome:
+        case outcomes.Ran(value):
+            remote.show(value)
+        case outcomes.NotRun(reason, retry_after_ms):
+            remote.show(
+                {
+                    "outcome": outcome.tag,
+                    "reason": reason,
+                    "retry_after_ms": retry_after_ms,
+                }
+            )
+            raise typer.Exit(EXIT_NOT_RUN)
+        case outcomes.Unknown(reason):
+            remote.show({"outcome": outcome.tag, "reason": reason})
+            raise typer.Exit(EXIT_UNKNOWN)
+
+
+async def _query(
+    host: str,
+    workspace: str,
+    text: str,
+    limit: int | None,
+    timeout_ms: int | None,
+) -> outcomes.Outcome:
+    client = client_lib.Client.from_config([host])
+    try:
+        return await client.search(workspace, text, limit, timeout_ms)
+    finally:
+        await client.close()
--- /dev/null
+++ b/greengagedale/commands/remote.py
@@ -0,0 +1,96 @@
+"""Requests of commands to a host's HTTP interfaces."""
+
+from collections.abc import Coroutine
+from typing import Annotated, Any, NamedTuple
+
+import aiohttp
+import msgspec
+import typer
+
+from greengagedale import exceptions
+from greengagedale import loops
+
+_TIMEOUT_S = 30.0
+_STATUS_OK = 200
+
+OperatorEndpoint = Annotated[
+    str,
+    typer.Option(
+        "--host",
+        envvar="GREENGAGEDALE_OPERATOR",
+        help="Operator address of any entry host, as IP:PORT.",
+    ),
+]
+CallerEndpoint = Annotated[
+    str,
+    typer.Option(
+        "--host",
+        envvar="GREENGAGEDALE_CALLER",
+        help="Caller address of any entry host, as IP:PORT.",
+    ),
+]
+
+
+class Reply(NamedTuple):
+    """A host's answer, decoded."""
+
+    status: int
+    body: Any
+
+
+def run(work: Coroutine[Any, Any, Any]) -> Any:
+    """Runs a command's coroutine to its end."""
+    return loops.run(work)
+
+
+def show(body: Any) -> None:
+    """Prints a value as one JSON line."""
+    typer.echo(msgspec.json.encode(body).decode())
+
+
+async def ask(
+    method: str,
+    endpoint: str,
+    path: str,
+    body: bytes | None = None,
+    headers: dict[str, str] | None = None,
+) -> Reply:
+    """Sends one request to a host.
+
+    Raises:
+        RemoteError: The host doesn't answer with JSON.
+    """
+    timeout = aiohttp.ClientTimeout(total=_TIMEOUT_S)
+    try:
+        async with (
+            aiohttp.ClientSession(timeout=timeout) as session,
+            session.request(
+                method, f"http://{endpoint}{path}", data=body, headers=headers
+            ) as response,
+        ):
+            decoded = msgspec.json.decode(await response.read())
+            return Reply(response.status, decoded)
+    except (aiohttp.ClientError, OSError, msgspec.DecodeError) as error:
+        raise exceptions.RemoteError(
+            f"{endpoint} does not answer as an entry host: {error}; "
+            "check --host and that the host runs"
+        ) from error
+
+
+async def fetch(endpoint: str, path: str) -> Any:
+    """Reads something from a host.
+
+    Raises:
+        RemoteError: The host answers with an error, or not at all.
+    """
+    reply = await ask("GET", endpoint, path)
+    if reply.status != _STATUS_OK:
+        raise exceptions.RemoteError(message_of(reply))
+    return reply.body
+
+
+def message_of(reply: Reply) -> str:
+    """Makes one friendly message of a host's error answer."""
+    body = reply.body if isinstance(reply.body, dict) else {}
+    text = body.get("message") or body.get("detail") or body.get("reason")
+    return str(text or f"the host answered with status {reply.status}")
--- /dev/null
+++ b/greengagedale/commands/status.py
@@ -0,0 +1,40 @@
+"""`greengagedale status`: shows every host of a deployment."""
+
+from typing import Annotated, Any
+
+import rich.console
+import rich.table
+import typer
+
+from greengagedale.commands import remote
+
+_COLUMNS = (
+    "name",
+    "data_centre",
+    "caller_endpoint",
+    "revision",
+    "ready",
+    "leaving",
+    "running",
+)
+
+
+def status(
+    host: remote.OperatorEndpoint,
+    as_json: Annotated[
+        bool, typer.Option("--json", help="One JSON line, no table.")
+    ] = False,
+) -> None:
+    """Show the state of every host that answers."""
+    fleet = remote.run(remote.fetch(host, "/v1/fleet"))
+    if as_json:
+        remote.show(fleet)
+        return
+    rich.console.Console().print(_table(fleet["hosts"]))
+
+
+def _table(hosts: list[dict[str, Any]]) -> rich.table.Table:
+    table = rich.table.Table(*_COLUMNS)
+    for host in sorted(hosts, key=lambda item: item["name"]):
+        table.add_row(*(str(host[column]) for column in _COLUMNS))
+    return table
--- /dev/null
+++ b/greengagedale/config/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of processes: options that validate themselves."""
--- /dev/null
+++ b/greengagedale/config/settings.py
@@ -0,0 +1,133 @@
+"""The settings of an entry host, read from a TOML file."""
+
+import pathlib
+import tomllib
+from typing import Any, Literal, Self
+
+import pydantic
+
+from greengagedale import exceptions
+from greengagedale.config import options
+
+
+class Section(pydantic.BaseModel):
+    """A table of the settings; unknown keys are mistakes."""
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True, strict=True)
+
+
+class HostSettings(Section):
+    """Who this host is and where it listens."""
+
+    name: options.Name
+    data_centre: options.Name
+    address: options.IpAddress
+    caller_port: options.Port
+    operator_port: options.Port
+    peer_port: options.Port
+
+
+class PlatformSettings(Section):
+    """How to reach the platform's object API."""
+
+    endpoint: options.Endpoint
+    timeout_ms: options.DurationMs = 1000
+    watch_wait_ms: options.DurationMs = 2000
+
+
+class PeersSettings(Section):
+    """Other hosts that are known before the platform answers."""
+
+    seeds: list[options.Endpoint] = []
+    timeout_ms: options.DurationMs = 300
+
+
+class CallersSettings(Section):
+    """What callers may ask and what they are told."""
+
+    locate_ttl_ms: options.DurationMs = 2000
+    max_body_bytes: options.SizeBytes = 64 * 1024
+    max_timeout_ms: options.DurationMs = 10_000
+    record_requests: options.Count = 2000
+
+
+class UpstreamsSettings(Section):
+    """How upstreams are used."""
+
+    connect_timeout_ms: options.DurationMs = 200
+    policy: Literal["plain"] = "plain"
+
+
+class ShutdownSettings(Section):
+    """How the host leaves."""
+
+    hard_limit_ms: options.DurationMs = 30_000
+
+
+class LogsSettings(Section):
+    """What is logged."""
+
+    level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
+
+
+class Settings(Section):
+    """All settings of one entry host."""
+
+    host: HostSettings
+    platform: PlatformSettings
+    peers: PeersSettings = PeersSettings()
+    callers: CallersSettings = CallersSettings()
+    upstreams: UpstreamsSettings = UpstreamsSettings()
+    shutdown: ShutdownSettings = ShutdownSettings()
+    logs: LogsSettings = LogsSettings()
+
+    @classmethod
+    def from_file(cls, path: pathlib.Path) -> Self:
+        """Reads and checks a settings file.
+
+        Raises:
+            ConfigError: The file can't be read or has mistakes; all of them
+                are listed, each with its key.
+        """
+        return cls.from_config(_read_toml(path), subject=str(path))
+
+    @classmethod
+    def from_config(
+        cls, config: dict[str, Any], subject: str = "settings"
+    ) -> Self:
+        """Checks settings that have been read already.
+
+        Raises:
+            ConfigError: There are mistakes; all of them are listed.
+        """
+        try:
+            return cls.model_validate(config)
+        except pydantic.ValidationError as error:
+            raise exceptions.ConfigError(subject, mistakes_of(error)) from error
+
+
+def mistakes_of(error: pydantic.ValidationError) -> list[exceptions.Mistake]:
+    """Turns the library's report into mistakes with dotted keys."""
+    return [
+        exceptions.Mistake(
+            ".".join(str(part) for part in item["loc"]) or "(top)",
+            _message_of(item["type"], item["msg"]),
+        )
+        for item in error.errors()
+    ]
+
+
+def _message_of(kind: str, message: str) -> str:
+    if kind == "extra_forbidden":
+        return "unknown key; check its spelling and the unit in its name"
+    if kind == "missing":
+        return "missing"
+    return message.removeprefix("Value error, ")
+
+
+def _read_toml(path: pathlib.Path) -> dict[str, Any]:
+    try:
+        return tomllib.loads(path.read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        mistake = exceptions.Mistake("(file)", str(error))
+        raise exceptions.ConfigError(str(path), [mistake]) from error
--- /dev/null
+++ b/greengagedale/exceptions.py
@@ -0,0 +1,49 @@
+"""The family of errors that greengagedale raises.
+
+Layers report expected results as tagged outcomes (see `outcomes` and the
+`base` module of each adapter package). The exceptions here are for mistakes
+that end a command or a request, and each can be shown to a person as it is.
+"""
+
+from typing import NamedTuple
+
+
+class Mistake(NamedTuple):
+    """One thing wrong with an input.
+
+    Attributes:
+        key: Path of the offending value, such as `host.caller_port`.
+        message: What is wrong with it and what is accepted.
+    """
+
+    key: str
+    message: str
+
+    def __str__(self) -> str:
+        return f"{self.key}: {self.message}"
+
+
+class GreengagedaleError(Exception):
+    """Base of all errors that can be shown to a person."""
+
+
+class InvalidInputError(GreengagedaleError):
+    """An input has one or more mistakes, all of which are listed."""
+
+    def __init__(self, subject: str, mistakes: list[Mistake]) -> None:
+        self.subject = subject
+        self.mistakes = mistakes
+        lines = "".join(f"\n  {mistake}" for mistake in mistakes)
+        super().__init__(f"{subject} is not valid:{lines}")
+
+
+class ConfigError(InvalidInputError):
+    """The settings of a process have mistakes."""
+
+
+class UnsafeLoopError(GreengagedaleError):
+    """The event loop opened a kernel interface that hosts do not allow."""
+
+
+class RemoteError(GreengagedaleError):
+    """A host answered a command with an error, or did not answer."""
--- /dev/null
+++ b/greengagedale/hosts.py
@@ -0,0 +1,276 @@
+"""One entry host: everything that it knows and does, behind its adapters."""
+
+import asyncio
+import itertools
+import logging
+import secrets
+from typing import Any
+
+from greengagedale import actions
+from greengagedale import clocks
+from greengagedale import configuration
+from greengagedale import metrics as metrics_lib
+from greengagedale import outcomes
+from greengagedale import records as records_lib
+from greengagedale import searches
+from greengagedale.callers import base as callers_base
+from greengagedale.catalog import catalogs
+from greengagedale.catalog import documents
+from greengagedale.config import settings as settings_lib
+from greengagedale.operators import base as operators_base
+from greengagedale.peers import base as peers_base
+from greengagedale.query import fanout
+
+log = logging.getLogger(__name__)
+
+_INCARNATION_BYTES = 6
+_NOT_READY_RETRY_MS = 1000
+
+
+class Directory:
+    """The other hosts, as far as this host knows."""
+
+    def __init__(self, peers: peers_base.PeerTransport) -> None:
+        self._peers = peers
+        self._endpoints: dict[str, None] = {}
+        self.alive: dict[str, peers_base.PeerStatus] = {}
+
+    def learn(self, endpoints: list[str]) -> None:
+        """Takes in where other hosts may be."""
+        self._endpoints.update(dict.fromkeys(endpoints))
+
+    async def refresh(self) -> None:
+        """Asks every known host for its status."""
+        endpoints = list(self._endpoints)
+        answers = await asyncio.gather(
+            *(self._peers.status(endpoint) for endpoint in endpoints)
+        )
+        self.alive = {
+            endpoint: answer
+            for endpoint, answer in zip(endpoints, answers, strict=True)
+            if answer is not None
+        }
+
+    def endpoint_of(self, name: str) -> str | None:
+        """Returns where other hosts reach the named one."""
+        found = (e for e, s in self.alive.items() if s.name == name)
+        return next(found, None)
+
+
+class Host(
+    callers_base.CallerService,
+    operators_base.OperatorService,
+    peers_base.PeerService,
+):
+    """One entry host."""
+
+    def __init__(
+        self,
+        settings: settings_lib.Settings,
+        holder: configuration.Holder,
+        writer: configuration.Writer,
+        search_runner: searches.SearchRunner,
+        action_runner: actions.ActionRunner,
+        directory: Directory,
+        peers: peers_base.PeerTransport,
+        clock: clocks.Clock,
+        metrics: metrics_lib.Metrics,
+    ) -> None:
+        self._settings = settings
+        self._holder = holder
+        self._writer = writer
+        self._searches = search_runner
+        self._actions = action_runner
+        self._directory = directory
+        self._peers = peers
+        self._clock = clock
+        self._metrics = metrics
+        self._records = records_lib.Records(settings.callers.record_requests)
+        self._sequence = itertools.count(1)
+        self._incarnation = secrets.token_hex(_INCARNATION_BYTES)
+        self._running = 0
+        self.leaving = False
+
+    def status(self) -> peers_base.PeerStatus:
+        """Returns the status of this host."""
+        host = self._settings.host
+        return peers_base.PeerStatus(
+            name=host.name,
+            data_centre=host.data_centre,
+            incarnation=self._incarnation,
+            caller_endpoint=f"{host.address}:{host.caller_port}",
+            revision=self._holder.current.revision,
+            ready=self.ready(),
+            leaving=self.leaving,
+            running=self._running,
+        )
+
+    def ready(self) -> bool:
+        """Tells whether this host knows enough to serve."""
+        return self._holder.loaded
+
+    def locate(self, data_centre: str | None) -> callers_base.Located:
+        """Returns the hosts to use, best first for a data centre."""
+        known = [self.status(), *self._directory.alive.values()]
+        usable = [item for item in known if item.ready and not item.leaving]
+        ranked = sorted(
+            usable,
+            key=lambda s: (s.data_centre != data_centre, s.running, s.name),
+        )
+        return callers_base.Located(
+            hosts=[
+                callers_base.LocatedHost(
+                    name=item.name,
+                    data_centre=item.data_centre,
+                    endpoint=item.caller_endpoint,
+                )
+                for item in ranked
+            ],
+            ttl_ms=self._settings.callers.locate_ttl_ms,
+            revision=self._holder.current.revision,
+        )
+
+    def has_workspace(self, workspace: str) -> bool:
+        """Tells whether a workspace is in force."""
+        return workspace in self._holder.current.plans
+
+    async def search(self, call: callers_base.SearchCall) -> callers_base.Reply:
+        """Runs a search."""
+        started_ms = self._clock.now_ms()
+        request_id = self._new_request_id()
+        current = self._holder.current
+        plan = current.plans[call.workspace]
+        member = current.workspaces[call.workspace].member
+        search = fanout.Search(
+            request_id,
+            plan.service,
+            call.text,
+            min(call.limit or plan.hits_limit, plan.hits_limit),
+            started_ms + self._timeout_ms(call.timeout_ms, plan),
+        )
+        service = self._holder.services.get(plan.service)
+        self._running += 1
+        try:
+            outcome = (
+                await self._searches.run(search, member, service)
+                if service is not None
+                else _not_ready()
+            )
+        finally:
+            self._running -= 1
+        self._record(request_id, call.workspace, "search", started_ms, outcome)
+        return callers_base.Reply(request_id, outcome)
+
+    async def act(self, call: callers_base.ActionCall) -> callers_base.Reply:
+        """Runs a request that is not safe to repeat."""
+        started_ms = self._clock.now_ms()
+        request_id = self._new_request_id()
+        current = self._holder.current
+        plan = current.plans[call.workspace]
+        request = actions.ActionRequest(
+            request_id,
+            call.key,
+            current.workspaces[call.workspace].member,
+            call.target,
+            call.body,
+            started_ms + self._timeout_ms(call.timeout_ms, plan),
+        )
+        service = self._holder.services.get(plan.service)
+        self._running += 1
+        try:
+            outcome = (
+                await self._actions.run(request, service)
+                if service is not None
+                else _not_ready()
+            )
+        finally:
+            self._running -= 1
+        self._record(request_id, call.workspace, "act", started_ms, outcome)
+        return callers_base.Reply(request_id, outcome)
+
+    async def explain_anywhere(
+        self, request_id: str
+    ) -> records_lib.Record | None:
+        """Returns the record of a request from the host that served it."""
+        name = request_id.partition(".")[0]
+        endpoint = self._directory.endpoint_of(name)
+        if endpoint is None:
+            return self.explain(request_id)
+        return await self._peers.explain(endpoint, request_id)
+
+    def explain(self, request_id: str) -> records_lib.Record | None:
+        """Returns the record of a request that this host served."""
+        return self._records.get(request_id)
+
+    def metrics(self) -> bytes:
+        """Returns all metrics in the Prometheus text format."""
+        return self._metrics.exposition()
+
+    async def change(
+        self, change: catalogs.Change
+    ) -> configuration.ChangeResult:
+        """Gets a change accepted, or says why not."""
+        return await self._writer.accept(change)
+
+    def current(self) -> catalogs.Configuration:
+        """Returns the configuration in force on this host."""
+        return self._holder.current
+
+    async def fleet(self) -> list[peers_base.PeerStatus]:
+        """Returns the status of every host that answers."""
+        await self._directory.refresh()
+        return [self.status(), *self._directory.alive.values()]
+
+    def _new_request_id(self) -> str:
+        name = self._settings.host.name
+        return f"{name}.{self._incarnation}.{next(self._sequence):x}"
+
+    def _timeout_ms(
+        self, asked_ms: int | None, plan: documents.WorkspacePlan
+    ) -> int:
+        return min(
+            asked_ms or plan.timeout_ms, self._settings.callers.max_timeout_ms
+        )
+
+    def _record(
+        self,
+        request_id: str,
+        workspace: str,
+        kind: str,
+        started_ms: float,
+        outcome: outcomes.Outcome,
+    ) -> None:
+        took_ms = self._clock.now_ms() - started_ms
+        self._metrics.requests.labels(workspace, outcome.tag).inc()
+        self._metrics.request_latency.record(workspace, took_ms)
+        if isinstance(outcome, outcomes.NotRun):
+            self._metrics.refusals.labels("host", outcome.reason).inc()
+        self._records.add(
+            records_lib.Record(
+                request_id=request_id,
+                workspace=workspace,
+                member=self._holder.current.workspaces[workspace].member
+                if workspace in self._holder.current.workspaces
+                else "",
+                kind=kind,
+                outcome=outcome.tag,
+                took_ms=round(took_ms, 3),
+                detail=_detail(outcome),
+            )
+        )
+
+
+def _not_ready() -> outcomes.NotRun:
+    return outcomes.NotRun(outcomes.Reason.NOT_READY, _NOT_READY_RETRY_MS)
+
+
+def _detail(outcome: outcomes.Outcome) -> dict[str, Any]:
+    if not isinstance(outcome, outcomes.Ran):
+        return {"reason": str(outcome.reason)}
+    if not isinstance(outcome.value, fanout.SearchAnswer):
+        return {}
+    return {
+        "snapshot": list(outcome.value.snapshot),
+        "covered": outcome.value.coverage.covered,
+        "total": outcome.value.coverage.total,
+    }
--- /dev/null
+++ b/greengagedale/http_replies.py
@@ -0,0 +1,77 @@
+"""What the HTTP servers for callers and operators have in common."""
+
+from collections.abc import Awaitable, Callable
+import logging
+import math
+from typing import Any
+
+from aiohttp import web
+import msgspec
+
+from greengagedale import exceptions
+from greengagedale.callers import wire
+
+log = logging.getLogger(__name__)
+
+_JSON = "application/json"
+_MS_PER_S = 1000
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+def reply(body: Any, status: int = 200) -> web.Response:
+    """Makes a JSON response."""
+    return web.Response(
+        body=msgspec.json.encode(body), status=status, content_type=_JSON
+    )
+
+
+def retry_later(body: Any, retry_after_ms: int) -> web.Response:
+    """Makes a 503 response that says when to come back."""
+    made = reply(body, status=503)
+    made.headers["Retry-After"] = str(math.ceil(retry_after_ms / _MS_PER_S))
+    return made
+
+
+def error(
+    status: int,
+    tag: str,
+    message: str,
+    mistakes: list[exceptions.Mistake] | None = None,
+) -> web.Response:
+    """Makes an error response; the request was not run."""
+    return reply(wire.error_reply(tag, message, mistakes or []), status)
+
+
+async def read(request: web.Request, as_type: Any) -> Any:
+    """Reads a JSON body of the given type.
+
+    Raises:
+        InvalidInputError: It is not such a body.
+    """
+    try:
+        return msgspec.json.decode(await request.read(), type=as_type)
+    except msgspec.ValidationError as invalid:
+        message, _, key = str(invalid).partition(" - at ")
+        mistake = exceptions.Mistake(key.strip("`$.") or "(body)", message)
+    except (msgspec.DecodeError, UnicodeDecodeError) as broken:
+        mistake = exceptions.Mistake("(body)", str(broken))
+    raise exceptions.InvalidInputError("request", [mistake])
+
+
+@web.middleware
+async def typed_errors(
+    request: web.Request, handler: Handler
+) -> web.StreamResponse:
+    """Turns every error into a typed JSON response."""
+    try:
+        return await handler(request)
+    except exceptions.InvalidInputError as invalid:
+        return error(400, "invalid_request", str(invalid), invalid.mistakes)
+    except web.HTTPRequestEntityTooLarge as large:
+        return error(413, "body_too_large", large.text or large.reason)
+    except web.HTTPException as other:
+        return error(other.status, "http", other.reason)
+    except Exception:
+        log.exception("request to %s failed", request.path)
+        return error(500, "internal", "an internal error; see the host's log")
--- /dev/null
+++ b/greengagedale/loops.py
@@ -0,0 +1,59 @@
+"""The event loop of every greengagedale process."""
+
+import asyncio
+from collections.abc import Coroutine
+import os
+import pathlib
+from typing import Any
+
+from greengagedale import exceptions
+
+# libuv reads this once, when the first loop of the process is made.
+_IO_URING_VARIABLE = "UV_USE_IO_URING"
+_DESCRIPTORS = pathlib.Path("/proc/self/fd")
+
+
+def new_event_loop() -> asyncio.AbstractEventLoop:
+    """Makes a uvloop event loop that does not use io_uring.
+
+    Raises:
+        UnsafeLoopError: The loop opened an io_uring descriptor all the same.
+    """
+    os.environ[_IO_URING_VARIABLE] = "0"
+    import uvloop  # The variable must be set before libuv is first used.
+
+    loop = uvloop.new_event_loop()
+    check_descriptors()
+    return loop
+
+
+def check_descriptors() -> None:
+    """Checks that the process holds no io_uring descriptor.
+
+    Raises:
+        UnsafeLoopError: It holds one.
+    """
+    if any("io_uring" in target for target in _descriptor_targets()):
+        raise exceptions.UnsafeLoopError(
+            "the event loop opened an io_uring descriptor; "
+            "install uvloop>=0.22.1,<0.23"
+        )
+
+
+def run(main: Coroutine[Any, Any, Any]) -> Any:
+    """Runs a coroutine to its end on a new event loop."""
+    with asyncio.Runner(loop_factory=new_event_loop) as runner:
+        return runner.run(main)
+
+
+def _descriptor_targets() -> list[str]:
+    if not _DESCRIPTORS.exists():
+        return []
+    return [_read_link(entry) for entry in _DESCRIPTORS.iterdir()]
+
+
+def _read_link(entry: pathlib.Path) -> str:
+    try:
+        return os.readlink(entry)
+    except OSError:
+        return ""
--- /dev/null
+++ b/greengagedale/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which hosts are alive, as the hosts themselves find out."""
--- /dev/null
+++ b/greengagedale/metrics.py
@@ -0,0 +1,114 @@
+"""Counters and latency histograms of a process."""
+
+from collections.abc import Iterator
+
+from hdrh import histogram
+import prometheus_client
+from prometheus_client import core
+from prometheus_client import registry as registries
+
+_LOWEST_US = 1
+_HIGHEST_US = 120_000_000
+_SIGNIFICANT_DIGITS = 2
+_QUANTILES = (0.5, 0.9, 0.99, 0.999)
+_US_PER_MS = 1000.0
+
+
+class LatencyCollector(registries.Collector):
+    """Latencies by label, in hdrhistogram, exported as summaries in ms."""
+
+    def __init__(self, name: str, help_text: str, label: str) -> None:
+        self._name = name
+        self._help = help_text
+        self._label = label
+        self._histograms: dict[str, histogram.HdrHistogram] = {}
+
+    def record(self, label_value: str, latency_ms: float) -> None:
+        """Records one latency."""
+        held = self._histograms.get(label_value)
+        if held is None:
+            held = histogram.HdrHistogram(
+                _LOWEST_US, _HIGHEST_US, _SIGNIFICANT_DIGITS
+            )
+            self._histograms[label_value] = held
+        held.record_value(max(_LOWEST_US, int(latency_ms * _US_PER_MS)))
+
+    def quantile_ms(self, label_value: str, quantile: float) -> float | None:
+        """Returns a quantile (0 to 1) in ms, or None without records."""
+        held = self._histograms.get(label_value)
+        if held is None or held.get_total_count() == 0:
+            return None
+        return held.get_value_at_percentile(quantile * 100) / _US_PER_MS
+
+    def collect(self) -> Iterator[core.Metric]:
+        """Yields the metric family for exposition."""
+        family = core.GaugeMetricFamily(
+            self._name, self._help, labels=[self._label, "quantile"]
+        )
+        for value in self._histograms:
+            for quantile in _QUANTILES:
+                family.add_metric(
+                    [value, str(quantile)],
+                    self.quantile_ms(value, quantile) or 0.0,
+                )
+        yield family
+
+
+class Metrics:
+    """All metrics of one process.
+
+    Attributes:
+        requests: Requests of callers by workspace and outcome.
+        refusals: Refusals by layer and reason.
+        retries: Attempts beyond the first by reason.
+        attempts: Attempts sent to upstreams by service.
+        drops: Answers of upstreams that were not used, by reason.
+        platform_calls: Calls to the platform by operation and result.
+        request_latency: Latency of requests by workspace.
+        attempt_latency: Latency of attempts by service.
+    """
+
+    def __init__(self) -> None:
+        self.registry = prometheus_client.CollectorRegistry()
+        self.requests = self._counter(
+            "requests", "Requests of callers.", "workspace", "outcome"
+        )
+        self.refusals = self._counter(
+            "refusals", "Refusals by layer.", "layer", "reason"
+        )
+        self.retries = self._counter(
+            "retries", "Attempts beyond the first.", "reason"
+        )
+        self.attempts = self._counter(
+            "attempts", "Attempts sent to upstreams.", "service"
+        )
+        self.drops = self._counter(
+            "dropped_answers", "Answers not used.", "reason"
+        )
+        self.platform_calls = self._counter(
+            "platform_calls", "Calls to the platform.", "operation", "result"
+        )
+        self.request_latency = self._latency(
+            "request_latency_ms", "Latency of requests.", "workspace"
+        )
+        self.attempt_latency = self._latency(
+            "attempt_latency_ms", "Latency of attempts.", "service"
+        )
+
+    def exposition(self) -> bytes:
+        """Returns all metrics in the Prometheus text format."""
+        return prometheus_client.generate_latest(self.registry)
+
+    def _counter(
+        self, name: str, help_text: str, *labels: str
+    ) -> prometheus_client.Counter:
+        return prometheus_client.Counter(
+            f"greengagedale_{name}", help_text, labels, registry=self.registry
+        )
+
+    def _latency(
+        self, name: str, help_text: str, label: str
+    ) -> LatencyCollector:
+        collector = LatencyCollector(f"greengagedale_{name}", help_text, label)
+        self.registry.register(collector)
+        return collector
--- /dev/null
+++ b/greengagedale/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Everything heard from operators, and answered to them."""
--- /dev/null
+++ b/greengagedale/operators/http_server.py
@@ -0,0 +1,155 @@
+"""Answers operators over HTTP, with aiohttp."""
+
+import secrets
+from typing import Any
+
+from aiohttp import web
+
+from greengagedale import configuration
+from greengagedale import exceptions
+from greengagedale import http_replies
+from greengagedale.catalog import catalogs
+from greengagedale.catalog import documents
+from greengagedale.operators import base
+from greengagedale.operators import wire
+
+_MAX_BODY_BYTES = 256 * 1024
+_CHANGE_ID_BYTES = 12
+_STATUS_OF_REASON = {"invalid": 422, "conflict": 409, "platform_down": 503}
+_UNKNOWN_STATUS = 502
+
+
+def application(service: base.OperatorService) -> web.Application:
+    """Makes the application that serves operators."""
+    handlers = _Handlers(service)
+    app = web.Application(
+        middlewares=[http_replies.typed_errors],
+        client_max_size=_MAX_BODY_BYTES,
+    )
+    app.add_routes(
+        [
+            web.get("/v1/templates", handlers.templates),
+            web.get("/v1/templates/{name}", handlers.template),
+            web.put("/v1/templates/{name}", handlers.put_template),
+            web.get("/v1/workspaces", handlers.workspaces),
+            web.get("/v1/workspaces/{name}", handlers.workspace),
+            web.put("/v1/workspaces/{name}", handlers.put_workspace),
+            web.delete("/v1/workspaces/{name}", handlers.delete_workspace),
+            web.get("/v1/changes/{change_id}", handlers.change),
+            web.get("/v1/fleet", handlers.fleet),
+        ]
+    )
+    return app
+
+
+class _Handlers:
+    def __init__(self, service: base.OperatorService) -> None:
+        self._service = service
+
+    async def templates(self, request: web.Request) -> web.Response:
+        """Answers all templates in force."""
+        del request
+        current = self._service.current()
+        return _documents(current.revision, current.templates)
+
+    async def workspaces(self, request: web.Request) -> web.Response:
+        """Answers all workspaces in force."""
+        del request
+        current = self._service.current()
+        return _documents(current.revision, current.workspaces)
+
+    async def template(self, request: web.Request) -> web.Response:
+        """Answers one template in force."""
+        return _document(request, self._service.current().templates)
+
+    async def workspace(self, request: web.Request) -> web.Response:
+        """Answers one workspace in force."""
+        return _document(request, self._service.current().workspaces)
+
+    async def put_template(self, request: web.Request) -> web.Response:
+        """Creates or replaces a template."""
+        body = await http_replies.read(request, dict[str, Any])
+        template = documents.parse_template(_named(request, body))
+        return await self._change(request, template=template)
+
+    async def put_workspace(self, request: web.Request) -> web.Response:
+        """Creates or replaces a workspace."""
+        body = await http_replies.read(request, dict[str, Any])
+        workspace = documents.parse_workspace(_named(request, body))
+        return await self._change(request, workspace=workspace)
+
+    async def delete_workspace(self, request: web.Request) -> web.Response:
+        """Deletes a workspace."""
+        name = request.match_info["name"]
+        return await self._change(request, delete_workspace=name)
+
+    async def change(self, request: web.Request) -> web.Response:
+        """Answers whether a recent change is in force here."""
+        change_id = request.match_info["change_id"]
+        revision = catalogs.revision_of(self._service.current(), change_id)
+        if revision is None:
+            return http_replies.error(
+                404, "unknown_change", f"no change {change_id!r} in force here"
+            )
+        return http_replies.reply(
+            wire.ChangeReply(
+                outcome=configuration.Accepted.tag,
+                change_id=change_id,
+                revision=revision,
+            )
+        )
+
+    async def fleet(self, request: web.Request) -> web.Response:
+        """Answers the status of every host."""
+        del request
+        hosts = await self._service.fleet()
+        # NamedTuples encode as arrays; operators get names.
+        return http_replies.reply({"hosts": [h._asdict() for h in hosts]})
+
+    async def _change(self, request: web.Request, **parts: Any) -> web.Response:
+        change_id = request.headers.get(
+            wire.HEADER_CHANGE_ID, secrets.token_hex(_CHANGE_ID_BYTES)
+        )
+        change = catalogs.Change(change_id, **parts)
+        result = await self._service.change(change)
+        return _change_response(change_id, result)
+
+
+def _change_response(
+    change_id: str, result: configuration.ChangeResult
+) -> web.Response:
+    body = wire.ChangeReply(outcome=result.tag, change_id=change_id)
+    if isinstance(result, configuration.Accepted):
+        body["revision"] = result.revision
+        return http_replies.reply(body)
+    body["detail"] = result.detail
+    if isinstance(result, configuration.Undecided):
+        return http_replies.reply(body, status=_UNKNOWN_STATUS)
+    body["reason"] = result.reason
+    return http_replies.reply(body, _STATUS_OF_REASON[result.reason])
+
+
+def _named(request: web.Request, body: dict[str, Any]) -> dict[str, Any]:
+    name = request.match_info["name"]
+    if body.get("name", name) != name:
+        raise exceptions.InvalidInputError(
+            "request",
+            [exceptions.Mistake("name", f"differs from {name!r} in the path")],
+        )
+    return {**body, "name": name}
+
+
+def _documents(revision: int, items: dict[str, Any]) -> web.Response:
+    return http_replies.reply(
+        wire.DocumentsReply(
+            revision=revision,
+            items=[item.model_dump() for item in items.values()],
+        )
+    )
+
+
+def _document(request: web.Request, items: dict[str, Any]) -> web.Response:
+    name = request.match_info["name"]
+    if name not in items:
+        return http_replies.error(404, "not_found", f"{name!r} is not in force")
+    return http_replies.reply(items[name].model_dump())
--- /dev/null
+++ b/greengagedale/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Everything said between hosts of the system."""
--- /dev/null
+++ b/greengagedale/peers/grpc_client.py
@@ -0,0 +1,58 @@
+"""Asks other hosts over gRPC."""
+
+from typing import Any, Self
+
+import grpc
+from grpc import aio
+import msgspec
+
+from greengagedale import records
+from greengagedale.peers import base
+from greengagedale.peers import wire
+
+_MS_PER_S = 1000.0
+
+
+class GrpcTransport(base.PeerTransport):
+    """Asks other hosts over gRPC, on one channel for each."""
+
+    def __init__(self, timeout_ms: int) -> None:
+        self._timeout_s = timeout_ms / _MS_PER_S
+        self._channels: dict[str, aio.Channel] = {}
+
+    @classmethod
+    def from_config(cls, timeout_ms: int) -> Self:
+        """Makes a transport; must be called on a running loop."""
+        return cls(timeout_ms)
+
+    async def status(self, endpoint: str) -> base.PeerStatus | None:
+        """Asks a host for its status."""
+        return await self._ask(endpoint, wire.STATUS, None, base.PeerStatus)
+
+    async def explain(
+        self, endpoint: str, request_id: str
+    ) -> records.Record | None:
+        """Asks a host for the record of a request."""
+        return await self._ask(
+            endpoint, wire.EXPLAIN, request_id, records.Record | None
+        )
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        for channel in self._channels.values():
+            await channel.close()
+        self._channels.clear()
+
+    async def _ask(
+        self, endpoint: str, method: str, request: Any, reply_type: Any
+    ) -> Any:
+        channel = self._channels.get(endpoint)
+        if channel is None:
+            channel = aio.insecure_channel(endpoint)
+            self._channels[endpoint] = channel
+        call = channel.unary_unary(wire.path_of(method))
+        try:
+            encoded = await call(wire.encode(request), timeout=self._timeout_s)
+            return wire.decode(encoded, reply_type)
+        except (grpc.RpcError, msgspec.DecodeError):
+            return None
--- /dev/null
+++ b/greengagedale/peers/grpc_server.py
@@ -0,0 +1,41 @@
+"""Answers other hosts over gRPC."""
+
+from collections.abc import Callable
+from typing import Any
+
+import grpc
+from grpc import aio
+import msgspec
+
+from greengagedale.peers import base
+from greengagedale.peers import wire
+
+
+async def start(service: base.PeerService, endpoint: str) -> aio.Server:
+    """Starts to listen; the caller stops the returned server."""
+    server = aio.server(options=(("grpc.so_reuseport", 0),))
+    server.add_generic_rpc_handlers((_handlers(service),))
+    server.add_insecure_port(endpoint)
+    await server.start()
+    return server
+
+
+def _handlers(service: base.PeerService) -> grpc.GenericRpcHandler:
+    methods = {
+        wire.STATUS: _unary(lambda _: service.status(), type(None)),
+        wire.EXPLAIN: _unary(service.explain, str),
+    }
+    return grpc.method_handlers_generic_handler(wire.SERVICE, methods)
+
+
+def _unary(answer: Callable[[Any], Any], request_type: Any) -> Any:
+    async def handle(encoded: bytes, context: aio.ServicerContext) -> bytes:
+        try:
+            request = wire.decode(encoded, request_type)
+        except msgspec.DecodeError as error:
+            await context.abort(
+                grpc.StatusCode.INVALID_ARGUMENT, f"bad message: {error}"
+            )
+        return wire.encode(answer(request))
+
+    return grpc.unary_unary_rpc_method_handler(handle)
--- /dev/null
+++ b/greengagedale/peers/wire.py
@@ -0,0 +1,25 @@
+"""Methods and messages between hosts: gRPC with msgpack bodies."""
+
+from typing import Any
+
+import msgspec
+
+SERVICE = "greengagedale.Peers"
+STATUS = "Status"
+EXPLAIN = "Explain"
+
+encode = msgspec.msgpack.encode
+
+
+def path_of(method: str) -> str:
+    """Returns the full gRPC path of a method."""
+    return f"/{SERVICE}/{method}"
+
+
+def decode(encoded: bytes, as_type: Any) -> Any:
+    """Decodes a message.
+
+    Raises:
+        msgspec.DecodeError: It is not a message of that type.
+    """
+    return msgspec.msgpack.decode(encoded, type=as_type)
--- /dev/null
+++ b/greengagedale/platform/http.py
@@ -0,0 +1,197 @@
+"""The platform's object API over HTTP, with aiohttp."""
+
+import logging
+from typing import NamedTuple, Self
+
+import aiohttp
+import msgspec
+
+from greengagedale import metrics as metrics_lib
+from greengagedale.platform import base
+from greengagedale.platform import wire
+
+log = logging.getLogger(__name__)
+
+_MS_PER_S = 1000.0
+_WATCH_GRACE_MS = 1000
+
+
+class _Reply(NamedTuple):
+    status: int
+    body: bytes
+
+
+class _Failure(NamedTuple):
+    detail: str
+    sent: bool
+
+
+class HttpStore(base.ObjectStore):
+    """The object API over HTTP."""
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        endpoint: str,
+        timeout_ms: int,
+        metrics: metrics_lib.Metrics,
+    ) -> None:
+        self._session = session
+        self._root = f"http://{endpoint}/v1"
+        self._timeout_ms = timeout_ms
+        self._metrics = metrics
+
+    @classmethod
+    def from_config(
+        cls, endpoint: str, timeout_ms: int, metrics: metrics_lib.Metrics
+    ) -> Self:
+        """Makes a store; must be called on a running loop."""
+        session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+        return cls(session, endpoint, timeout_ms, metrics)
+
+    async def get(
+        self, kind: str, name: str
+    ) -> base.Found | base.Missing | base.Unavailable:
+        """Reads one object."""
+        got = await self._call("get", "GET", f"/objects/{kind}/{name}")
+        if isinstance(got, _Failure):
+            return base.Unavailable(got.detail)
+        if got.status == wire.STATUS_MISSING:
+            return base.Missing()
+        if got.status != wire.STATUS_OK:
+            return _unavailable(got)
+        try:
+            reply = wire.object_decoder.decode(got.body)
+        except msgspec.DecodeError as error:
+            return base.Unavailable(str(error))
+        return base.Found(_stored(kind, reply))
+
+    async def put(
+        self, kind: str, name: str, value: bytes, expected_version: int
+    ) -> base.Written | base.Conflict | base.Unavailable | base.Unsure:
+        """Writes an object if its version is still the expected one."""
+        path = f"/objects/{kind}/{name}"
+        got = await self._call("put", "PUT", path, expected_version, value)
+        return _write_result(got)
+
+    async def delete(
+        self, kind: str, name: str, expected_version: int
+    ) -> base.Written | base.Conflict | base.Unavailable | base.Unsure:
+        """Deletes an object if its version is still the expected one."""
+        path = f"/objects/{kind}/{name}"
+        got = await self._call("delete", "DELETE", path, expected_version)
+        return _write_result(got)
+
+    async def names(self, kind: str) -> list[str] | base.Unavailable:
+        """Lists the names of all objects of a kind."""
+        got = await self._call("names", "GET", f"/objects/{kind}")
+        if isinstance(got, _Failure):
+            return base.Unavailable(got.detail)
+        if got.status != wire.STATUS_OK:
+            return _unavailable(got)
+        try:
+            return wire.names_decoder.decode(got.body)["names"]
+        except msgspec.DecodeError as error:
+            return base.Unavailable(str(error))
+
+    async def watch(
+        self, kind: str, cursor: int, wait_ms: int
+    ) -> base.Changes | base.Unavailable:
+        """Waits for changes of a kind, at most for the given time."""
+        got = await self._call(
+            "watch",
+            "GET",
+            f"/watch/{kind}?cursor={cursor}&wait_ms={wait_ms}",
+            timeout_ms=wait_ms + _WATCH_GRACE_MS,
+        )
+        if isinstance(got, _Failure):
+            return base.Unavailable(got.detail)
+        if got.status != wire.STATUS_OK:
+            return _unavailable(got)
+        try:
+            reply = wire.watch_decoder.decode(got.body)
+        except msgspec.DecodeError as error:
+            return base.Unavailable(str(error))
+        changed = [_stored(kind, item) for item in reply["objects"]]
+        return base.Changes(changed, reply["cursor"])
+
+    async def hosts(self) -> list[base.PlatformHost] | base.Unavailable:
+        """Lists live and leaving hosts, as the platform knows them."""
+        got = await self._call("hosts", "GET", "/hosts")
+        if isinstance(got, _Failure):
+            return base.Unavailable(got.detail)
+        if got.status != wire.STATUS_OK:
+            return _unavailable(got)
+        try:
+            reply = wire.hosts_decoder.decode(got.body)
+        except msgspec.DecodeError as error:
+            return base.Unavailable(str(error))
+        return [base.PlatformHost(**item) for item in reply["hosts"]]
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self._session.close()
+
+    async def _call(
+        self,
+        operation: str,
+        method: str,
+        path: str,
+        expected_version: int | None = None,
+        body: bytes | None = None,
+        timeout_ms: int | None = None,
+    ) -> _Reply | _Failure:
+        headers = (
+            {}
+            if expected_version is None
+            else {"If-Match": str(expected_version)}
+        )
+        total_s = (timeout_ms or self._timeout_ms) / _MS_PER_S
+        try:
+            async with self._session.request(
+                method,
+                self._root + path,
+                data=body,
+                headers=headers,
+                timeout=aiohttp.ClientTimeout(total=total_s),
+            ) as response:
+                reply = _Reply(response.status, await response.read())
+        except aiohttp.ClientConnectorError as error:
+            self._count(operation, "unreachable")
+            return _Failure(str(error), sent=False)
+        except (aiohttp.ClientError, OSError) as error:
+            self._count(operation, "no_reply")
+            return _Failure(repr(error), sent=True)
+        self._count(operation, str(reply.status))
+        return reply
+
+    def _count(self, operation: str, result: str) -> None:
+        self._metrics.platform_calls.labels(operation, result).inc()
+
+
+def _stored(kind: str, reply: wire.ObjectReply) -> base.StoredObject:
+    return base.StoredObject(
+        kind, reply["name"], reply["version"], reply["value"].encode()
+    )
+
+
+def _unavailable(got: _Reply) -> base.Unavailable:
+    text = got.body.decode(errors="replace")[:200]
+    return base.Unavailable(f"status {got.status}: {text}")
+
+
+def _write_result(
+    got: _Reply | _Failure,
+) -> base.Written | base.Conflict | base.Unavailable | base.Unsure:
+    if isinstance(got, _Failure):
+        return (base.Unsure if got.sent else base.Unavailable)(got.detail)
+    if got.status == wire.STATUS_CONFLICT:
+        return base.Conflict()
+    if got.status in (wire.STATUS_BUSY, wire.STATUS_TOO_LARGE):
+        return _unavailable(got)
+    if got.status != wire.STATUS_OK:
+        return base.Unsure(f"status {got.status}")
+    try:
+        return base.Written(wire.write_decoder.decode(got.body)["version"])
+    except msgspec.DecodeError as error:
+        return base.Unsure(str(error))
--- /dev/null
+++ b/greengagedale/platform/wire.py
@@ -0,0 +1,61 @@
+"""Messages of the platform's HTTP protocol, in JSON."""
+
+from typing import TypedDict
+
+import msgspec
+
+
+class ObjectReply(TypedDict):
+    """One object; the value is text."""
+
+    name: str
+    version: int
+    value: str
+
+
+class WriteReply(TypedDict):
+    """Answer to a write that took effect."""
+
+    version: int
+
+
+class NamesReply(TypedDict):
+    """Answer to a listing."""
+
+    names: list[str]
+
+
+class WatchReply(TypedDict):
+    """Answer to a watch."""
+
+    objects: list[ObjectReply]
+    cursor: int
+
+
+class HostReply(TypedDict):
+    """One host of the host list."""
+
+    name: str
+    data_centre: str
+    caller_endpoint: str
+    peer_endpoint: str
+    leaving: bool
+
+
+class HostsReply(TypedDict):
+    """Answer to `GET /v1/hosts`."""
+
+    hosts: list[HostReply]
+
+
+STATUS_OK = 200
+STATUS_MISSING = 404
+STATUS_CONFLICT = 412
+STATUS_BUSY = 429
+STATUS_TOO_LARGE = 413
+
+object_decoder = msgspec.json.Decoder(ObjectReply)
+write_decoder = msgspec.json.Decoder(WriteReply)
+names_decoder = msgspec.json.Decoder(NamesReply)
+watch_decoder = msgspec.json.Decoder(WatchReply)
+hosts_decoder = msgspec.json.Decoder(HostsReply)
--- /dev/null
+++ b/greengagedale/query/__init__.py
@@ -0,0 +1,1 @@
+"""The decisions of one search, free of input and output."""
--- /dev/null
+++ b/greengagedale/retry/__init__.py
@@ -0,0 +1,1 @@
+"""Retries: when another attempt is worth its load."""
--- /dev/null
+++ b/greengagedale/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Which replica an attempt is sent to."""
--- /dev/null
+++ b/greengagedale/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Everything said to upstreams, and heard from them."""
--- /dev/null
+++ b/greengagedale/upstreams/wire.py
@@ -0,0 +1,87 @@
+"""Messages of the upstreams' HTTP protocol, in JSON."""
+
+from typing import Any, TypedDict
+
+import msgspec
+
+from greengagedale.query import hits
+
+
+class SearchBody(TypedDict):
+    """Body of `POST /v1/search`."""
+
+    attempt_id: str
+    member: str
+    index_version: int
+    map_version: int
+    low: int
+    high: int
+    text: str
+    limit: int
+    timeout_ms: float
+
+
+class SearchReply(msgspec.Struct):
+    """Answer to `POST /v1/search`; the digest is over the hits as encoded.
+
+    A `TypedDict` can't hold a part that is left encoded, hence the struct.
+    """
+
+    attempt_id: str
+    index_version: int
+    map_version: int
+    low: int
+    high: int
+    count: int
+    digest: str
+    hits: msgspec.Raw
+
+
+class ActionBody(TypedDict):
+    """Body of `POST /v1/act`."""
+
+    attempt_id: str
+    key: str
+    member: str
+    target: int
+    body: Any
+    timeout_ms: float
+
+
+class ActionReply(TypedDict):
+    """Answer to `POST /v1/act`."""
+
+    attempt_id: str
+    body: Any
+
+
+class RefusalReply(TypedDict):
+    """Answer with status 503 or 409: the upstream did not run the request."""
+
+    refused: str
+    retry_after_ms: int
+
+
+class CancelBody(TypedDict):
+    """Body of `POST /v1/cancel`."""
+
+    attempt_id: str
+
+
+class HealthReply(TypedDict):
+    """Answer to `GET /v1/health`."""
+
+    state: str
+    load: int
+
+
+HEADER_DATA_CENTRE = "X-Data-Centre"
+STATUS_REFUSED = 503
+STATUS_NOT_HELD = 409
+
+search_reply_decoder = msgspec.json.Decoder(SearchReply)
+action_reply_decoder = msgspec.json.Decoder(ActionReply)
+refusal_decoder = msgspec.json.Decoder(RefusalReply)
+health_decoder = msgspec.json.Decoder(HealthReply)
+hits_decoder = msgspec.json.Decoder(list[hits.Hit])
+encode = msgspec.json.encode
--- /dev/null
+++ b/standins/__main__.py
@@ -0,0 +1,96 @@
+"""Runs the stand-ins, each call as one process."""
+
+import asyncio
+import pathlib
+from typing import Annotated
+
+from aiohttp import web
+import typer
+
+from greengagedale import loops
+from standins import platform as platform_lib
+from standins import records
+from standins import shapes
+from standins import upstream as upstream_lib
+
+app = typer.Typer(no_args_is_help=True, help="Stand-ins for outside systems.")
+
+ShapePath = Annotated[pathlib.Path, typer.Option("--shape", help="Shape file.")]
+BasePort = Annotated[
+    int | None, typer.Option("--base-port", help="In place of the shape's.")
+]
+RecordPath = Annotated[
+    pathlib.Path | None, typer.Option("--record", help="Where to record.")
+]
+
+
+@app.command()
+def platform(
+    shape: ShapePath, base_port: BasePort = None, record: RecordPath = None
+) -> None:
+    """Run the platform of a deployment."""
+    loaded = shapes.Shape.from_file(shape, base_port)
+    made = platform_lib.application
+    loops.run(_serve({loaded.platform_endpoint: (made, (loaded,))}, record))
+
+
+@app.command()
+def upstream(
+    shape: ShapePath,
+    names: Annotated[
+        str, typer.Option(help="Upstreams to run, by comma; or a service.")
+    ],
+    base_port: BasePort = None,
+    record: RecordPath = None,
+    seed: Annotated[int, typer.Option(help="Seed of random choices.")] = 1,
+) -> None:
+    """Run upstreams of a deployment in one process."""
+    loaded = shapes.Shape.from_file(shape, base_port)
+    wanted = set(names.split(","))
+    chosen = [
+        placed
+        for placed in loaded.upstreams()
+        if wanted & {placed.upstream.name, placed.shape.name}
+    ]
+    if not chosen:
+        raise SystemExit(f"no upstream is named {names}")
+    apps = {
+        placed.upstream.endpoint: (
+            lambda recorder, placed=placed: upstream_lib.application(
+                placed, loaded, recorder, seed
+            ),
+            (),
+        )
+        for placed in chosen
+    }
+    loops.run(_serve(apps, record))
+
+
+@app.command()
+def settings(
+    shape: ShapePath,
+    out: Annotated[pathlib.Path, typer.Option(help="Folder to write to.")],
+    base_port: BasePort = None,
+) -> None:
+    """Write the settings files of a deployment's entry hosts."""
+    loaded = shapes.Shape.from_file(shape, base_port)
+    out.mkdir(parents=True, exist_ok=True)
+    for host in loaded.entry_hosts():
+        path = out / f"{host.name}.toml"
+        path.write_text(host.settings_toml(loaded), encoding="utf-8")
+
+
+async def _serve(apps: dict, record: pathlib.Path | None) -> None:
+    recorder = records.Recorder.from_config(record)
+    for endpoint, (make, arguments) in apps.items():
+        runner = web.AppRunner(
+            make(*arguments, recorder), access_log=None, shutdown_timeout=0.1
+        )
+        await runner.setup()
+        address, _, port = endpoint.rpartition(":")
+        await web.TCPSite(runner, address, int(port), backlog=1024).start()
+    await asyncio.Event().wait()
+
+
+if __name__ == "__main__":
+    app()
--- /dev/null
+++ b/standins/shapes.py
@@ -0,0 +1,178 @@
+"""Shapes of deployments: which data centres, services and hosts there are."""
+
+import pathlib
+import tomllib
+from typing import NamedTuple, Self
+
+import pydantic
+
+from greengagedale.catalog import services
+from greengagedale.config import settings as settings_lib
+from greengagedale.query import ranges
+from greengagedale.query import snapshots
+from greengagedale.upstreams import base as upstreams_base
+
+ENTRY_HOSTS = 4
+_UPSTREAM_OFFSET = 100
+_HOST_OFFSET = 10
+_PORTS_PER_HOST = 3
+
+
+class ServiceShape(settings_lib.Section):
+    """One service of a deployment.
+
+    Attributes:
+        instances: Shard groups; each holds a range of its own.
+        replicas: Upstreams of each group.
+        slots: Requests that an upstream runs at once.
+        connections: Connections that an upstream accepts.
+        connect_ms: Cost of a new connection.
+        work_ms: Median time that a sub-request takes.
+    """
+
+    name: str
+    instances: int
+    replicas: int
+    slots: int
+    connections: int
+    connect_ms: float
+    work_ms: float = 3.0
+
+
+class Shape(settings_lib.Section):
+    """A deployment.
+
+    Attributes:
+        name: Name of the deployment.
+        base_port: First port; all others are offsets from it.
+        data_centres: Names, in the order in which parts are laid over them.
+        between_ms: One-way delay between two data centres.
+        clients_ms: One-way delay between a caller and a host.
+        services: The services.
+    """
+
+    name: str
+    base_port: int
+    data_centres: list[str]
+    between_ms: float
+    clients_ms: float
+    services: list[ServiceShape]
+
+    @classmethod
+    def from_file(
+        cls, path: pathlib.Path, base_port: int | None = None
+    ) -> Self:
+        """Reads a shape, optionally on other ports."""
+        config = tomllib.loads(path.read_text(encoding="utf-8"))
+        if base_port is not None:
+            config["base_port"] = base_port
+        try:
+            return cls.model_validate(config)
+        except pydantic.ValidationError as error:
+            raise SystemExit(f"{path}: {error}") from error
+
+    @property
+    def platform_endpoint(self) -> str:
+        """Where the platform listens."""
+        return f"127.0.0.1:{self.base_port}"
+
+    def entry_hosts(self) -> list["EntryHost"]:
+        """Returns the entry hosts, laid over the data centres."""
+        return [self._entry_host(i) for i in range(ENTRY_HOSTS)]
+
+    def upstreams(self) -> list["PlacedUpstream"]:
+        """Returns all upstreams of all services, in port order."""
+        placed = [
+            (shape, group, replica)
+            for shape in self.services
+            for group in range(shape.instances)
+            for replica in range(shape.replicas)
+        ]
+        return [
+            self._placed(number, *item) for number, item in enumerate(placed)
+        ]
+
+    def initial_service(self, name: str) -> services.Service:
+        """Returns a service as the platform first publishes it."""
+        placed = [p for p in self.upstreams() if p.shape.name == name]
+        groups = ranges.split_evenly(
+            ranges.KEY_SPACE, placed[0].shape.instances
+        )
+        entries = tuple(
+            snapshots.RangeReplicas(
+                key_range,
+                tuple(p.upstream.name for p in placed if p.group == group),
+            )
+            for group, key_range in enumerate(groups)
+        )
+        pinned = snapshots.PinnedMap(snapshots.Snapshot(1, 1), entries)
+        named = {p.upstream.name: p.upstream for p in placed}
+        return services.Service(name, 0, named, (pinned,))
+
+    def _entry_host(self, number: int) -> "EntryHost":
+        first = self.base_port + _HOST_OFFSET + number * _PORTS_PER_HOST
+        return EntryHost(
+            name=f"entry-{number + 1}",
+            data_centre=self.data_centres[number % len(self.data_centres)],
+            address=f"127.0.1.{number + 1}",
+            caller_port=first,
+            operator_port=first + 1,
+            peer_port=first + 2,
+        )
+
+    def _placed(
+        self, number: int, shape: ServiceShape, group: int, replica: int
+    ) -> "PlacedUpstream":
+        name = f"{shape.name}-{group + 1}-{replica + 1}"
+        data_centre = self.data_centres[
+            (group + replica) % len(self.data_centres)
+        ]
+        port = self.base_port + _UPSTREAM_OFFSET + number
+        return PlacedUpstream(
+            shape,
+            group,
+            upstreams_base.Upstream(
+                name,
+                f"127.0.0.1:{port}",
+                data_centre,
+                shape.slots,
+                shape.connections,
+            ),
+        )
+
+
+class EntryHost(NamedTuple):
+    """An entry host of a shape."""
+
+    name: str
+    data_centre: str
+    address: str
+    caller_port: int
+    operator_port: int
+    peer_port: int
+
+    def settings_toml(self, shape: Shape) -> str:
+        """Returns the settings file of this host."""
+        seeds = ", ".join(
+            f'"{h.address}:{h.peer_port}"' for h in shape.entry_hosts()
+        )
+        return (
+            "[host]\n"
+            f'name = "{self.name}"\n'
+            f'data_centre = "{self.data_centre}"\n'
+            f'address = "{self.address}"\n'
+            f"caller_port = {self.caller_port}\n"
+            f"operator_port = {self.operator_port}\n"
+            f"peer_port = {self.peer_port}\n"
+            "\n[platform]\n"
+            f'endpoint = "{shape.platform_endpoint}"\n'
+            f"\n[peers]\nseeds = [{seeds}]\n"
+        )
+
+
+class PlacedUpstream(NamedTuple):
+    """An upstream of a shape, with the group whose range it holds."""
+
+    shape: ServiceShape
+    group: int
+    upstream: upstreams_base.Upstream
--- /dev/null
+++ b/standins/upstream.py
@@ -0,0 +1,295 @@
+"""Stand-in for one upstream.
+
+`POST /control` changes what it holds and how it misbehaves, see `Control`.
+"""
+
+import asyncio
+import os
+import random
+import time
+from typing import Any, NamedTuple, TypedDict
+
+from aiohttp import web
+import msgspec
+
+from greengagedale.query import echoes
+from greengagedale.query import ranges
+from greengagedale.query import snapshots
+from greengagedale.upstreams import wire
+from standins import contents
+from standins import records
+from standins import shapes
+
+_MS_PER_S = 1000.0
+_QUEUE_PER_SLOT = 4
+_SPREAD = 0.25
+_CRASH_STATUS = 70
+_RETRY_AFTER_MS = 50
+
+CRASH_TEXT = "crash-upstream"
+
+
+class Holding(NamedTuple):
+    """A range that the upstream holds at a snapshot."""
+
+    index_version: int
+    map_version: int
+    low: int
+    high: int
+
+
+class Control(TypedDict, total=False):
+    """What an upstream holds and how it misbehaves.
+
+    Attributes:
+        holdings: Replaces what it holds.
+        draining: It refuses new work and says so.
+        cold_until_ms: Monotonic time until which work takes ten times longer.
+        straggler_share: Share of requests that take far longer.
+        straggler_factor: How much longer those take, from and to.
+        lie_load: Load that it reports instead of the true one.
+        silent_share: Share of connections that go silent when made.
+        wrong_echo: Answers carry the snapshot of another version.
+        poison_crashes: Whether `CRASH_TEXT` in a request ends the process.
+    """
+
+    holdings: list[Holding]
+    draining: bool
+    cold_until_ms: float
+    straggler_share: float
+    straggler_factor: tuple[float, float]
+    lie_load: int
+    silent_share: float
+    wrong_echo: bool
+    poison_crashes: bool
+
+
+class Upstream:
+    """One upstream: slots, a bounded queue, faults and a record."""
+
+    def __init__(
+        self,
+        placed: shapes.PlacedUpstream,
+        shape: shapes.Shape,
+        holdings: list[Holding],
+        recorder: records.Recorder,
+        seed: int,
+    ) -> None:
+        self._name = placed.upstream.name
+        self._data_centre = placed.upstream.data_centre
+        self._shape = placed.shape
+        self._between_ms = shape.between_ms
+        self._recorder = recorder
+        self._rng = random.Random(f"{seed}/{self._name}")
+        self._slots = asyncio.Semaphore(placed.upstream.slots)
+        self._most_waiting = placed.upstream.slots * _QUEUE_PER_SLOT
+        self._present = 0
+        self._tasks: dict[str, asyncio.Task[Any]] = {}
+        self._connections: dict[Any, bool] = {}
+        self._control: Control = {"holdings": holdings}
+
+    async def search(self, request: web.Request) -> web.Response:
+        """Runs a search over one range."""
+        body = msgspec.json.decode(await request.read(), type=wire.SearchBody)
+        await self._arrive(request)
+        holding = Holding(
+            body["index_version"],
+            body["map_version"],
+            body["low"],
+            body["high"],
+        )
+        if holding not in self._control["holdings"]:
+            return self._refuse("not_held", wire.STATUS_NOT_HELD)
+        refused = await self._enter(body["attempt_id"], body["timeout_ms"])
+        if refused:
+            return self._refuse(refused)
+        try:
+            self._note("search", body, text=body["text"])
+            self._crash_if_poisoned(body["text"])
+            await self._work()
+            return _json(self._search_reply(body, holding))
+        finally:
+            self._leave(body["attempt_id"])
+
+    async def act(self, request: web.Request) -> web.Response:
+        """Runs an action; it is recorded before it runs."""
+        body = msgspec.json.decode(await request.read(), type=wire.ActionBody)
+        await self._arrive(request)
+        refused = await self._enter(body["attempt_id"], body["timeout_ms"])
+        if refused:
+            return self._refuse(refused)
+        try:
+            self._note("act", body, key=body["key"])
+            self._crash_if_poisoned(str(body["body"]))
+            await self._work()
+            done = {"done_by": self._name, "key": body["key"]}
+            return _json(
+                wire.ActionReply(attempt_id=body["attempt_id"], body=done)
+            )
+        finally:
+            self._leave(body["attempt_id"])
+
+    async def cancel(self, request: web.Request) -> web.Response:
+        """Stops an attempt."""
+        body = msgspec.json.decode(await request.read(), type=wire.CancelBody)
+        task = self._tasks.pop(body["attempt_id"], None)
+        if task is not None:
+            task.cancel()
+        self._recorder.add(
+            "cancel", upstream=self._name, attempt_id=body["attempt_id"]
+        )
+        return _json({"cancelled": task is not None})
+
+    async def health(self, request: web.Request) -> web.Response:
+        """Answers the state and the load, true or not."""
+        del request
+        load = self._control.get("lie_load", len(self._tasks))
+        return _json(wire.HealthReply(state=self._state(), load=load))
+
+    async def control(self, request: web.Request) -> web.Response:
+        """Changes what it holds and how it misbehaves."""
+        change = msgspec.json.decode(await request.read(), type=Control)
+        self._control.update(change)
+        self._recorder.add(
+            "control",
+            upstream=self._name,
+            **{k: v for k, v in change.items() if k != "holdings"},
+        )
+        return _json({})
+
+    def _state(self) -> str:
+        if self._control.get("draining"):
+            return "draining"
+        return "cold" if self._is_cold() else "ready"
+
+    def _is_cold(self) -> bool:
+        until_ms = self._control.get("cold_until_ms", 0)
+        return time.monotonic() * _MS_PER_S < until_ms
+
+    async def _arrive(self, request: web.Request) -> None:
+        delay_ms = 0.0
+        if request.headers.get(wire.HEADER_DATA_CENTRE) != self._data_centre:
+            delay_ms += 2 * self._between_ms
+        if request.transport not in self._connections:
+            silent = self._rng.random() < self._control.get("silent_share", 0)
+            self._connections[request.transport] = silent
+            delay_ms += self._shape.connect_ms
+        if self._connections[request.transport]:
+            await asyncio.Event().wait()
+        if delay_ms:
+            await asyncio.sleep(delay_ms / _MS_PER_S)
+
+    async def _enter(self, attempt_id: str, timeout_ms: float) -> str | None:
+        if self._control.get("draining"):
+            return "draining"
+        if self._present >= self._most_waiting + self._shape.slots:
+            return "overloaded"
+        self._present += 1
+        try:
+            async with asyncio.timeout(timeout_ms / _MS_PER_S):
+                await self._slots.acquire()
+        except TimeoutError:
+            self._present -= 1
+            return "deadline"
+        except asyncio.CancelledError:
+            self._present -= 1
+            raise
+        self._tasks[attempt_id] = asyncio.current_task()
+        return None
+
+    def _leave(self, attempt_id: str) -> None:
+        self._tasks.pop(attempt_id, None)
+        self._present -= 1
+        self._slots.release()
+
+    def _note(self, event: str, body: Any, **fields: Any) -> None:
+        self._recorder.add(
+            event,
+            upstream=self._name,
+            attempt_id=body["attempt_id"],
+            member=body["member"],
+            **fields,
+        )
+
+    def _crash_if_poisoned(self, text: str) -> None:
+        if CRASH_TEXT in text and self._control.get("poison_crashes", True):
+            self._recorder.add("crash", upstream=self._name, text=text)
+            os._exit(_CRASH_STATUS)
+
+    async def _work(self) -> None:
+        work_ms = self._shape.work_ms * self._rng.lognormvariate(0, _SPREAD)
+        if self._rng.random() < self._control.get("straggler_share", 0):
+            work_ms *= self._rng.uniform(
+                *self._control.get("straggler_factor", (20.0, 50.0))
+            )
+        if self._is_cold():
+            work_ms *= 10
+        await asyncio.sleep(work_ms / _MS_PER_S)
+
+    def _search_reply(
+        self, body: wire.SearchBody, holding: Holding
+    ) -> wire.SearchReply:
+        snapshot = snapshots.Snapshot(
+            holding.index_version, holding.map_version
+        )
+        if self._control.get("wrong_echo"):
+            snapshot = snapshot._replace(
+                index_version=snapshot.index_version - 1
+            )
+        key_range = ranges.KeyRange(holding.low, holding.high)
+        found = contents.search(
+            key_range, snapshot.index_version, body["text"], body["limit"]
+        )
+        encoded = msgspec.json.encode(found)
+        return wire.SearchReply(
+            attempt_id=body["attempt_id"],
+            index_version=snapshot.index_version,
+            map_version=snapshot.map_version,
+            low=holding.low,
+            high=holding.high,
+            count=len(found),
+            digest=echoes.digest_of(encoded),
+            hits=msgspec.Raw(encoded),
+        )
+
+    def _refuse(
+        self, reason: str, status: int = wire.STATUS_REFUSED
+    ) -> web.Response:
+        body = wire.RefusalReply(refused=reason, retry_after_ms=_RETRY_AFTER_MS)
+        return _json(body, status)
+
+
+def application(
+    placed: shapes.PlacedUpstream,
+    shape: shapes.Shape,
+    recorder: records.Recorder,
+    seed: int,
+) -> web.Application:
+    """Makes one upstream, holding what its service first publishes."""
+    service = shape.initial_service(placed.shape.name)
+    holdings = [
+        Holding(*pinned.snapshot, *entry.key_range)
+        for pinned in service.maps
+        for entry in pinned.ranges
+        if placed.upstream.name in entry.upstreams
+    ]
+    upstream = Upstream(placed, shape, holdings, recorder, seed)
+    app = web.Application()
+    app.add_routes(
+        [
+            web.post("/v1/search", upstream.search),
+            web.post("/v1/act", upstream.act),
+            web.post("/v1/cancel", upstream.cancel),
+            web.get("/v1/health", upstream.health),
+            web.post("/control", upstream.control),
+        ]
+    )
+    return app
+
+
+def _json(body: object, status: int = 200) -> web.Response:
+    return web.Response(
+        body=msgspec.json.encode(body),
+        status=status,
+        content_type="application/json",
+    )
--- /dev/null
+++ b/tests/httpcalls.py
@@ -0,0 +1,37 @@
+"""Plain blocking HTTP calls, so that tests need no event loop."""
+
+import http.client
+import json
+from typing import Any, NamedTuple
+
+
+class Answer(NamedTuple):
+    status: int
+    headers: dict
+    body: Any
+
+
+def call(method, endpoint, path, body=None, timeout_s=15.0):
+    """Sends one request; a `bytes` body goes as it is, others as JSON."""
+    address, _, port = endpoint.rpartition(":")
+    connection = http.client.HTTPConnection(
+        address, int(port), timeout=timeout_s
+    )
+    if body is not None and not isinstance(body, bytes):
+        body = json.dumps(body).encode()
+    try:
+        connection.request(method, path, body=body)
+        response = connection.getresponse()
+        text = response.read()
+    finally:
+        connection.close()
+    is_json = response.headers.get_content_type() == "application/json"
+    return Answer(
+        response.status,
+        dict(response.headers),
+        json.loads(text) if is_json else text.decode(),
+    )
+
+
+def get(endpoint, path):
+    return call("GET", endpoint, path)
