--- /dev/null
+++ b/greengagedale/membership/news.py
@@ -0,0 +1,72 @@
+"""News: small facts that every host should know soon, and then forget.
+
+Hosts pass news on with their heartbeats. News is bounded, expires, and needs
+no agreement: a host that misses some is only slower to act on it.
+"""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from greengagedale import clocks
+
+CAPACITY = 256
+
+
+class News(NamedTuple):
+    """One fact.
+
+    Attributes:
+        kind: What it is about, such as `leaving` or `quarantine`.
+        name: What it is true of; one fact is kept for each kind and name.
+        sequence: Rises when the fact changes; the highest wins.
+        body: Details, as text.
+        left_ms: How much longer it is to be passed on.
+    """
+
+    kind: str
+    name: str
+    sequence: int
+    body: str
+    left_ms: float
+
+
+Listener = Callable[[News], None]
+
+
+class Board:
+    """The news that this host knows; the oldest goes when it is full."""
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self._clock = clock
+        self._held: dict[tuple[str, str], tuple[News, float]] = {}
+        self._listeners: list[tuple[str, Listener]] = []
+
+    def listen(self, kind: str, listener: Listener) -> None:
+        """Calls a listener with each fact of a kind that is new here."""
+        self._listeners.append((kind, listener))
+
+    def take_in(self, item: News) -> bool:
+        """Takes in a fact; False if it is known or has expired."""
+        key = (item.kind, item.name)
+        held = self._held.get(key)
+        if item.left_ms <= 0 or (held and held[0].sequence >= item.sequence):
+            return False
+        self._held.pop(key, None)
+        self._held[key] = (item, self._clock.now_ms() + item.left_ms)
+        if len(self._held) > CAPACITY:
+            del self._held[next(iter(self._held))]
+        for kind, listener in self._listeners:
+            if kind == item.kind:
+                listener(item)
+        return True
+
+    def current(self) -> list[News]:
+        """Returns all facts that have not expired, newest first."""
+        now_ms = self._clock.now_ms()
+        self._held = {
+            key: entry for key, entry in self._held.items() if entry[1] > now_ms
+        }
+        return [
+            item._replace(left_ms=until_ms - now_ms)
+            for item, until_ms in reversed(self._held.values())
+        ]
--- a/tests/deployments.py
+++ b/standins/deployments.py
@@ -1,5 +1,6 @@
 """Starts and stops whole deployments as real processes."""
 
+from collections.abc import Callable
 import contextlib
 import os
 import pathlib
@@ -7,42 +8,55 @@
 import subprocess
 import sys
 import time
+from typing import Any, Self
 
-import httpcalls
-
+from standins import httpcalls
 from standins import records
 from standins import shapes
 
-SHAPE = pathlib.Path(__file__).parent / "shapes" / "small.toml"
-EXAMPLES = pathlib.Path(__file__).parents[1] / "examples"
+SHAPES = pathlib.Path(__file__).parents[1] / "examples"
+SMALL = SHAPES / "small.toml"
 BASE_PORT = int(os.environ.get("GREENGAGEDALE_TEST_BASE_PORT", "23000"))
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 20.0
 _POLL_S = 0.05
 
 
-def wait_until(condition, what, timeout_s=START_TIMEOUT_S):
-    """Waits for a condition; its value is returned once it is true."""
+def wait_until(
+    condition: Callable[[], Any], what: str, timeout_s: float = START_TIMEOUT_S
+) -> Any:
+    """Waits for a condition and returns its value once it is true.
+
+    Raises:
+        TimeoutError: It did not come true in time.
+    """
     until = time.monotonic() + timeout_s
     while True:
         value = condition()
         if value:
             return value
-        assert time.monotonic() < until, f"waited in vain for {what}"
+        if time.monotonic() > until:
+            raise TimeoutError(f"waited in vain for {what}")
         time.sleep(_POLL_S)
 
 
 class Deployment:
     """One platform, the upstreams of a shape and its entry hosts."""
 
-    def __init__(self, folder, shape_path=SHAPE, base_port=BASE_PORT):
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        shape_path: pathlib.Path = SMALL,
+        base_port: int = BASE_PORT,
+    ) -> None:
         self.folder = folder
         self.shape_path = shape_path
         self.shape = shapes.Shape.from_file(shape_path, base_port)
         self.processes = {}
         self._logs = contextlib.ExitStack()
 
-    def start(self, settings_extra=""):
+    def start(self, settings_extra: str = "") -> Self:
+        """Starts everything and waits until all hosts know each other."""
         self.start_platform()
         for placed in self.shape.upstreams():
             self.start_upstream(placed.upstream.name)
@@ -51,44 +65,54 @@
         self.wait_ready()
         return self
 
-    def start_platform(self):
+    def start_platform(self) -> None:
+        """Starts the platform."""
         self._launch("platform", "standins", "platform", *self._placed())
 
-    def start_upstream(self, name):
+    def start_upstream(self, name: str) -> None:
+        """Starts one upstream as a process of its own."""
         self._launch(
             name, "standins", "upstream", *self._placed(), "--names", name
         )
 
-    def start_host(self, host, settings_extra=""):
+    def start_host(
+        self, host: shapes.EntryHost, settings_extra: str = ""
+    ) -> None:
+        """Starts an entry host; extra TOML goes at the end of its settings."""
         path = self.folder / f"{host.name}.toml"
         path.write_text(host.settings_toml(self.shape) + settings_extra)
         self._launch(
             host.name, "greengagedale", "serve", "--settings", str(path)
         )
 
-    def wait_ready(self):
+    def wait_ready(self) -> None:
+        """Waits until every host locates all of them."""
         hosts = self.shape.entry_hosts()
         wait_until(
             lambda: all(len(self.located(h)) == len(hosts) for h in hosts),
             "all hosts to be located by each",
         )
 
-    def located(self, host):
+    def located(self, host: shapes.EntryHost) -> list[str]:
+        """Returns the names of the hosts that a host locates."""
         with contextlib.suppress(OSError):
             answer = httpcalls.get(self.caller(host), "/v1/locate")
             return [item["name"] for item in answer.body["hosts"]]
         return []
 
-    def caller(self, host):
+    def caller(self, host: shapes.EntryHost) -> str:
+        """Returns the address for callers."""
         return f"{host.address}:{host.caller_port}"
 
-    def operator(self, host):
+    def operator(self, host: shapes.EntryHost) -> str:
+        """Returns the address for operators."""
         return f"{host.address}:{host.operator_port}"
 
-    def host(self, number):
+    def host(self, number: int) -> shapes.EntryHost:
+        """Returns an entry host; the first has number 1."""
         return self.shape.entry_hosts()[number - 1]
 
-    def apply_examples(self):
+    def apply_examples(self) -> None:
         """Applies a template and a workspace for the small service."""
         operator = self.operator(self.host(1))
         template = {
@@ -104,7 +128,8 @@
             assert answer.status == 200, answer
         self.wait_revision(answer.body["revision"])
 
-    def wait_revision(self, revision):
+    def wait_revision(self, revision: int) -> None:
+        """Waits until a revision is in force on every host."""
         operator = self.operator(self.host(1))
         wait_until(
             lambda: all(
@@ -114,28 +139,35 @@
             f"revision {revision} on every host",
         )
 
-    def control_platform(self, **faults):
+    def control_platform(self, **faults: Any) -> None:
+        """Sets how the platform misbehaves; none means not at all."""
         httpcalls.call("POST", self.shape.platform_endpoint, "/control", faults)
 
-    def control_upstream(self, name, **control):
+    def control_upstream(self, name: str, **control: Any) -> None:
+        """Changes what an upstream holds and how it misbehaves."""
         placed = {p.upstream.name: p.upstream for p in self.shape.upstreams()}
         httpcalls.call("POST", placed[name].endpoint, "/control", control)
 
-    def signal(self, name, number):
+    def signal(self, name: str, number: int) -> None:
+        """Sends a signal to a process."""
         self.processes[name].send_signal(number)
 
-    def kill(self, name):
+    def kill(self, name: str) -> None:
+        """Kills a process and waits for its end."""
         process = self.processes.pop(name)
         process.kill()
         process.wait()
 
-    def record_of(self, name):
+    def record_of(self, name: str) -> list[dict[str, Any]]:
+        """Returns what a stand-in has recorded."""
         return records.read(self.folder / f"{name}.jsonl")
 
-    def log_of(self, name):
+    def log_of(self, name: str) -> str:
+        """Returns what a process has logged."""
         return (self.folder / f"{name}.log").read_text()
 
-    def stop(self):
+    def stop(self) -> None:
+        """Kills all processes that were started."""
         for process in self.processes.values():
             process.send_signal(signal.SIGCONT)
             process.kill()
@@ -143,7 +175,7 @@
             process.wait(STOP_TIMEOUT_S)
         self._logs.close()
 
-    def _placed(self):
+    def _placed(self) -> tuple[str, ...]:
         return (
             "--shape",
             str(self.shape_path),
@@ -151,7 +183,7 @@
             str(self.shape.base_port),
         )
 
-    def _launch(self, name, module, *arguments):
+    def _launch(self, name: str, module: str, *arguments: str) -> None:
         record = (
             ("--record", str(self.folder / f"{name}.jsonl"))
             if module == "standins"
--- a/tests/httpcalls.py
+++ b/standins/httpcalls.py
@@ -6,13 +6,25 @@
 
 
 class Answer(NamedTuple):
+    """What came back; JSON bodies are decoded."""
+
     status: int
     headers: dict
     body: Any
 
 
-def call(method, endpoint, path, body=None, timeout_s=15.0):
-    """Sends one request; a `bytes` body goes as it is, others as JSON."""
+def call(
+    method: str,
+    endpoint: str,
+    path: str,
+    body: Any = None,
+    timeout_s: float = 15.0,
+) -> Answer:
+    """Sends one request; a `bytes` body goes as it is, others as JSON.
+
+    Raises:
+        OSError: The endpoint does not answer.
+    """
     address, _, port = endpoint.rpartition(":")
     connection = http.client.HTTPConnection(
         address, int(port), timeout=timeout_s
@@ -33,5 +45,6 @@
     )
 
 
-def get(endpoint, path):
+def get(endpoint: str, path: str) -> Answer:
+    """Sends a GET request."""
     return call("GET", endpoint, path)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,8 +1,9 @@
 """Fixtures that all tests share."""
 
-import deployments
 import pytest
 
+from standins import deployments
+
 
 @pytest.fixture(scope="session")
 def shared_deployment(tmp_path_factory):
--- a/tests/integration/test_path.py
+++ b/tests/integration/test_path.py
@@ -3,12 +3,12 @@
 import os
 import pathlib
 
-import httpcalls
 import pytest
 
 from greengagedale.query import hits
 from greengagedale.query import ranges
 from standins import contents
+from standins import httpcalls
 
 SEARCH = "/v1/workspaces/search-a/search"
 ACT = "/v1/workspaces/search-a/act"
