Measurement frame, open-loop load and first overhead figures

Cause: decisions need figures from one command. Change: scripts/bench finds cases in bench/, offers open-loop load and prints rows with targets; a bare aiohttp fan-out is the floor.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of greengagedale against stand-ins: `scripts/bench`."""
--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,94 @@
+"""Runs measurements, prints a table and writes JSON."""
+
+from collections.abc import Iterator
+import itertools
+import pathlib
+import tempfile
+from typing import Annotated
+
+import msgspec
+import rich.console
+import rich.table
+import typer
+
+from bench import cases as cases_lib
+from standins import deployments
+
+
+def main(
+    names: Annotated[
+        list[str] | None, typer.Argument(help="Cases; all of them if absent.")
+    ] = None,
+    seeds: Annotated[str, typer.Option(help="Seeds, by comma.")] = "",
+    shape: Annotated[str, typer.Option(help="Shapes, by comma.")] = "",
+    duration_s: Annotated[float, typer.Option(help="Of each load.")] = 0.0,
+    out: Annotated[
+        pathlib.Path | None, typer.Option(help="JSON file to write.")
+    ] = None,
+    list_cases: Annotated[
+        bool, typer.Option("--list", help="List the cases and exit.")
+    ] = False,
+) -> None:
+    """Measure greengagedale against stand-ins on this machine."""
+    known = cases_lib.all_cases()
+    if list_cases:
+        typer.echo("\n".join(sorted(known)))
+        return
+    unknown = [name for name in names or [] if name not in known]
+    if unknown:
+        raise typer.BadParameter(f"no case is named {', '.join(unknown)}")
+    chosen = [known[name] for name in names or sorted(known)]
+    rows = []
+    for row in _run(chosen, seeds, shape, duration_s):
+        rows.append(row)
+        typer.echo(msgspec.json.encode(row._asdict()).decode())
+    rich.console.Console(width=160).print(_table(rows))
+    if out is not None:
+        found = [row._asdict() for row in rows]
+        out.write_bytes(msgspec.json.format(msgspec.json.encode(found)))
+
+
+def _run(
+    chosen: list[cases_lib.Case], seeds: str, shape: str, duration_s: float
+) -> Iterator[cases_lib.Row]:
+    for case in chosen:
+        asked_seeds = [int(item) for item in seeds.split(",") if item]
+        asked_shapes = [item for item in shape.split(",") if item]
+        pairs = itertools.product(
+            asked_shapes or case.shapes, asked_seeds or case.seeds
+        )
+        for shape_name, seed in pairs:
+            with tempfile.TemporaryDirectory() as folder:
+                context = cases_lib.Context(
+                    deployments.SHAPES / f"{shape_name}.toml",
+                    seed,
+                    deployments.BASE_PORT,
+                    pathlib.Path(folder),
+                    duration_s or case.duration_s,
+                )
+                yield from case.run(context)
+
+
+def _table(rows: list[cases_lib.Row]) -> rich.table.Table:
+    table = rich.table.Table(
+        "case", "deployment", "policy", "seed", "figures", "target", "met"
+    )
+    for row in rows:
+        figures = ", ".join(
+            f"{name} {value:.4g}" for name, value in row.figures.items()
+        )
+        met = {None: "", True: "yes", False: "NO"}[row.met]
+        table.add_row(
+            row.case,
+            row.deployment,
+            row.policy,
+            str(row.seed),
+            figures,
+            row.target,
+            met,
+        )
+    return table
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/bench/overhead.py
@@ -0,0 +1,98 @@
+"""One entry host against a bare aiohttp fan-out over the same upstreams."""
+
+from collections.abc import Iterable
+import pathlib
+
+from bench import cases
+from standins import bare
+from standins import deployments
+from standins import load
+
+_SERVICES = {"kodklubben": "enrolment", "tuners": "booking"}
+_QUIET_RATE_PER_S = 20.0
+_FULL_RATE_PER_S = 600.0
+_TIMEOUT_MS = 20_000
+_MOST_P50_RATIO = 1.25
+_LEAST_RATE_RATIO = 0.7
+_KIB_PER_MIB = 1024
+
+
+class Overhead(cases.Case):
+    """Latency at low load and throughput at full load, side by side."""
+
+    name = "overhead"
+    duration_s = 5.0
+
+    def run(self, context: cases.Context) -> Iterable[cases.Row]:
+        """Measures the bare fan-out first, then the host."""
+        service = _SERVICES[context.shape.name]
+        deployment = context.deployment()
+        try:
+            deployment.start(service=service, hosts=1)
+            deployment.start_bare(service)
+            deployment.apply_workspace("bench", "member-a", service)
+            yield from _rows(self.name, context, deployment)
+        finally:
+            deployment.stop()
+
+
+def _rows(
+    name: str, context: cases.Context, deployment: deployments.Deployment
+) -> Iterable[cases.Row]:
+    host = deployment.host(1)
+    idle_mib = resident_mib(deployment.processes[host.name].pid)
+    endpoints = {
+        "bare": bare.endpoint_of(deployment.shape),
+        "host": deployment.caller(host),
+    }
+    figures = {
+        policy: _measure(endpoint, context)
+        for policy, endpoint in endpoints.items()
+    }
+    figures["host"] |= {
+        "idle_mib": idle_mib,
+        "loaded_mib": resident_mib(deployment.processes[host.name].pid),
+        "p50_ratio": figures["host"]["p50_ms"] / figures["bare"]["p50_ms"],
+        "rate_ratio": figures["host"]["full_rate_per_s"]
+        / figures["bare"]["full_rate_per_s"],
+    }
+    shape = deployment.shape.name
+    yield cases.Row(name, shape, "bare", context.seed, figures["bare"])
+    yield cases.Row(
+        name,
+        shape,
+        "host",
+        context.seed,
+        figures["host"],
+        "p50 at most 1.25 times, throughput at least 0.7 times bare",
+        figures["host"]["p50_ratio"] <= _MOST_P50_RATIO
+        and figures["host"]["rate_ratio"] >= _LEAST_RATE_RATIO,
+    )
+
+
+def _measure(endpoint: str, context: cases.Context) -> dict[str, float]:
+    summaries = []
+    for rate_per_s in (_QUIET_RATE_PER_S, _FULL_RATE_PER_S):
+        plan = load.LoadPlan(
+            [endpoint],
+            "bench",
+            rate_per_s,
+            context.duration_s,
+            context.seed,
+            _TIMEOUT_MS,
+        )
+        [samples] = load.run(plan)
+        summaries.append(load.Summary.of(samples))
+    quiet, full = summaries
+    return {
+        "p50_ms": quiet.p50_ms,
+        "p99_ms": quiet.p99_ms,
+        "full_rate_per_s": full.rate_per_s,
+    }
+
+
+def resident_mib(pid: int) -> float:
+    """Returns the resident memory of a process in MiB."""
+    text = pathlib.Path(f"/proc/{pid}/status").read_text(encoding="ascii")
+    [line] = (item for item in text.splitlines() if "VmRSS" in item)
+    return int(line.split()[1]) / _KIB_PER_MIB
--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -8,6 +8,7 @@
 import typer
 
 from greengagedale import loops
+from standins import bare as bare_lib
 from standins import platform as platform_lib
 from standins import records
 from standins import shapes
@@ -66,6 +67,24 @@
     loops.run(_serve(apps, record))
 
 
+@app.command()
+def bare(
+    shape: ShapePath,
+    service: Annotated[str, typer.Option(help="Service to search.")],
+    base_port: BasePort = None,
+    record: RecordPath = None,
+) -> None:
+    """Run a bare fan-out, as the floor of measurements."""
+    loaded = shapes.Shape.from_file(shape, base_port)
+    apps = {
+        bare_lib.endpoint_of(loaded): (
+            bare_lib.application,
+            (loaded, service),
+        )
+    }
+    loops.run(_serve(apps, record))
+
+
 @app.command()
 def settings(
     shape: ShapePath,
--- a/standins/deployments.py
+++ b/standins/deployments.py
@@ -52,25 +52,58 @@
         self.folder = folder
         self.shape_path = shape_path
         self.shape = shapes.Shape.from_file(shape_path, base_port)
-        self.processes = {}
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self._hosts = self.shape.entry_hosts()
         self._logs = contextlib.ExitStack()
 
-    def start(self, settings_extra: str = "") -> Self:
-        """Starts everything and waits until all hosts know each other."""
+    def start(
+        self,
+        settings_extra: str = "",
+        service: str | None = None,
+        hosts: int = shapes.ENTRY_HOSTS,
+    ) -> Self:
+        """Starts everything and waits until all hosts know each other.
+
+        Args:
+            settings_extra: TOML that goes at the end of hosts' settings.
+            service: If given, only its upstreams are started, in one process
+                for each replica number; else each has a process of its own.
+            hosts: How many entry hosts are started.
+        """
         self.start_platform()
-        for placed in self.shape.upstreams():
-            self.start_upstream(placed.upstream.name)
-        for host in self.shape.entry_hosts():
+        for names in self._upstream_groups(service):
+            self.start_upstream(names)
+        self._hosts = self.shape.entry_hosts()[:hosts]
+        for host in self._hosts:
             self.start_host(host, settings_extra)
         self.wait_ready()
         return self
 
+    def start_bare(self, service: str) -> None:
+        """Starts the bare fan-out over a service."""
+        self._launch(
+            "bare", "standins", "bare", *self._placed(), "--service", service
+        )
+
+    def _upstream_groups(self, service: str | None) -> list[str]:
+        placed = self.shape.upstreams()
+        if service is None:
+            return [item.upstream.name for item in placed]
+        names = [
+            item.upstream.name for item in placed if item.shape.name == service
+        ]
+        replicas = sorted({name.rpartition("-")[2] for name in names})
+        return [
+            ",".join(name for name in names if name.endswith(f"-{replica}"))
+            for replica in replicas
+        ]
+
     def start_platform(self) -> None:
         """Starts the platform."""
         self._launch("platform", "standins", "platform", *self._placed())
 
     def start_upstream(self, name: str) -> None:
-        """Starts one upstream as a process of its own."""
+        """Starts an upstream, or several by comma, as one process."""
         self._launch(
             name, "standins", "upstream", *self._placed(), "--names", name
         )
@@ -87,7 +120,7 @@
 
     def wait_ready(self) -> None:
         """Waits until every host locates all of them."""
-        hosts = self.shape.entry_hosts()
+        hosts = self._hosts
         wait_until(
             lambda: all(len(self.located(h)) == len(hosts) for h in hosts),
             "all hosts to be located by each",
@@ -114,18 +147,27 @@
 
     def apply_examples(self) -> None:
         """Applies a template and a workspace for the small service."""
+        self.apply_workspace("search-a", "member-a", "places")
+
+    def apply_workspace(
+        self, name: str, member: str, service: str, **plan: Any
+    ) -> None:
+        """Applies a template and a workspace; waits until all have it.
+
+        Args:
+            name: Name of both.
+            member: Member that the workspace is for.
+            service: Service that it searches.
+            **plan: Further settings of the workspace.
+        """
         operator = self.operator(self.host(1))
-        template = {
-            "parameters": {"timeout_ms": {"type": "integer", "default": 2000}},
-            "workspace": {"service": "places", "timeout_ms": "${timeout_ms}"},
-        }
-        workspace = {"member": "member-a", "template": "site"}
-        for path, body in (
-            ("/v1/templates/site", template),
-            ("/v1/workspaces/search-a", workspace),
-        ):
+        template = {"workspace": {"service": service, **plan}}
+        workspace = {"member": member, "template": name}
+        for kind, body in (("templates", template), ("workspaces", workspace)):
+            path = f"/v1/{kind}/{name}"
             answer = httpcalls.call("PUT", operator, path, body)
-            assert answer.status == 200, answer
+            if answer.status != httpcalls.STATUS_OK:
+                raise RuntimeError(f"{path}: {answer}")
         self.wait_revision(answer.body["revision"])
 
     def wait_revision(self, revision: int) -> None:
--- a/standins/httpcalls.py
+++ b/standins/httpcalls.py
@@ -4,6 +4,8 @@
 import json
 from typing import Any, NamedTuple
 
+STATUS_OK = 200
+
 
 class Answer(NamedTuple):
     """What came back; JSON bodies are decoded."""
--- /dev/null
+++ b/standins/load.py
@@ -0,0 +1,177 @@
+"""Open-loop load: requests start on schedule, however slow answers are."""
+
+import asyncio
+from collections.abc import Callable, Sequence
+import itertools
+import random
+import time
+from typing import Any, NamedTuple, Self
+
+import aiohttp
+from hdrh import histogram
+import msgspec
+
+from greengagedale import loops
+
+_MS_PER_S = 1000.0
+_US_PER_MS = 1000.0
+_HIGHEST_US = 600_000_000
+_SIGNIFICANT_DIGITS = 3
+_GRACE_S = 5.0
+
+
+class LoadPlan(NamedTuple):
+    """What load to offer.
+
+    Attributes:
+        endpoints: Caller addresses, used in turn.
+        workspace: Workspace to search.
+        rate_per_s: Mean rate of Poisson arrivals.
+        duration_s: How long requests are started for.
+        seed: Seed of arrivals and texts.
+        timeout_ms: Deadline of each request.
+        limit: Hits asked for.
+        text_of: Makes the text of the n-th request.
+    """
+
+    endpoints: Sequence[str]
+    workspace: str
+    rate_per_s: float
+    duration_s: float
+    seed: int
+    timeout_ms: int = 2000
+    limit: int = 10
+    text_of: Callable[[int, random.Random], str] = lambda number, rng: (
+        f"text-{rng.randrange(50)}-{number % 7}"
+    )
+
+
+class Sample(NamedTuple):
+    """One request and its answer.
+
+    Attributes:
+        sent_ms: When it was due to start, monotonic.
+        latency_ms: From when it was due until its answer was whole.
+        status: HTTP status; 0 if no answer came.
+        body: The decoded answer, or None.
+        text: What was searched for.
+    """
+
+    sent_ms: float
+    latency_ms: float
+    status: int
+    body: Any
+    text: str
+
+    @property
+    def outcome(self) -> str:
+        """The outcome in the answer, or `none`."""
+        body = self.body if isinstance(self.body, dict) else {}
+        return body.get("outcome", "none")
+
+    @property
+    def share(self) -> float:
+        """Coverage of the answer, 0 without one."""
+        if self.outcome != "ran":
+            return 0.0
+        coverage = self.body["coverage"]
+        return coverage["covered"] / coverage["total"]
+
+
+class Summary(NamedTuple):
+    """Latencies in ms of requests that ran, and counts of all."""
+
+    requests: int
+    ran: int
+    full: int
+    not_run: int
+    unknown: int
+    p50_ms: float
+    p99_ms: float
+    p999_ms: float
+    rate_per_s: float
+
+    @classmethod
+    def of(cls, samples: Sequence[Sample]) -> Self:
+        """Summarises samples."""
+        ran = [item for item in samples if item.outcome == "ran"]
+        held = histogram.HdrHistogram(1, _HIGHEST_US, _SIGNIFICANT_DIGITS)
+        for item in ran:
+            held.record_value(max(1, int(item.latency_ms * _US_PER_MS)))
+        p50, p99, p999 = (
+            held.get_value_at_percentile(p) / _US_PER_MS for p in (50, 99, 99.9)
+        )
+        return cls(
+            len(samples),
+            len(ran),
+            sum(item.share == 1.0 for item in ran),
+            sum(item.outcome == "not_run" for item in samples),
+            sum(item.outcome in ("unknown", "none") for item in samples),
+            p50,
+            p99,
+            p999,
+            _rate(ran),
+        )
+
+
+def run(*plans: LoadPlan) -> list[list[Sample]]:
+    """Offers several loads at once; the samples come in the plans' order."""
+    return loops.run(_run_all(plans))
+
+
+async def offer(plan: LoadPlan) -> list[Sample]:
+    """Offers one load on the running loop."""
+    rng = random.Random(plan.seed)
+    endpoints = itertools.cycle(plan.endpoints)
+    connector = aiohttp.TCPConnector(limit=0)
+    total_s = plan.timeout_ms / _MS_PER_S + _GRACE_S
+    timeout = aiohttp.ClientTimeout(total=total_s)
+    async with aiohttp.ClientSession(
+        connector=connector, timeout=timeout
+    ) as session:
+        started_s = time.monotonic()
+        due_s = started_s
+        tasks = []
+        for number in itertools.count():
+            due_s += rng.expovariate(plan.rate_per_s)
+            if due_s > started_s + plan.duration_s:
+                break
+            await asyncio.sleep(max(0.0, due_s - time.monotonic()))
+            text = plan.text_of(number, rng)
+            url = f"http://{next(endpoints)}/v1/workspaces/{plan.workspace}"
+            request = _request(session, url, text, plan, due_s)
+            tasks.append(asyncio.create_task(request))
+        return list(await asyncio.gather(*tasks))
+
+
+async def _run_all(plans: Sequence[LoadPlan]) -> list[list[Sample]]:
+    return list(await asyncio.gather(*(offer(plan) for plan in plans)))
+
+
+async def _request(
+    session: aiohttp.ClientSession,
+    url: str,
+    text: str,
+    plan: LoadPlan,
+    due_s: float,
+) -> Sample:
+    body = {"text": text, "limit": plan.limit, "timeout_ms": plan.timeout_ms}
+    status, decoded = 0, None
+    try:
+        async with session.post(
+            f"{url}/search", data=msgspec.json.encode(body)
+        ) as response:
+            status = response.status
+            decoded = msgspec.json.decode(await response.read())
+    except (aiohttp.ClientError, OSError, msgspec.DecodeError):
+        pass
+    latency_ms = (time.monotonic() - due_s) * _MS_PER_S
+    return Sample(due_s * _MS_PER_S, latency_ms, status, decoded, text)
+
+
+def _rate(ran: Sequence[Sample]) -> float:
+    if not ran:
+        return 0.0
+    first = min(item.sent_ms for item in ran)
+    last = max(item.sent_ms + item.latency_ms for item in ran)
+    return len(ran) / max(last - first, 1.0) * _MS_PER_S
