Fault-injecting proxy between hosts, upstreams and the platform

Cause: proofs need cuts, silence, delay and slow links between processes. Change: one proxy process with a route for each target, faults by HTTP; deployments run behind it on request; upstreams record what they answered.

--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -9,6 +9,7 @@
 
 from greengagedale import loops
 from standins import bare as bare_lib
+from standins import faultproxy
 from standins import platform as platform_lib
 from standins import records
 from standins import shapes
@@ -20,6 +21,9 @@
 BasePort = Annotated[
     int | None, typer.Option("--base-port", help="In place of the shape's.")
 ]
+Proxied = Annotated[
+    bool, typer.Option("--proxied", help="Behind the fault proxy.")
+]
 RecordPath = Annotated[
     pathlib.Path | None, typer.Option("--record", help="Where to record.")
 ]
@@ -27,10 +31,13 @@
 
 @app.command()
 def platform(
-    shape: ShapePath, base_port: BasePort = None, record: RecordPath = None
+    shape: ShapePath,
+    base_port: BasePort = None,
+    proxied: Proxied = False,
+    record: RecordPath = None,
 ) -> None:
     """Run the platform of a deployment."""
-    loaded = shapes.Shape.from_file(shape, base_port)
+    loaded = shapes.Shape.from_file(shape, base_port, proxied)
     made = platform_lib.application
     loops.run(_serve({loaded.platform_endpoint: (made, (loaded,))}, record))
 
@@ -42,11 +49,12 @@
         str, typer.Option(help="Upstreams to run, by comma; or a service.")
     ],
     base_port: BasePort = None,
+    proxied: Proxied = False,
     record: RecordPath = None,
     seed: Annotated[int, typer.Option(help="Seed of random choices.")] = 1,
 ) -> None:
     """Run upstreams of a deployment in one process."""
-    loaded = shapes.Shape.from_file(shape, base_port)
+    loaded = shapes.Shape.from_file(shape, base_port, proxied)
     wanted = set(names.split(","))
     chosen = [
         placed
@@ -56,7 +64,7 @@
     if not chosen:
         raise SystemExit(f"no upstream is named {names}")
     apps = {
-        placed.upstream.endpoint: (
+        placed.listen: (
             lambda recorder, placed=placed: upstream_lib.application(
                 placed, loaded, recorder, seed
             ),
@@ -72,10 +80,11 @@
     shape: ShapePath,
     service: Annotated[str, typer.Option(help="Service to search.")],
     base_port: BasePort = None,
+    proxied: Proxied = False,
     record: RecordPath = None,
 ) -> None:
     """Run a bare fan-out, as the floor of measurements."""
-    loaded = shapes.Shape.from_file(shape, base_port)
+    loaded = shapes.Shape.from_file(shape, base_port, proxied)
     apps = {
         bare_lib.endpoint_of(loaded): (
             bare_lib.application,
@@ -85,6 +94,22 @@
     loops.run(_serve(apps, record))
 
 
+@app.command()
+def proxy(
+    shape: ShapePath,
+    base_port: BasePort = None,
+    proxied: Proxied = True,
+    record: RecordPath = None,
+    seed: Annotated[int, typer.Option(help="Seed of random choices.")] = 1,
+) -> None:
+    """Run the fault-injecting proxy of a deployment."""
+    del record
+    loaded = shapes.Shape.from_file(shape, base_port, proxied)
+    loops.run(
+        faultproxy.serve(loaded.routes(), loaded.proxy_control_endpoint, seed)
+    )
+
+
 @app.command()
 def settings(
     shape: ShapePath,
--- a/standins/deployments.py
+++ b/standins/deployments.py
@@ -1,6 +1,6 @@
 """Starts and stops whole deployments as real processes."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 import contextlib
 import os
 import pathlib
@@ -48,10 +48,13 @@
         folder: pathlib.Path,
         shape_path: pathlib.Path = SMALL,
         base_port: int = BASE_PORT,
+        proxied: bool = False,
+        host_command: Sequence[str] = ("-m", "greengagedale", "serve"),
     ) -> None:
         self.folder = folder
         self.shape_path = shape_path
-        self.shape = shapes.Shape.from_file(shape_path, base_port)
+        self.shape = shapes.Shape.from_file(shape_path, base_port, proxied)
+        self._host_command = host_command
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self._hosts = self.shape.entry_hosts()
         self._logs = contextlib.ExitStack()
@@ -70,9 +73,11 @@
                 for each replica number; else each has a process of its own.
             hosts: How many entry hosts are started.
         """
+        if self.shape.proxied:
+            self._launch_standin("proxy", "proxy")
         self.start_platform()
-        for names in self._upstream_groups(service):
-            self.start_upstream(names)
+        for name, members in self._upstream_groups(service).items():
+            self.start_upstream(name, members)
         self._hosts = self.shape.entry_hosts()[:hosts]
         for host in self._hosts:
             self.start_host(host, settings_extra)
@@ -81,32 +86,32 @@
 
     def start_bare(self, service: str) -> None:
         """Starts the bare fan-out over a service."""
-        self._launch(
-            "bare", "standins", "bare", *self._placed(), "--service", service
-        )
+        self._launch_standin("bare", "bare", "--service", service)
 
-    def _upstream_groups(self, service: str | None) -> list[str]:
+    def _upstream_groups(self, service: str | None) -> dict[str, str]:
         placed = self.shape.upstreams()
         if service is None:
-            return [item.upstream.name for item in placed]
-        names = [
-            item.upstream.name for item in placed if item.shape.name == service
-        ]
-        replicas = sorted({name.rpartition("-")[2] for name in names})
-        return [
-            ",".join(name for name in names if name.endswith(f"-{replica}"))
-            for replica in replicas
-        ]
+            return {p.upstream.name: p.upstream.name for p in placed}
+        groups: dict[str, list[str]] = {}
+        for item in placed:
+            if item.shape.name == service:
+                replica = item.upstream.name.rpartition("-")[2]
+                key = f"{service}-replica-{replica}"
+                groups.setdefault(key, []).append(item.upstream.name)
+        return {key: ",".join(names) for key, names in groups.items()}
 
     def start_platform(self) -> None:
         """Starts the platform."""
-        self._launch("platform", "standins", "platform", *self._placed())
+        self._launch_standin("platform", "platform")
 
-    def start_upstream(self, name: str) -> None:
-        """Starts an upstream, or several by comma, as one process."""
-        self._launch(
-            name, "standins", "upstream", *self._placed(), "--names", name
-        )
+    def start_upstream(self, name: str, members: str | None = None) -> None:
+        """Starts a process that runs the named upstreams.
+
+        Args:
+            name: Name of the process.
+            members: Upstreams by comma; the one of that name if absent.
+        """
+        self._launch_standin(name, "upstream", "--names", members or name)
 
     def start_host(
         self, host: shapes.EntryHost, settings_extra: str = ""
@@ -114,9 +119,7 @@
         """Starts an entry host; extra TOML goes at the end of its settings."""
         path = self.folder / f"{host.name}.toml"
         path.write_text(host.settings_toml(self.shape) + settings_extra)
-        self._launch(
-            host.name, "greengagedale", "serve", "--settings", str(path)
-        )
+        self._launch(host.name, *self._host_command, "--settings", str(path))
 
     def wait_ready(self) -> None:
         """Waits until every host locates all of them."""
@@ -187,8 +190,14 @@
 
     def control_upstream(self, name: str, **control: Any) -> None:
         """Changes what an upstream holds and how it misbehaves."""
-        placed = {p.upstream.name: p.upstream for p in self.shape.upstreams()}
-        httpcalls.call("POST", placed[name].endpoint, "/control", control)
+        placed = {p.upstream.name: p for p in self.shape.upstreams()}
+        httpcalls.call("POST", placed[name].listen, "/control", control)
+
+    def control_proxy(self, targets: Sequence[str] = (), **fault: Any) -> None:
+        """Sets the faults of routes to some targets; no targets means all."""
+        body = {"targets": list(targets), "fault": fault}
+        endpoint = self.shape.proxy_control_endpoint
+        httpcalls.call("POST", endpoint, "/control", body)
 
     def signal(self, name: str, number: int) -> None:
         """Sends a signal to a process."""
@@ -217,23 +226,21 @@
             process.wait(STOP_TIMEOUT_S)
         self._logs.close()
 
-    def _placed(self) -> tuple[str, ...]:
-        return (
+    def _launch_standin(self, name: str, *arguments: str) -> None:
+        placed = (
             "--shape",
             str(self.shape_path),
             "--base-port",
             str(self.shape.base_port),
+            "--record",
+            str(self.folder / f"{name}.jsonl"),
         )
+        proxied = ("--proxied",) if self.shape.proxied else ()
+        self._launch(name, "-m", "standins", *arguments, *placed, *proxied)
 
-    def _launch(self, name: str, module: str, *arguments: str) -> None:
-        record = (
-            ("--record", str(self.folder / f"{name}.jsonl"))
-            if module == "standins"
-            else ()
-        )
-        log = self._logs.enter_context((self.folder / f"{name}.log").open("a"))
+    def _launch(self, name: str, *command: str) -> None:
+        path = self.folder / f"{name}.log"
+        log = self._logs.enter_context(path.open("a", encoding="utf-8"))
         self.processes[name] = subprocess.Popen(
-            [sys.executable, "-m", module, *arguments, *record],
-            stdout=log,
-            stderr=log,
+            [sys.executable, *command], stdout=log, stderr=log
         )
--- a/standins/shapes.py
+++ b/standins/shapes.py
@@ -11,11 +11,15 @@
 from greengagedale.query import ranges
 from greengagedale.query import snapshots
 from greengagedale.upstreams import base as upstreams_base
+from standins import faultproxy
 
 ENTRY_HOSTS = 4
 _UPSTREAM_OFFSET = 100
 _HOST_OFFSET = 10
 _PORTS_PER_HOST = 3
+_PROXY_OFFSET = 250
+_PLATFORM_PROXY_OFFSET = 8
+_PROXY_CONTROL_OFFSET = 7
 
 
 class ServiceShape(settings_lib.Section):
@@ -49,6 +53,8 @@
         between_ms: One-way delay between two data centres.
         clients_ms: One-way delay between a caller and a host.
         services: The services.
+        proxied: Whether hosts reach the platform and the upstreams through
+            the fault-injecting proxy.
     """
 
     name: str
@@ -57,15 +63,20 @@
     between_ms: float
     clients_ms: float
     services: list[ServiceShape]
+    proxied: bool = False
 
     @classmethod
     def from_file(
-        cls, path: pathlib.Path, base_port: int | None = None
+        cls,
+        path: pathlib.Path,
+        base_port: int | None = None,
+        proxied: bool = False,
     ) -> Self:
-        """Reads a shape, optionally on other ports."""
+        """Reads a shape, optionally on other ports or behind the proxy."""
         config = tomllib.loads(path.read_text(encoding="utf-8"))
         if base_port is not None:
             config["base_port"] = base_port
+        config["proxied"] = proxied
         try:
             return cls.model_validate(config)
         except pydantic.ValidationError as error:
@@ -76,6 +87,30 @@
         """Where the platform listens."""
         return f"127.0.0.1:{self.base_port}"
 
+    @property
+    def published_platform_endpoint(self) -> str:
+        """Where hosts reach the platform."""
+        if not self.proxied:
+            return self.platform_endpoint
+        return f"127.0.0.1:{self.base_port + _PLATFORM_PROXY_OFFSET}"
+
+    @property
+    def proxy_control_endpoint(self) -> str:
+        """Where the proxy takes its faults from."""
+        return f"127.0.0.1:{self.base_port + _PROXY_CONTROL_OFFSET}"
+
+    def routes(self) -> list[faultproxy.Route]:
+        """Returns what the proxy listens on and forwards to."""
+        return [
+            faultproxy.Route(
+                self.published_platform_endpoint, self.platform_endpoint
+            ),
+            *(
+                faultproxy.Route(placed.upstream.endpoint, placed.listen)
+                for placed in self.upstreams()
+            ),
+        ]
+
     def entry_hosts(self) -> list["EntryHost"]:
         """Returns the entry hosts, laid over the data centres."""
         return [self._entry_host(i) for i in range(ENTRY_HOSTS)]
@@ -128,16 +163,18 @@
             (group + replica) % len(self.data_centres)
         ]
         port = self.base_port + _UPSTREAM_OFFSET + number
+        published = port + _PROXY_OFFSET if self.proxied else port
         return PlacedUpstream(
             shape,
             group,
             upstreams_base.Upstream(
                 name,
-                f"127.0.0.1:{port}",
+                f"127.0.0.1:{published}",
                 data_centre,
                 shape.slots,
                 shape.connections,
             ),
+            f"127.0.0.1:{port}",
         )
 
 
@@ -165,14 +202,22 @@
             f"operator_port = {self.operator_port}\n"
             f"peer_port = {self.peer_port}\n"
             "\n[platform]\n"
-            f'endpoint = "{shape.platform_endpoint}"\n'
+            f'endpoint = "{shape.published_platform_endpoint}"\n'
             f"\n[peers]\nseeds = [{seeds}]\n"
         )
 
 
 class PlacedUpstream(NamedTuple):
-    """An upstream of a shape, with the group whose range it holds."""
+    """An upstream of a shape.
+
+    Attributes:
+        shape: The service that it belongs to.
+        group: Number of the group whose range it holds.
+        upstream: The upstream as hosts know it.
+        listen: Where its process listens, whatever hosts are told.
+    """
 
     shape: ServiceShape
     group: int
     upstream: upstreams_base.Upstream
+    listen: str
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -104,9 +104,10 @@
         if refused:
             return self._refuse(refused)
         try:
-            self._note("search", body, text=body["text"])
+            self._note("search", body, text=body["text"], holding=holding)
             self._crash_if_poisoned(body["text"])
             await self._work()
+            self._note("answer", body, holding=holding)
             return _json(self._search_reply(body, holding))
         finally:
             self._leave(body["attempt_id"])
@@ -181,6 +182,11 @@
 
     async def _enter(self, attempt_id: str, timeout_ms: float) -> str | None:
         if self._control.get("draining"):
+            self._recorder.add(
+                "refused_draining",
+                upstream=self._name,
+                attempt_id=attempt_id,
+            )
             return "draining"
         if self._present >= self._most_waiting + self._shape.slots:
             return "overloaded"
