Run each idempotency key on one process of the fleet only

A locate answer now carries a ticket of the host's incarnation. A key made from it runs on that incarnation or nowhere; other hosts forward to it. Keys that callers choose are claimed in the platform by a conditional create, never taken over. Ruled out: leases on keys, as a lease may lapse under a frozen holder; releasing a refused key, as a delayed copy could then run after its caller was told that it did not.

--- a/greengagedale/actions.py
+++ b/greengagedale/actions.py
@@ -1,36 +1,61 @@
-"""Runs requests that are not safe to repeat: each key at most once."""
+"""Runs requests that are not safe to repeat: each key at most once.
 
+A key made from a ticket runs on the incarnation that issued the ticket, or
+nowhere. A key that the caller chose runs on the process that claimed it in
+the platform, or nowhere. Either way one process decides, with its own table
+of keys, and other hosts forward to it.
+"""
+
+import abc
 import asyncio
+from collections.abc import Coroutine
+import hashlib
+import logging
 from typing import Any, NamedTuple
 
+import msgspec
+
 from greengagedale import clocks
+from greengagedale import dispatches
+from greengagedale import metrics as metrics_lib
 from greengagedale import outcomes
-from greengagedale.catalog import services
-from greengagedale.query import snapshots
-from greengagedale.routing import policies
-from greengagedale.upstreams import base as upstreams_base
+from greengagedale import records
+from greengagedale.idempotency import claims
+from greengagedale.idempotency import tables
+from greengagedale.idempotency import tickets
+
+log = logging.getLogger(__name__)
+
+_MS_PER_S = 1000.0
+_SETTLE_GRACE_MS = 50.0
+_PLATFORM_RETRY_AFTER_MS = 1000
+
 
-RETRY_AFTER_MS = 200
+class Forwarder(abc.ABC):
+    """Reaches the one process that may run a key."""
+
+    @abc.abstractmethod
+    async def forward(
+        self,
+        issuer: tickets.Issuer,
+        request: dispatches.ActionRequest,
+        trace: records.Trace,
+    ) -> outcomes.Outcome:
+        """Has the issuer run a request, or tell what became of it."""
 
 
-class ActionRequest(NamedTuple):
-    """What a caller asked for.
+class _Result(NamedTuple):
+    """How a run ended.
 
     Attributes:
-        request_id: Identifier of the request.
-        key: The caller's idempotency key.
-        member: Member on whose behalf it runs.
-        target: Key of the document that it acts on.
-        body: What to do.
-        deadline_ms: When the answer is due, by the clock of the process.
+        of_copy: What became of the copy that began the run.
+        of_key: What is known of the key, whatever copies of it there are.
+        kept: Whether this process decides on the key from now on.
     """
 
-    request_id: str
-    key: str
-    member: str
-    target: int
-    body: Any
-    deadline_ms: float
+    of_copy: outcomes.Outcome
+    of_key: outcomes.Outcome
+    kept: bool
 
 
 class ActionRunner:
@@ -38,60 +63,206 @@
 
     def __init__(
         self,
-        transport: upstreams_base.UpstreamTransport,
-        policy: policies.RoutingPolicy,
+        issuer: tickets.Issuer,
+        table: tables.KeyTable,
+        claim_book: claims.ClaimBook,
+        forwarder: Forwarder,
+        dispatcher: dispatches.Dispatcher,
         clock: clocks.Clock,
+        metrics: metrics_lib.Metrics,
     ) -> None:
-        self._transport = transport
-        self._policy = policy
+        self._issuer = issuer
+        self._table = table
+        self._claims = claim_book
+        self._forwarder = forwarder
+        self._dispatcher = dispatcher
         self._clock = clock
-        self._runs: dict[tuple[str, str], asyncio.Task[outcomes.Outcome]] = {}
+        self._metrics = metrics
+        self._runs: dict[tables.Identity, asyncio.Task[_Result]] = {}
+
+    @property
+    def issuer(self) -> tickets.Issuer:
+        """This process, as keys name it."""
+        return self._issuer
+
+    def ticket(self) -> str:
+        """Issues a ticket, from which callers make keys."""
+        return tickets.Ticket(self._issuer, int(self._clock.now_ms())).encode()
+
+    def stop(self) -> None:
+        """Refuses all keys that are not known yet, for good."""
+        self._table.stop()
+
+    async def finish(self) -> None:
+        """Waits until everything that runs has ended."""
+        await asyncio.gather(*self._runs.values(), return_exceptions=True)
 
     async def run(
-        self, request: ActionRequest, service: services.Service
+        self, request: dispatches.ActionRequest, trace: records.Trace
     ) -> outcomes.Outcome:
-        """Runs an action, or joins the run that its key already has."""
-        identity = (request.member, request.key)
-        running = self._runs.get(identity)
-        if running is None:
-            running = asyncio.create_task(self._run_once(request, service))
-            self._runs[identity] = running
-        outcome = await asyncio.shield(running)
-        if isinstance(outcome, outcomes.NotRun):
-            self._runs.pop(identity, None)
-        return outcome
+        """Runs a caller's request, or tells what became of its key."""
+        ticket = tickets.Ticket.from_key(request.key)
+        if ticket is None or ticket.issuer == self._issuer:
+            return await self._run_here(request, ticket, trace)
+        return await self._forward(ticket.issuer, request, trace)
 
-    async def _run_once(
-        self, request: ActionRequest, service: services.Service
+    async def run_forwarded(
+        self,
+        incarnation: str,
+        request: dispatches.ActionRequest,
+        trace: records.Trace,
     ) -> outcomes.Outcome:
-        pinned = snapshots.choose(service.maps)
-        entry = pinned.range_of(request.target) if pinned else None
-        chosen = self._policy.choose(entry.upstreams) if entry else None
-        if chosen is None:
-            return outcomes.NotRun(outcomes.Reason.NO_REPLICA, RETRY_AFTER_MS)
-        left_ms = request.deadline_ms - self._clock.now_ms()
-        if left_ms <= 0:
-            return outcomes.NotRun(outcomes.Reason.DEADLINE, RETRY_AFTER_MS)
-        return await self._send(request, service.upstreams[chosen], left_ms)
+        """Runs a request that another host forwards.
 
-    async def _send(
+        Args:
+            incarnation: Incarnation of this host that is to run it.
+            request: The request.
+            trace: Takes what was done.
+        """
+        if incarnation != self._issuer.incarnation:
+            return self._unknown(outcomes.Reason.ISSUER_GONE, trace)
+        ticket = tickets.Ticket.from_key(request.key)
+        if ticket is None:
+            return await self._known(request, trace)
+        if ticket.issuer != self._issuer:
+            return self._unknown(outcomes.Reason.FOREIGN_KEY, trace)
+        return await self._run_here(request, ticket, trace)
+
+    async def _run_here(
         self,
-        request: ActionRequest,
-        upstream: upstreams_base.Upstream,
-        left_ms: float,
+        request: dispatches.ActionRequest,
+        ticket: tickets.Ticket | None,
+        trace: records.Trace,
     ) -> outcomes.Outcome:
-        action = upstreams_base.Action(
-            f"{request.request_id}.0",
-            request.key,
-            request.member,
-            request.target,
-            request.body,
-            left_ms,
+        identity = tables.Identity(request.member, request.key)
+        decision = self._table.begin(
+            identity,
+            digest_of(request),
+            ticket.issued_ms if ticket else None,
+            self._clock.now_ms(),
         )
+        if isinstance(decision, tables.Start):
+            work = self._run_ticketed if ticket else self._run_claimed
+            self._runs[identity] = asyncio.create_task(
+                self._run(work(request, trace), identity)
+            )
+            decision = tables.Join()
+            self._count("start", trace)
+        elif isinstance(decision, tables.Join):
+            self._count("join", trace)
+        return await self._take(decision, identity, request, trace)
+
+    async def _known(
+        self, request: dispatches.ActionRequest, trace: records.Trace
+    ) -> outcomes.Outcome:
+        identity = tables.Identity(request.member, request.key)
+        decision = self._table.look_up(identity, digest_of(request))
+        if decision is None:
+            return self._unknown(outcomes.Reason.EXPIRED_KEY, trace)
+        return await self._take(decision, identity, request, trace)
+
+    async def _take(
+        self,
+        decision: tables.Decision,
+        identity: tables.Identity,
+        request: dispatches.ActionRequest,
+        trace: records.Trace,
+    ) -> outcomes.Outcome:
+        if isinstance(decision, tables.Decided):
+            self._count("answer_from_table", trace)
+            if decision.held:
+                return decision.outcome
+            return _of_copy(decision.outcome, request)
+        left_ms = request.deadline_ms - self._clock.now_ms()
+        wait_s = max(left_ms + _SETTLE_GRACE_MS, 0.0) / _MS_PER_S
         try:
-            result = await self._transport.act(upstream, action)
+            async with asyncio.timeout(wait_s):
+                result = await asyncio.shield(self._runs[identity])
         except TimeoutError:
-            return outcomes.Unknown(outcomes.Reason.DEADLINE)
-        if isinstance(result, upstreams_base.Acted):
-            return outcomes.Ran(result.body)
-        return outcomes.of_attempts([result], result.reason, RETRY_AFTER_MS)
+            return self._unknown(outcomes.Reason.DEADLINE, trace)
+        return result.of_copy if request.first_send else result.of_key
+
+    async def _run(
+        self,
+        work: Coroutine[Any, Any, _Result],
+        identity: tables.Identity,
+    ) -> _Result:
+        try:
+            result = await work
+        except Exception:
+            log.exception("key %r failed", identity.key)
+            unknown = outcomes.Unknown(outcomes.Reason.INTERNAL)
+            result = _Result(unknown, unknown, kept=True)
+        if result.kept:
+            self._table.settle(identity, result.of_key)
+        else:
+            self._table.release(identity)
+        del self._runs[identity]
+        return result
+
+    async def _run_ticketed(
+        self, request: dispatches.ActionRequest, trace: records.Trace
+    ) -> _Result:
+        outcome = await self._dispatcher.dispatch(request, trace)
+        return _Result(outcome, outcome, kept=True)
+
+    async def _run_claimed(
+        self, request: dispatches.ActionRequest, trace: records.Trace
+    ) -> _Result:
+        identity = tables.Identity(request.member, request.key)
+        claimed = await self._claims.claim(identity, request.deadline_ms)
+        self._count(f"claim_{claimed.tag}", trace)
+        match claimed:
+            case claims.Owned():
+                return await self._run_ticketed(request, trace)
+            case claims.HeldBy(owner) if owner == self._issuer:
+                outcome = self._unknown(outcomes.Reason.EXPIRED_KEY, trace)
+                return _Result(outcome, outcome, kept=False)
+            case claims.HeldBy(owner):
+                outcome = await self._forward(owner, request, trace)
+                return _Result(outcome, outcome, kept=False)
+        # A claim that could not be resolved may be ours, so the key is kept.
+        return _Result(
+            outcomes.NotRun(
+                outcomes.Reason.PLATFORM_DOWN, _PLATFORM_RETRY_AFTER_MS
+            ),
+            outcomes.Unknown(outcomes.Reason.PLATFORM_DOWN),
+            kept=isinstance(claimed, claims.Unresolved),
+        )
+
+    async def _forward(
+        self,
+        issuer: tickets.Issuer,
+        request: dispatches.ActionRequest,
+        trace: records.Trace,
+    ) -> outcomes.Outcome:
+        self._count("forward", trace, issuer.host)
+        return await self._forwarder.forward(issuer, request, trace)
+
+    def _unknown(
+        self, reason: outcomes.Reason, trace: records.Trace
+    ) -> outcomes.Unknown:
+        trace.add("unknown", reason=reason)
+        return outcomes.Unknown(reason)
+
+    def _count(
+        self, step: str, trace: records.Trace, subject: str = ""
+    ) -> None:
+        self._metrics.action_steps.labels(step).inc()
+        trace.add(step, subject)
+
+
+def digest_of(request: dispatches.ActionRequest) -> str:
+    """Returns a digest of what a request is to do."""
+    content = (request.service, request.target, request.body)
+    return hashlib.sha256(msgspec.json.encode(content)).hexdigest()
+
+
+def _of_copy(
+    outcome: outcomes.Outcome, request: dispatches.ActionRequest
+) -> outcomes.Outcome:
+    """Weakens a refusal that may not hold for other copies of the key."""
+    ticketed = tickets.Ticket.from_key(request.key) is not None
+    if ticketed or request.first_send or isinstance(outcome, outcomes.Ran):
+        return outcome
+    return outcomes.Unknown(outcome.reason)
--- a/greengagedale/callers/base.py
+++ b/greengagedale/callers/base.py
@@ -16,11 +16,20 @@
 
 
 class Located(TypedDict):
-    """Hosts in the order to try them; kept for at most the TTL."""
+    """Hosts in the order to try them; kept for at most the TTL.
+
+    Attributes:
+        hosts: The hosts.
+        ttl_ms: How long to keep the answer.
+        revision: Revision of the configuration on the host that answers.
+        ticket: Makes idempotency keys that this host may run; empty if the
+            host is leaving.
+    """
 
     hosts: list[LocatedHost]
     ttl_ms: int
     revision: int
+    ticket: str
 
 
 class SearchCall(NamedTuple):
@@ -33,13 +42,23 @@
 
 
 class ActionCall(NamedTuple):
-    """A request that is not safe to repeat, as a caller asks for it."""
+    """A request that is not safe to repeat, as a caller asks for it.
+
+    Attributes:
+        workspace: Workspace to act in.
+        key: The idempotency key.
+        target: Key of the document that it acts on.
+        body: What to do.
+        timeout_ms: Time until the answer is due; None for the workspace's.
+        first_send: Whether the caller never sent the key before.
+    """
 
     workspace: str
     key: str
     target: int
     body: Any
     timeout_ms: int | None
+    first_send: bool
 
 
 class Reply(NamedTuple):
--- a/greengagedale/callers/http_server.py
+++ b/greengagedale/callers/http_server.py
@@ -9,6 +9,7 @@
 from greengagedale.callers import wire
 
 _MAX_KEY_LENGTH = 200
+_CONFLICT_STATUS = 409
 _UNKNOWN_STATUS = 502
 
 
@@ -72,7 +73,12 @@
         timeout_ms = _positive("timeout_ms", body.get("timeout_ms"))
         reply = await self._service.act(
             base.ActionCall(
-                workspace, body["key"], body["target"], body["body"], timeout_ms
+                workspace,
+                body["key"],
+                body["target"],
+                body["body"],
+                timeout_ms,
+                body.get("first_send", False),
             )
         )
         if isinstance(reply.outcome, outcomes.Ran):
@@ -119,6 +125,8 @@
     reply: base.Reply, outcome: outcomes.NotRun | outcomes.Unknown
 ) -> web.Response:
     body = wire.failure_reply(reply, outcome)
+    if outcome.reason is outcomes.Reason.KEY_CONFLICT:
+        return http_replies.reply(body, status=_CONFLICT_STATUS)
     if isinstance(outcome, outcomes.NotRun):
         return http_replies.retry_later(body, outcome.retry_after_ms)
     return http_replies.reply(body, status=_UNKNOWN_STATUS)
--- a/greengagedale/callers/wire.py
+++ b/greengagedale/callers/wire.py
@@ -24,6 +24,7 @@
     target: int
     body: Any
     timeout_ms: NotRequired[int]
+    first_send: NotRequired[bool]
 
 
 class SnapshotReply(TypedDict):
--- a/greengagedale/config/settings.py
+++ b/greengagedale/config/settings.py
@@ -51,6 +51,14 @@
     record_requests: options.Count = 2000
 
 
+class ActionsSettings(Section):
+    """Requests that are not safe to repeat, and their idempotency keys."""
+
+    ticket_life_ms: options.DurationMs = 30_000
+    retention_ms: options.DurationMs = 60_000
+    most_keys: options.Count = 50_000
+
+
 class UpstreamsSettings(Section):
     """How upstreams are used."""
 
@@ -77,6 +85,7 @@
     platform: PlatformSettings
     peers: PeersSettings = PeersSettings()
     callers: CallersSettings = CallersSettings()
+    actions: ActionsSettings = ActionsSettings()
     upstreams: UpstreamsSettings = UpstreamsSettings()
     shutdown: ShutdownSettings = ShutdownSettings()
     logs: LogsSettings = LogsSettings()
--- a/greengagedale/daemons.py
+++ b/greengagedale/daemons.py
@@ -4,6 +4,7 @@
 import contextlib
 import logging
 import random
+import secrets
 import signal
 
 from aiohttp import web
@@ -11,18 +12,25 @@
 from greengagedale import actions
 from greengagedale import clocks
 from greengagedale import configuration
+from greengagedale import dispatches
+from greengagedale import forwarding
 from greengagedale import hosts
 from greengagedale import loops
 from greengagedale import metrics as metrics_lib
 from greengagedale import searches
 from greengagedale.callers import http_server as callers_http
 from greengagedale.config import settings as settings_lib
+from greengagedale.idempotency import claims
+from greengagedale.idempotency import tables
+from greengagedale.idempotency import tickets
 from greengagedale.operators import http_server as operators_http
+from greengagedale.peers import base as peers_base
 from greengagedale.peers import grpc_client
 from greengagedale.peers import grpc_server
 from greengagedale.platform import base as platform_base
 from greengagedale.platform import http as platform_http
 from greengagedale.routing import policies
+from greengagedale.upstreams import base as upstreams_base
 from greengagedale.upstreams import http as upstreams_http
 
 log = logging.getLogger(__name__)
@@ -30,6 +38,7 @@
 _REFRESH_S = 0.3
 _HOST_LIST_EVERY = 3
 _MS_PER_S = 1000.0
+_INCARNATION_BYTES = 6
 
 
 async def serve(settings: settings_lib.Settings) -> None:
@@ -44,6 +53,7 @@
         log.info("leaving")
         # Callers keep a locate answer for its TTL, so all of it is waited out.
         await asyncio.sleep(settings.callers.locate_ttl_ms / _MS_PER_S)
+        host.refuse_new_actions()
     log.info("stopped")
 
 
@@ -76,12 +86,16 @@
     )
     directory = hosts.Directory(peers)
     policy = policies.PlainPolicy(random.Random())
+    action_runner = _action_runner(
+        settings, store, holder, directory, peers, transport, policy, metrics
+    )
+    stack.push_async_callback(action_runner.finish)
     host = hosts.Host(
         settings,
         holder,
         configuration.Writer(store, reader, holder),
         searches.SearchRunner(transport, policy, clock, metrics),
-        actions.ActionRunner(transport, policy, clock),
+        action_runner,
         directory,
         peers,
         clock,
@@ -98,6 +112,35 @@
     return host
 
 
+def _action_runner(
+    settings: settings_lib.Settings,
+    store: platform_base.ObjectStore,
+    holder: configuration.Holder,
+    directory: hosts.Directory,
+    peers: peers_base.PeerTransport,
+    transport: upstreams_base.UpstreamTransport,
+    policy: policies.RoutingPolicy,
+    metrics: metrics_lib.Metrics,
+) -> actions.ActionRunner:
+    clock = clocks.MonotonicClock()
+    incarnation = secrets.token_hex(_INCARNATION_BYTES)
+    issuer = tickets.Issuer(settings.host.name, incarnation)
+    limits = tables.Limits(
+        settings.actions.most_keys,
+        settings.actions.ticket_life_ms,
+        settings.actions.retention_ms,
+    )
+    return actions.ActionRunner(
+        issuer,
+        tables.KeyTable(limits),
+        claims.PlatformClaims(store, issuer, clock),
+        forwarding.PeerForwarder(directory, peers, clock),
+        dispatches.Dispatcher(holder, transport, policy, clock, metrics),
+        clock,
+        metrics,
+    )
+
+
 async def _listen(
     settings: settings_lib.Settings,
     host: hosts.Host,
--- /dev/null
+++ b/greengagedale/dispatches.py
@@ -0,0 +1,124 @@
+"""Sends a request that is not safe to repeat to one upstream."""
+
+from typing import Any, NamedTuple
+
+from greengagedale import clocks
+from greengagedale import configuration
+from greengagedale import metrics as metrics_lib
+from greengagedale import outcomes
+from greengagedale import records
+from greengagedale.catalog import services
+from greengagedale.query import snapshots
+from greengagedale.routing import policies
+from greengagedale.upstreams import base as upstreams_base
+
+RETRY_AFTER_MS = 200
+
+
+class ActionRequest(NamedTuple):
+    """What a caller asked for.
+
+    Attributes:
+        request_id: Identifier of the request.
+        key: The idempotency key.
+        member: Member on whose behalf it runs.
+        service: Service whose upstreams hold the document.
+        target: Key of the document that it acts on.
+        body: What to do.
+        deadline_ms: When the answer is due, by the clock of the process.
+        first_send: Whether the caller never sent the key before.
+    """
+
+    request_id: str
+    key: str
+    member: str
+    service: str
+    target: int
+    body: Any
+    deadline_ms: float
+    first_send: bool
+
+
+class Dispatcher:
+    """Sends each request so that it reaches at most one upstream."""
+
+    def __init__(
+        self,
+        holder: configuration.Holder,
+        transport: upstreams_base.UpstreamTransport,
+        policy: policies.RoutingPolicy,
+        clock: clocks.Clock,
+        metrics: metrics_lib.Metrics,
+    ) -> None:
+        self._holder = holder
+        self._transport = transport
+        self._policy = policy
+        self._clock = clock
+        self._metrics = metrics
+
+    async def dispatch(
+        self, request: ActionRequest, trace: records.Trace
+    ) -> outcomes.Outcome:
+        """Sends a request; to be called once for each key.
+
+        Another replica is tried only while no byte can have been written.
+        """
+        service = self._holder.services.get(request.service)
+        untried = _replicas(service, request.target)
+        ends: list[outcomes.AttemptEnd] = []
+        reason = outcomes.Reason.NO_REPLICA
+        while service is not None and outcomes.may_send_again(ends):
+            chosen = self._policy.choose(untried)
+            if chosen is None:
+                break
+            if self._clock.now_ms() >= request.deadline_ms:
+                reason = outcomes.Reason.DEADLINE
+                break
+            untried.remove(chosen)
+            if ends:
+                self._metrics.retries.labels(reason).inc()
+            attempt_id = f"{request.request_id}.{len(ends)}"
+            trace.add("attempt", chosen, reason if ends else "")
+            result = await self._send(
+                request, service.upstreams[chosen], attempt_id
+            )
+            if isinstance(result, upstreams_base.Acted):
+                return outcomes.Ran(result.body)
+            trace.add("attempt_ended", chosen, _told(result))
+            self._metrics.refusals.labels("upstream", result.reason).inc()
+            ends.append(result)
+            reason = result.reason
+        return outcomes.of_attempts(ends, reason, _retry_after_ms(ends))
+
+    async def _send(
+        self,
+        request: ActionRequest,
+        upstream: upstreams_base.Upstream,
+        attempt_id: str,
+    ) -> upstreams_base.Acted | outcomes.AttemptEnd:
+        self._metrics.attempts.labels(request.service).inc()
+        action = upstreams_base.Action(
+            attempt_id,
+            request.key,
+            request.member,
+            request.target,
+            request.body,
+            request.deadline_ms - self._clock.now_ms(),
+        )
+        return await self._transport.act(upstream, action)
+
+
+def _replicas(service: services.Service | None, target: int) -> list[str]:
+    pinned = snapshots.choose(service.maps) if service else None
+    entry = pinned.range_of(target) if pinned else None
+    return list(entry.upstreams) if entry else []
+
+
+def _retry_after_ms(ends: list[outcomes.AttemptEnd]) -> int:
+    return max([RETRY_AFTER_MS, *(end.retry_after_ms for end in ends)])
+
+
+def _told(end: outcomes.AttemptEnd) -> str:
+    if end.refused:
+        return f"refused: {end.reason}"
+    return f"{'maybe ran' if end.written else 'nothing sent'}: {end.reason}"
--- /dev/null
+++ b/greengagedale/forwarding.py
@@ -0,0 +1,64 @@
+"""Forwards requests to the one host that may run their key."""
+
+from greengagedale import actions
+from greengagedale import clocks
+from greengagedale import dispatches
+from greengagedale import hosts
+from greengagedale import outcomes
+from greengagedale import records
+from greengagedale.idempotency import tickets
+from greengagedale.peers import base as peers_base
+from greengagedale.peers import results
+
+
+class PeerForwarder(actions.Forwarder):
+    """Forwards to other hosts."""
+
+    def __init__(
+        self,
+        directory: hosts.Directory,
+        peers: peers_base.PeerTransport,
+        clock: clocks.Clock,
+    ) -> None:
+        self._directory = directory
+        self._peers = peers
+        self._clock = clock
+
+    async def forward(
+        self,
+        issuer: tickets.Issuer,
+        request: dispatches.ActionRequest,
+        trace: records.Trace,
+    ) -> outcomes.Outcome:
+        """Has the issuer run a request, or tell what became of it."""
+        endpoint = self._directory.endpoint_of(issuer.host)
+        left_ms = request.deadline_ms - self._clock.now_ms()
+        if endpoint is None:
+            return outcomes.Unknown(outcomes.Reason.ISSUER_UNREACHABLE)
+        if left_ms <= 0:
+            return outcomes.Unknown(outcomes.Reason.DEADLINE)
+        asked_ms = trace.elapsed_ms()
+        result = await self._peers.act(
+            endpoint, _message(issuer, request, left_ms)
+        )
+        if result is None:
+            return outcomes.Unknown(outcomes.Reason.ISSUER_UNREACHABLE)
+        trace.add_remote(result.events, asked_ms)
+        return results.outcome_of(result)
+
+
+def _message(
+    issuer: tickets.Issuer,
+    request: dispatches.ActionRequest,
+    left_ms: float,
+) -> peers_base.ForwardedAction:
+    return peers_base.ForwardedAction(
+        issuer.incarnation,
+        request.request_id,
+        request.key,
+        request.member,
+        request.service,
+        request.target,
+        request.body,
+        left_ms,
+    )
--- a/greengagedale/hosts.py
+++ b/greengagedale/hosts.py
@@ -3,12 +3,12 @@
 import asyncio
 import itertools
 import logging
-import secrets
 from typing import Any
 
 from greengagedale import actions
 from greengagedale import clocks
 from greengagedale import configuration
+from greengagedale import dispatches
 from greengagedale import metrics as metrics_lib
 from greengagedale import outcomes
 from greengagedale import records as records_lib
@@ -19,11 +19,11 @@
 from greengagedale.config import settings as settings_lib
 from greengagedale.operators import base as operators_base
 from greengagedale.peers import base as peers_base
+from greengagedale.peers import results
 from greengagedale.query import fanout
 
 log = logging.getLogger(__name__)
 
-_INCARNATION_BYTES = 6
 _NOT_READY_RETRY_MS = 1000
 
 
@@ -87,7 +87,7 @@
         self._metrics = metrics
         self._records = records_lib.Records(settings.callers.record_requests)
         self._sequence = itertools.count(1)
-        self._incarnation = secrets.token_hex(_INCARNATION_BYTES)
+        self._incarnation = action_runner.issuer.incarnation
         self._running = 0
         self.leaving = False
 
@@ -127,6 +127,7 @@
                 for item in ranked
             ],
             ttl_ms=self._settings.callers.locate_ttl_ms,
+            ticket="" if self.leaving else self._actions.ticket(),
             revision=self._holder.current.revision,
         )
 
@@ -165,28 +166,68 @@
         """Runs a request that is not safe to repeat."""
         started_ms = self._clock.now_ms()
         request_id = self._new_request_id()
+        trace = self._new_trace()
         current = self._holder.current
         plan = current.plans[call.workspace]
-        request = actions.ActionRequest(
+        request = dispatches.ActionRequest(
             request_id,
             call.key,
             current.workspaces[call.workspace].member,
+            plan.service,
             call.target,
             call.body,
             started_ms + self._timeout_ms(call.timeout_ms, plan),
+            call.first_send,
         )
-        service = self._holder.services.get(plan.service)
+        outcome = await self._act(request, trace)
+        self._record(
+            request_id,
+            call.workspace,
+            "act",
+            started_ms,
+            outcome,
+            trace,
+            call.key,
+        )
+        return callers_base.Reply(request_id, outcome)
+
+    async def act_forwarded(
+        self, forwarded: peers_base.ForwardedAction
+    ) -> peers_base.ForwardedResult:
+        """Runs a request that only this host may run."""
+        trace = self._new_trace()
+        request = dispatches.ActionRequest(
+            forwarded.request_id,
+            forwarded.key,
+            forwarded.member,
+            forwarded.service,
+            forwarded.target,
+            forwarded.body,
+            self._clock.now_ms() + forwarded.left_ms,
+            first_send=False,
+        )
+        outcome = await self._act(request, trace, forwarded.incarnation)
+        return results.result_of(outcome, trace.events)
+
+    async def _act(
+        self,
+        request: dispatches.ActionRequest,
+        trace: records_lib.Trace,
+        incarnation: str | None = None,
+    ) -> outcomes.Outcome:
         self._running += 1
         try:
-            outcome = (
-                await self._actions.run(request, service)
-                if service is not None
-                else _not_ready()
+            if incarnation is None:
+                return await self._actions.run(request, trace)
+            return await self._actions.run_forwarded(
+                incarnation, request, trace
             )
         finally:
             self._running -= 1
-        self._record(request_id, call.workspace, "act", started_ms, outcome)
-        return callers_base.Reply(request_id, outcome)
+
+    def refuse_new_actions(self) -> None:
+        """Refuses all keys that are not known yet; known ones go on."""
+        self._actions.stop()
 
     async def explain_anywhere(
         self, request_id: str
@@ -225,6 +266,9 @@
         name = self._settings.host.name
         return f"{name}.{self._incarnation}.{next(self._sequence):x}"
 
+    def _new_trace(self) -> records_lib.Trace:
+        return records_lib.Trace(self._settings.host.name, self._clock)
+
     def _timeout_ms(
         self, asked_ms: int | None, plan: documents.WorkspacePlan
     ) -> int:
@@ -239,6 +283,8 @@
         kind: str,
         started_ms: float,
         outcome: outcomes.Outcome,
+        trace: records_lib.Trace | None = None,
+        key: str = "",
     ) -> None:
         took_ms = self._clock.now_ms() - started_ms
         self._metrics.requests.labels(workspace, outcome.tag).inc()
@@ -256,6 +302,9 @@
                 outcome=outcome.tag,
                 took_ms=round(took_ms, 3),
                 detail=_detail(outcome),
+                key=key,
+                events=trace.events if trace else [],
+                events_left_out=trace.events_left_out if trace else 0,
             )
         )
 
--- /dev/null
+++ b/greengagedale/idempotency/claims.py
@@ -0,0 +1,136 @@
+"""Claims: keys that callers choose, owned by one process in the platform.
+
+The claim is created on the condition that there is none, before the request
+is dispatched. It is never taken over, so a lapsed or frozen owner is no
+danger: a key whose owner is gone is unknown for ever.
+"""
+
+import abc
+import asyncio
+import dataclasses
+import hashlib
+import secrets
+from typing import ClassVar, NamedTuple
+
+import msgspec
+
+from greengagedale import clocks
+from greengagedale.idempotency import tables
+from greengagedale.idempotency import tickets
+from greengagedale.platform import base as platform_base
+
+KIND_CLAIM = "claims"
+
+_TOKEN_BYTES = 12
+_RETRY_PAUSE_S = 0.05
+
+
+class Claim(NamedTuple):
+    """What the platform holds of a key.
+
+    Attributes:
+        host: Name of the owner.
+        incarnation: Incarnation of the owner.
+        token: Identifies the call that made the claim.
+    """
+
+    host: str
+    incarnation: str
+    token: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Owned:
+    """This process owns the key, from now on."""
+
+    tag: ClassVar[str] = "owned"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HeldBy:
+    """Another process owns the key, or an earlier call of this one."""
+
+    tag: ClassVar[str] = "held_by_other"
+    owner: tickets.Issuer
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotClaimed:
+    """The platform refused; this call left no claim behind."""
+
+    tag: ClassVar[str] = "refused"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unresolved:
+    """It could not be found out in time whose the key is."""
+
+    tag: ClassVar[str] = "unresolved"
+
+
+ClaimResult = Owned | HeldBy | NotClaimed | Unresolved
+
+
+class ClaimBook(abc.ABC):
+    """Decides which process owns a key."""
+
+    @abc.abstractmethod
+    async def claim(
+        self, identity: tables.Identity, deadline_ms: float
+    ) -> ClaimResult:
+        """Claims a key for this process, unless it is owned already."""
+
+
+class PlatformClaims(ClaimBook):
+    """Claims as objects in the platform."""
+
+    def __init__(
+        self,
+        store: platform_base.ObjectStore,
+        owner: tickets.Issuer,
+        clock: clocks.Clock,
+    ) -> None:
+        self._store = store
+        self._owner = owner
+        self._clock = clock
+
+    async def claim(
+        self, identity: tables.Identity, deadline_ms: float
+    ) -> ClaimResult:
+        """Claims a key for this process, unless it is owned already.
+
+        A create whose reply is lost is resolved by reading the claim's token.
+        """
+        name = name_of(identity)
+        wanted = Claim(*self._owner, secrets.token_hex(_TOKEN_BYTES))
+        value = msgspec.json.encode(wanted)
+        unsure = False
+        while True:
+            written = await self._store.put(KIND_CLAIM, name, value, 0)
+            if isinstance(written, platform_base.Written):
+                return Owned()
+            if isinstance(written, platform_base.Unavailable) and not unsure:
+                return NotClaimed()
+            unsure = True
+            found = await self._store.get(KIND_CLAIM, name)
+            if isinstance(found, platform_base.Found):
+                return _owner_of(found.stored.value, wanted)
+            if self._clock.now_ms() >= deadline_ms:
+                return Unresolved()
+            await asyncio.sleep(_RETRY_PAUSE_S)
+
+
+def name_of(identity: tables.Identity) -> str:
+    """Returns the name of a key's claim; keys may hold any character."""
+    encoded = msgspec.json.encode(identity)
+    return hashlib.sha256(encoded).hexdigest()
+
+
+def _owner_of(value: bytes, wanted: Claim) -> ClaimResult:
+    try:
+        held = msgspec.json.decode(value, type=Claim)
+    except msgspec.DecodeError:
+        return Unresolved()
+    if held.token == wanted.token:
+        return Owned()
+    return HeldBy(tickets.Issuer(held.host, held.incarnation))
--- a/greengagedale/metrics.py
+++ b/greengagedale/metrics.py
@@ -61,6 +61,7 @@
         requests: Requests of callers by workspace and outcome.
         refusals: Refusals by layer and reason.
         retries: Attempts beyond the first by reason.
+        action_steps: What was done for requests that are not safe to repeat.
         attempts: Attempts sent to upstreams by service.
         drops: Answers of upstreams that were not used, by reason.
         platform_calls: Calls to the platform by operation and result.
@@ -79,6 +80,9 @@
         self.retries = self._counter(
             "retries", "Attempts beyond the first.", "reason"
         )
+        self.action_steps = self._counter(
+            "action_steps", "Steps of requests not safe to repeat.", "step"
+        )
         self.attempts = self._counter(
             "attempts", "Attempts sent to upstreams.", "service"
         )
--- a/greengagedale/outcomes.py
+++ b/greengagedale/outcomes.py
@@ -18,7 +18,11 @@
     DRAINING = "draining"
     EXPIRED_KEY = "expired_key"
     FOREIGN_KEY = "foreign_key"
+    INTERNAL = "internal"
     ISSUER_GONE = "issuer_gone"
+    ISSUER_UNREACHABLE = "issuer_unreachable"
+    KEY_CONFLICT = "key_conflict"
+    KEYS_FULL = "keys_full"
     NO_REPLICA = "no_replica"
     NOT_READY = "not_ready"
     OVERLOADED = "overloaded"
@@ -80,6 +84,11 @@
     retry_after_ms: int = 0
 
 
+def may_send_again(ends: Iterable[AttemptEnd]) -> bool:
+    """Tells whether another attempt can't make a request run twice."""
+    return not any(end.written for end in ends)
+
+
 def of_attempts(
     ends: Iterable[AttemptEnd], reason: Reason, retry_after_ms: int
 ) -> NotRun | Unknown:
--- a/greengagedale/peers/base.py
+++ b/greengagedale/peers/base.py
@@ -1,7 +1,7 @@
 """The interface between hosts, whatever its wire details are."""
 
 import abc
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from greengagedale import records
 
@@ -30,6 +30,48 @@
     running: int
 
 
+class ForwardedAction(NamedTuple):
+    """A request that only one incarnation may run.
+
+    Attributes:
+        incarnation: The incarnation that may run it.
+        request_id: Identifier of the request.
+        key: The idempotency key.
+        member: Member on whose behalf it runs.
+        service: Service whose upstreams hold the document.
+        target: Key of the document that it acts on.
+        body: What to do.
+        left_ms: Time left until the answer is due.
+    """
+
+    incarnation: str
+    request_id: str
+    key: str
+    member: str
+    service: str
+    target: int
+    body: Any
+    left_ms: float
+
+
+class ForwardedResult(NamedTuple):
+    """What became of a forwarded request.
+
+    Attributes:
+        outcome: Tag of the outcome.
+        reason: Why it was not run or is unknown; empty if it ran.
+        retry_after_ms: When to come back if it was not run.
+        value: The answer if it ran.
+        events: What the host did.
+    """
+
+    outcome: str
+    reason: str
+    retry_after_ms: int
+    value: Any
+    events: list[records.Event]
+
+
 class PeerService(abc.ABC):
     """What a host answers to other hosts."""
 
@@ -41,6 +83,10 @@
     def explain(self, request_id: str) -> records.Record | None:
         """Returns the record of a request that this host served."""
 
+    @abc.abstractmethod
+    async def act_forwarded(self, request: ForwardedAction) -> ForwardedResult:
+        """Runs a request that only this host may run."""
+
 
 class PeerTransport(abc.ABC):
     """Asks other hosts; None stands for no answer."""
@@ -55,6 +101,12 @@
     ) -> records.Record | None:
         """Asks a host for the record of a request."""
 
+    @abc.abstractmethod
+    async def act(
+        self, endpoint: str, request: ForwardedAction
+    ) -> ForwardedResult | None:
+        """Forwards a request; without an answer it may have run."""
+
     @abc.abstractmethod
     async def close(self) -> None:
         """Closes all connections."""
--- a/greengagedale/peers/grpc_client.py
+++ b/greengagedale/peers/grpc_client.py
@@ -37,6 +37,18 @@
             endpoint, wire.EXPLAIN, request_id, records.Record | None
         )
 
+    async def act(
+        self, endpoint: str, request: base.ForwardedAction
+    ) -> base.ForwardedResult | None:
+        """Forwards a request; without an answer it may have run."""
+        return await self._ask(
+            endpoint,
+            wire.ACT,
+            request,
+            base.ForwardedResult,
+            request.left_ms / _MS_PER_S,
+        )
+
     async def close(self) -> None:
         """Closes all connections."""
         for channel in self._channels.values():
@@ -44,7 +56,12 @@
         self._channels.clear()
 
     async def _ask(
-        self, endpoint: str, method: str, request: Any, reply_type: Any
+        self,
+        endpoint: str,
+        method: str,
+        request: Any,
+        reply_type: Any,
+        timeout_s: float | None = None,
     ) -> Any:
         channel = self._channels.get(endpoint)
         if channel is None:
@@ -52,7 +69,9 @@
             self._channels[endpoint] = channel
         call = channel.unary_unary(wire.path_of(method))
         try:
-            encoded = await call(wire.encode(request), timeout=self._timeout_s)
+            encoded = await call(
+                wire.encode(request), timeout=timeout_s or self._timeout_s
+            )
             return wire.decode(encoded, reply_type)
         except (grpc.RpcError, msgspec.DecodeError):
             return None
--- a/greengagedale/peers/grpc_server.py
+++ b/greengagedale/peers/grpc_server.py
@@ -1,6 +1,7 @@
 """Answers other hosts over gRPC."""
 
 from collections.abc import Callable
+import inspect
 from typing import Any
 
 import grpc
@@ -24,6 +25,7 @@
     methods = {
         wire.STATUS: _unary(lambda _: service.status(), type(None)),
         wire.EXPLAIN: _unary(service.explain, str),
+        wire.ACT: _unary(service.act_forwarded, base.ForwardedAction),
     }
     return grpc.method_handlers_generic_handler(wire.SERVICE, methods)
 
@@ -36,6 +38,9 @@
             await context.abort(
                 grpc.StatusCode.INVALID_ARGUMENT, f"bad message: {error}"
             )
-        return wire.encode(answer(request))
+        answered = answer(request)
+        if inspect.isawaitable(answered):
+            answered = await answered
+        return wire.encode(answered)
 
     return grpc.unary_unary_rpc_method_handler(handle)
--- a/greengagedale/peers/wire.py
+++ b/greengagedale/peers/wire.py
@@ -7,6 +7,7 @@
 SERVICE = "greengagedale.Peers"
 STATUS = "Status"
 EXPLAIN = "Explain"
+ACT = "Act"
 
 encode = msgspec.msgpack.encode
 
--- a/greengagedale/records.py
+++ b/greengagedale/records.py
@@ -1,7 +1,66 @@
 """What this host did for each recent request, for `explain`."""
 
 import collections
-from typing import Any, TypedDict
+from typing import Any, NamedTuple, TypedDict
+
+from greengagedale import clocks
+
+MOST_EVENTS = 64
+
+
+class Event(NamedTuple):
+    """One thing that was done for a request.
+
+    Attributes:
+        at_ms: When it was, from the start of the request on that host.
+        host: Host that did it.
+        what: What was done, such as `attempt`, `hedge` or `forward`.
+        subject: Upstream, range or host that it was about; may be empty.
+        reason: Why, in one word; may be empty.
+    """
+
+    at_ms: float
+    host: str
+    what: str
+    subject: str
+    reason: str
+
+
+class Trace:
+    """The first events of one request, and how many more there were."""
+
+    def __init__(self, host: str, clock: clocks.Clock) -> None:
+        self._host = host
+        self._clock = clock
+        self._started_ms = clock.now_ms()
+        self.events: list[Event] = []
+        self.events_left_out = 0
+
+    def add(self, what: str, subject: str = "", reason: str = "") -> None:
+        """Adds an event that happens now."""
+        at_ms = round(self.elapsed_ms(), 3)
+        self._keep(Event(at_ms, self._host, what, subject, reason))
+
+    def add_remote(self, events: list[Event], from_ms: float) -> None:
+        """Adds the events of another host.
+
+        Args:
+            events: Its events.
+            from_ms: When this host asked it, from the start of the request.
+        """
+        for event in events:
+            at_ms = round(from_ms + event.at_ms, 3)
+            self._keep(event._replace(at_ms=at_ms))
+
+    def elapsed_ms(self) -> float:
+        """Returns the time since the start of the request."""
+        return self._clock.now_ms() - self._started_ms
+
+    def _keep(self, event: Event) -> None:
+        if len(self.events) < MOST_EVENTS:
+            self.events.append(event)
+        else:
+            self.events_left_out += 1
 
 
 class Record(TypedDict):
@@ -11,9 +70,12 @@
     workspace: str
     member: str
     kind: str
+    key: str
     outcome: str
     took_ms: float
     detail: dict[str, Any]
+    events: list[Event]
+    events_left_out: int
 
 
 class Records:
