Callers' library: tickets, typed results of sends, fail over

An action without a key takes a ticketed one; its host is asked first, others only to learn the outcome, and a new key is made only while no host can have the old one or after a refusal, honouring its retry-after. A frozen host's connection time-out was taken for a lost reply; it now counts as nothing written.

Seen failing first: a platform outage left a chosen key unknown on the host that had tried to claim it (token is now kept and reused), and a replaced host did not know that its own earlier incarnation is gone.

--- a/greengagedale/actions.py
+++ b/greengagedale/actions.py
@@ -221,13 +221,12 @@
             case claims.HeldBy(owner):
                 outcome = await self._forward(owner, request, trace)
                 return _Result(outcome, outcome, kept=False)
-        # A claim that could not be resolved may be ours, so the key is kept.
         return _Result(
             outcomes.NotRun(
                 outcomes.Reason.PLATFORM_DOWN, _PLATFORM_RETRY_AFTER_MS
             ),
             outcomes.Unknown(outcomes.Reason.PLATFORM_DOWN),
-            kept=isinstance(claimed, claims.Unresolved),
+            kept=False,
         )
 
     async def _forward(
@@ -236,6 +235,8 @@
         request: dispatches.ActionRequest,
         trace: records.Trace,
     ) -> outcomes.Outcome:
+        if issuer.host == self._issuer.host:
+            return self._unknown(outcomes.Reason.ISSUER_GONE, trace)
         self._count("forward", trace, issuer.host)
         return await self._forwarder.forward(issuer, request, trace)
 
--- /dev/null
+++ b/greengagedale/callers/http_client.py
@@ -0,0 +1,100 @@
+"""Sends callers' requests to hosts over HTTP, with aiohttp."""
+
+from typing import Any, Self
+
+import aiohttp
+import msgspec
+
+from greengagedale import outcomes
+from greengagedale.callers import base
+from greengagedale.callers import wire
+from greengagedale.retry import resends
+
+_MS_PER_S = 1000.0
+_CONNECT_TIMEOUT_S = 0.5
+_LOCATE_TIMEOUT_S = 1.0
+_STATUS_OK = 200
+_CLIENT_ERRORS = range(400, 500)
+
+
+class HostCalls:
+    """One caller's connections to hosts."""
+
+    def __init__(self, session: aiohttp.ClientSession) -> None:
+        self._session = session
+
+    @classmethod
+    def from_config(cls) -> Self:
+        """Makes the connections; must be called on a running loop."""
+        return cls(aiohttp.ClientSession())
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self._session.close()
+
+    async def locate(
+        self, endpoint: str, data_centre: str | None
+    ) -> base.Located | None:
+        """Asks a host which hosts to use; None if it doesn't answer."""
+        params = {"data_centre": data_centre} if data_centre else {}
+        try:
+            async with self._session.get(
+                f"http://{endpoint}/v1/locate",
+                params=params,
+                timeout=aiohttp.ClientTimeout(total=_LOCATE_TIMEOUT_S),
+            ) as response:
+                body = await response.read()
+            return msgspec.json.decode(body, type=base.Located)
+        except (aiohttp.ClientError, OSError, msgspec.DecodeError):
+            return None
+
+    async def send(
+        self, endpoint: str, path: str, body: Any, wait_ms: float
+    ) -> resends.HostResult:
+        """Sends a request once.
+
+        Args:
+            endpoint: The host.
+            path: Path of the request.
+            body: Body of the request.
+            wait_ms: How long to wait for the answer.
+        """
+        timeout = aiohttp.ClientTimeout(
+            total=wait_ms / _MS_PER_S, sock_connect=_CONNECT_TIMEOUT_S
+        )
+        try:
+            async with self._session.post(
+                f"http://{endpoint}{path}",
+                data=msgspec.json.encode(body),
+                timeout=timeout,
+                allow_redirects=False,
+            ) as response:
+                return _result_of(response.status, await response.read())
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+            return resends.Unreached()
+        except (aiohttp.ClientError, OSError):
+            return resends.Lost()
+
+
+def _result_of(status: int, encoded: bytes) -> resends.HostResult:
+    try:
+        if status == _STATUS_OK:
+            return resends.Answered(outcomes.Ran(msgspec.json.decode(encoded)))
+        failure = msgspec.json.decode(encoded, type=wire.FailureReply)
+        reason = outcomes.Reason(failure["reason"])
+    except (msgspec.DecodeError, ValueError):
+        return _rejection_of(status, encoded)
+    if failure["outcome"] == outcomes.NotRun.tag:
+        retry_after_ms = failure.get("retry_after_ms", 0)
+        return resends.Answered(outcomes.NotRun(reason, retry_after_ms))
+    return resends.Answered(outcomes.Unknown(reason))
+
+
+def _rejection_of(status: int, encoded: bytes) -> resends.HostResult:
+    if status not in _CLIENT_ERRORS:
+        return resends.Lost()
+    try:
+        error = msgspec.json.decode(encoded, type=wire.ErrorReply)
+    except msgspec.DecodeError:
+        return resends.Rejected(f"status {status}")
+    return resends.Rejected(error["message"])
--- a/greengagedale/client.py
+++ b/greengagedale/client.py
@@ -1,22 +1,41 @@
 """The caller's side: locate hosts, keep the answer, fail over, use keys."""
 
-import secrets
-from typing import Any, Self
-
-import aiohttp
-import msgspec
+import asyncio
+import itertools
+import random
+from typing import Any, NamedTuple, Self
 
 from greengagedale import clocks
 from greengagedale import exceptions
 from greengagedale import outcomes
 from greengagedale.callers import base
+from greengagedale.callers import http_client
 from greengagedale.callers import wire
+from greengagedale.idempotency import tickets
+from greengagedale.retry import resends
 
-_KEY_BYTES = 12
 _MS_PER_S = 1000.0
-_GRACE_S = 1.0
-_DEFAULT_TIMEOUT_S = 10.0
-_STATUS_OK = 200
+_GRACE_MS = 200.0
+_DEFAULT_TIMEOUT_MS = 10_000
+_SHORTEST_WAIT_MS = 500.0
+_SUSPECT_MS = 2000.0
+_FIRST_PAUSE_MS = 50.0
+_LONGEST_PAUSE_MS = 800.0
+_MOST_NEW_KEYS = 4
+# Another host may well take what this one refuses for these reasons.
+_ELSEWHERE = frozenset({outcomes.Reason.NOT_READY, outcomes.Reason.STOPPING})
+
+
+class _Known(NamedTuple):
+    """A locate answer, with the host that gave it."""
+
+    located: base.Located
+    issuer: str
+    until_ms: float
+
+    @property
+    def endpoints(self) -> list[str]:
+        return [host["endpoint"] for host in self.located["hosts"]]
 
 
 class Client:
@@ -24,17 +43,19 @@
 
     def __init__(
         self,
-        session: aiohttp.ClientSession,
+        calls: http_client.HostCalls,
         endpoints: list[str],
         data_centre: str | None,
         clock: clocks.Clock,
+        rng: random.Random,
     ) -> None:
-        self._session = session
+        self._calls = calls
         self._endpoints = endpoints
         self._data_centre = data_centre
         self._clock = clock
-        self._located: base.Located | None = None
-        self._located_until_ms = 0.0
+        self._rng = rng
+        self._known: _Known | None = None
+        self._suspect_until_ms: dict[str, float] = {}
 
     @classmethod
     def from_config(
@@ -47,15 +68,16 @@
             data_centre: Where the caller runs, for nearer hosts.
         """
         return cls(
-            aiohttp.ClientSession(),
+            http_client.HostCalls.from_config(),
             endpoints,
             data_centre,
             clocks.MonotonicClock(),
+            random.Random(),
         )
 
     async def close(self) -> None:
         """Closes all connections."""
-        await self._session.close()
+        await self._calls.close()
 
     async def locate(self) -> base.Located:
         """Returns the hosts to use, from memory while the TTL lasts.
@@ -63,22 +85,7 @@
         Raises:
             RemoteError: No host answers.
         """
-        if self._located and self._clock.now_ms() < self._located_until_ms:
-            return self._located
-        known = [
-            host["endpoint"]
-            for host in (self._located or {"hosts": []})["hosts"]
-        ]
-        for endpoint in [*known, *self._endpoints]:
-            asked_ms = self._clock.now_ms()
-            found = await self._ask_locate(endpoint)
-            if found is not None and found["hosts"]:
-                self._located = found
-                self._located_until_ms = asked_ms + found["ttl_ms"]
-                return found
-        raise exceptions.RemoteError(
-            f"no entry host answers; asked {', '.join(self._endpoints)}"
-        )
+        return (await self._locate()).located
 
     async def search(
         self,
@@ -87,18 +94,39 @@
         limit: int | None = None,
         timeout_ms: int | None = None,
     ) -> outcomes.Outcome:
-        """Runs a search, on other hosts too if the first can't be reached.
+        """Runs a search, on other hosts too while the deadline leaves time.
 
         Returns:
             `Ran` with a `callers.wire.SearchReply`, or why there is none.
+
+        Raises:
+            RemoteError: No host answers, or the request is not valid.
         """
+        deadline_ms = self._deadline_ms(timeout_ms)
+        path = f"/v1/workspaces/{workspace}/search"
         body = wire.SearchBody(text=text)
         if limit is not None:
             body["limit"] = limit
-        if timeout_ms is not None:
-            body["timeout_ms"] = timeout_ms
-        path = f"/v1/workspaces/{workspace}/search"
-        return await self._call(path, body, timeout_ms, safe=True)
+        last: outcomes.Outcome = outcomes.NotRun(
+            outcomes.Reason.CONNECT_FAILED, 0
+        )
+        for endpoint in self._ordered((await self._locate()).endpoints):
+            left_ms = deadline_ms - self._clock.now_ms()
+            if left_ms <= 0:
+                break
+            if timeout_ms is not None:
+                body["timeout_ms"] = max(1, int(left_ms))
+            result = await self._send(endpoint, path, body, left_ms + _GRACE_MS)
+            match result:
+                case resends.Answered(outcome):
+                    last = outcome
+                    if not _may_go_elsewhere(outcome):
+                        return outcome
+                case resends.Rejected(message):
+                    raise exceptions.RemoteError(message)
+                case resends.Lost():
+                    last = outcomes.Unknown(outcomes.Reason.REPLY_LOST)
+        return last
 
     async def act(
         self,
@@ -107,87 +135,194 @@
         body: Any,
         key: str | None = None,
         timeout_ms: int | None = None,
+        first_send: bool = False,
     ) -> outcomes.Outcome:
         """Runs a request that is not safe to repeat, at most once.
 
+        Without a key, the client makes one from a ticket, and a new one after
+        a refusal that is worth another try. A key of the caller's own is sent
+        as it is; one that was refused stays refused.
+
+        Args:
+            workspace: Workspace to act in.
+            target: Key of the document that it acts on.
+            body: What to do, for the upstream.
+            key: The caller's own idempotency key.
+            timeout_ms: When the answer is due.
+            first_send: Whether the caller's own key was never sent before; in
+                an outage of the platform only that makes `NotRun` possible.
+
         Returns:
             `Ran` with a `callers.wire.ActionReply`, or why there is none.
+
+        Raises:
+            RemoteError: No host answers, or the request is not valid.
         """
-        message = wire.ActionBody(
-            key=key or secrets.token_hex(_KEY_BYTES), target=target, body=body
+        action = _Action(
+            f"/v1/workspaces/{workspace}/act",
+            target,
+            body,
+            timeout_ms,
+            self._deadline_ms(timeout_ms),
         )
-        if timeout_ms is not None:
-            message["timeout_ms"] = timeout_ms
-        path = f"/v1/workspaces/{workspace}/act"
-        return await self._call(path, message, timeout_ms, safe=False)
-
-    async def _ask_locate(self, endpoint: str) -> base.Located | None:
-        params = {"data_centre": self._data_centre} if self._data_centre else {}
-        try:
-            async with self._session.get(
-                f"http://{endpoint}/v1/locate",
-                params=params,
-                timeout=aiohttp.ClientTimeout(total=_GRACE_S),
-            ) as response:
-                return msgspec.json.decode(
-                    await response.read(), type=base.Located
-                )
-        except (aiohttp.ClientError, OSError, msgspec.DecodeError):
-            return None
+        if key is not None:
+            made = _Key(key, ticketed=False, sent_before=not first_send)
+            known = await self._locate()
+            endpoints = self._ordered(known.endpoints)
+            return await self._send_key(action, made, endpoints)
+        outcome: outcomes.Outcome = _not_reached()
+        for _ in range(_MOST_NEW_KEYS):
+            outcome = await self._send_new_key(action)
+            if not resends.worth_a_new_key(outcome):
+                break
+            if not await self._wait_for_retry(outcome, action.deadline_ms):
+                break
+        return outcome
+
+    async def _send_new_key(self, action: "_Action") -> outcomes.Outcome:
+        known = await self._locate(with_ticket=True)
+        made = _Key(tickets.new_key(known.located["ticket"]), ticketed=True)
+        others = self._ordered(known.endpoints, known.issuer)
+        return await self._send_key(action, made, [known.issuer, *others])
 
-    async def _call(
-        self, path: str, body: Any, timeout_ms: int | None, safe: bool
+    async def _send_key(
+        self, action: "_Action", key: "_Key", endpoints: list[str]
     ) -> outcomes.Outcome:
-        located = await self.locate()
-        last: outcomes.Outcome = outcomes.NotRun(
-            outcomes.Reason.CONNECT_FAILED, located["ttl_ms"]
+        """Sends one key until its outcome is known or time is up."""
+        sends = resends.Resends(key.ticketed, key.sent_before)
+        for number, endpoint in enumerate(itertools.cycle(endpoints)):
+            if number and number % len(endpoints) == 0:
+                await self._pause(number // len(endpoints))
+            left_ms = action.deadline_ms - self._clock.now_ms()
+            if left_ms <= 0:
+                return sends.on_deadline()
+            message = action.message(key.text, sends.first, left_ms)
+            wait_ms = max(left_ms / 2, min(left_ms, _SHORTEST_WAIT_MS))
+            result = await self._send(endpoint, action.path, message, wait_ms)
+            match sends.on_result(result):
+                case resends.Done(outcome):
+                    return outcome
+                case resends.Refuse(message):
+                    raise exceptions.RemoteError(message)
+                case resends.TakeNewKey():
+                    return _not_reached()
+        raise AssertionError("a cycle has no end")
+
+    async def _send(
+        self, endpoint: str, path: str, body: Any, wait_ms: float
+    ) -> resends.HostResult:
+        result = await self._calls.send(endpoint, path, body, wait_ms)
+        if isinstance(result, resends.Lost | resends.Unreached):
+            self._suspect(endpoint)
+        return result
+
+    async def _locate(self, with_ticket: bool = False) -> _Known:
+        known = self._known
+        if known is not None and self._clock.now_ms() < known.until_ms:
+            return known
+        earlier = known.endpoints if known else []
+        endpoints = dict.fromkeys([*earlier, *self._endpoints])
+        for endpoint in self._ordered(endpoints):
+            found = await self._ask(endpoint)
+            if found is None or (with_ticket and not found.located["ticket"]):
+                continue
+            self._known = found
+            return found
+        raise exceptions.RemoteError(
+            f"no entry host answers; asked {', '.join(endpoints)}; "
+            "check the addresses and that the hosts run"
         )
-        for host in located["hosts"]:
-            last, final = await self._call_host(
-                host["endpoint"], path, body, timeout_ms
-            )
-            if final or (isinstance(last, outcomes.Unknown) and not safe):
-                return last
-            self._located_until_ms = 0.0
-        return last
 
-    async def _call_host(
-        self, endpoint: str, path: str, body: Any, timeout_ms: int | None
-    ) -> tuple[outcomes.Outcome, bool]:
-        total_s = (
-            timeout_ms / _MS_PER_S + _GRACE_S
-            if timeout_ms
-            else _DEFAULT_TIMEOUT_S
+    async def _ask(self, endpoint: str) -> _Known | None:
+        asked_ms = self._clock.now_ms()
+        located = await self._calls.locate(endpoint, self._data_centre)
+        if located is None:
+            self._suspect(endpoint)
+            return None
+        if not located["hosts"]:
+            return None
+        return _Known(located, endpoint, asked_ms + located["ttl_ms"])
+
+    def _ordered(self, endpoints: Any, left_out: str = "") -> list[str]:
+        """Returns endpoints, those that failed lately last."""
+        now_ms = self._clock.now_ms()
+        wanted = [item for item in endpoints if item != left_out]
+        return sorted(
+            wanted,
+            key=lambda item: self._suspect_until_ms.get(item, 0.0) > now_ms,
         )
-        try:
-            async with self._session.post(
-                f"http://{endpoint}{path}",
-                data=msgspec.json.encode(body),
-                timeout=aiohttp.ClientTimeout(total=total_s),
-            ) as response:
-                status, encoded = response.status, await response.read()
-        except aiohttp.ClientConnectorError:
-            reason = outcomes.Reason.CONNECT_FAILED
-            return outcomes.NotRun(reason, 0), False
-        except (aiohttp.ClientError, OSError):
-            return outcomes.Unknown(outcomes.Reason.REPLY_LOST), False
-        return _outcome_of(status, encoded), True
-
-
-def _outcome_of(status: int, encoded: bytes) -> outcomes.Outcome:
-    """Reads a host's answer.
-
-    Raises:
-        RemoteError: The request is not valid.
+
+    def _suspect(self, endpoint: str) -> None:
+        self._suspect_until_ms[endpoint] = self._clock.now_ms() + _SUSPECT_MS
+        if self._known is not None:
+            self._known = self._known._replace(until_ms=0.0)
+
+    async def _wait_for_retry(
+        self, outcome: outcomes.NotRun, deadline_ms: float
+    ) -> bool:
+        """Waits as long as the refusal asks; False if time is too short."""
+        pause_ms = outcome.retry_after_ms * self._rng.uniform(1.0, 1.5)
+        if self._clock.now_ms() + pause_ms >= deadline_ms:
+            return False
+        await asyncio.sleep(pause_ms / _MS_PER_S)
+        return True
+
+    async def _pause(self, round_number: int) -> None:
+        longest_ms = min(_FIRST_PAUSE_MS * 2**round_number, _LONGEST_PAUSE_MS)
+        pause_ms = self._rng.uniform(longest_ms / 2, longest_ms)
+        await asyncio.sleep(pause_ms / _MS_PER_S)
+
+    def _deadline_ms(self, timeout_ms: int | None) -> float:
+        return self._clock.now_ms() + (timeout_ms or _DEFAULT_TIMEOUT_MS)
+
+
+class _Key(NamedTuple):
+    """An idempotency key.
+
+    Attributes:
+        text: The key.
+        ticketed: Whether it was made from a ticket.
+        sent_before: Whether it may have been sent by someone else.
     """
-    if status == _STATUS_OK:
-        return outcomes.Ran(msgspec.json.decode(encoded))
-    try:
-        failure = msgspec.json.decode(encoded, type=wire.FailureReply)
-    except msgspec.DecodeError:
-        text = encoded.decode(errors="replace")
-        raise exceptions.RemoteError(f"status {status}: {text}") from None
-    reason = outcomes.Reason(failure["reason"])
-    if failure["outcome"] == outcomes.NotRun.tag:
-        return outcomes.NotRun(reason, failure.get("retry_after_ms", 0))
-    return outcomes.Unknown(reason)
+
+    text: str
+    ticketed: bool
+    sent_before: bool = False
+
+
+class _Action(NamedTuple):
+    """An action, apart from its key.
+
+    Attributes:
+        path: Path of the request.
+        target: Key of the document that it acts on.
+        body: What to do.
+        timeout_ms: What the caller asked for, or None.
+        deadline_ms: When the caller wants to know.
+    """
+
+    path: str
+    target: int
+    body: Any
+    timeout_ms: int | None
+    deadline_ms: float
+
+    def message(
+        self, key: str, first_send: bool, left_ms: float
+    ) -> wire.ActionBody:
+        """Returns the request for one send."""
+        made = wire.ActionBody(
+            key=key, target=self.target, body=self.body, first_send=first_send
+        )
+        if self.timeout_ms is not None:
+            made["timeout_ms"] = max(1, int(left_ms))
+        return made
+
+
+def _not_reached() -> outcomes.NotRun:
+    return outcomes.NotRun(outcomes.Reason.CONNECT_FAILED, 0)
+
+
+def _may_go_elsewhere(outcome: outcomes.Outcome) -> bool:
+    refused = isinstance(outcome, outcomes.NotRun)
+    return refused and outcome.reason in _ELSEWHERE
--- a/greengagedale/commands/act.py
+++ b/greengagedale/commands/act.py
@@ -20,6 +20,10 @@
     key: Annotated[
         str | None, typer.Option(help="Idempotency key; made up if absent.")
     ] = None,
+    first_send: Annotated[
+        bool, typer.Option(help="The key was never sent before.")
+    ] = False,
+    timeout_ms: Annotated[int | None, typer.Option(help="Deadline.")] = None,
 ) -> None:
     """Run one booking or the like, at most once, and print the answer."""
     try:
@@ -27,15 +31,25 @@
     except msgspec.DecodeError as error:
         mistake = exceptions.Mistake("body", f"is not JSON: {error}")
         raise exceptions.InvalidInputError("request", [mistake]) from error
-    outcome = remote.run(_act(host, workspace, target, decoded, key))
+    outcome = remote.run(
+        _act(host, workspace, target, decoded, key, timeout_ms, first_send)
+    )
     query.show_outcome(outcome)
 
 
 async def _act(
-    host: str, workspace: str, target: int, body: Any, key: str | None
+    host: str,
+    workspace: str,
+    target: int,
+    body: Any,
+    key: str | None,
+    timeout_ms: int | None,
+    first_send: bool,
 ) -> outcomes.Outcome:
     client = client_lib.Client.from_config([host])
     try:
-        return await client.act(workspace, target, body, key)
+        return await client.act(
+            workspace, target, body, key, timeout_ms, first_send
+        )
     finally:
         await client.close()
--- a/greengagedale/forwarding.py
+++ b/greengagedale/forwarding.py
@@ -33,6 +33,8 @@
         """Has the issuer run a request, or tell what became of it."""
         endpoint = self._directory.endpoint_of(issuer.host)
         left_ms = request.deadline_ms - self._clock.now_ms()
+        if self._is_gone(issuer):
+            return outcomes.Unknown(outcomes.Reason.ISSUER_GONE)
         if endpoint is None:
             return outcomes.Unknown(outcomes.Reason.ISSUER_UNREACHABLE)
         if left_ms <= 0:
@@ -46,6 +48,14 @@
         trace.add_remote(result.events, asked_ms)
         return results.outcome_of(result)
 
+    def _is_gone(self, issuer: tickets.Issuer) -> bool:
+        """Tells whether the host is known to live under a new incarnation."""
+        return any(
+            status.name == issuer.host
+            and status.incarnation != issuer.incarnation
+            for status in self._directory.alive.values()
+        )
+
 
 def _message(
     issuer: tickets.Issuer,
--- a/greengagedale/idempotency/claims.py
+++ b/greengagedale/idempotency/claims.py
@@ -22,7 +22,8 @@
 KIND_CLAIM = "claims"
 
 _TOKEN_BYTES = 12
-_RETRY_PAUSE_S = 0.05
+_PAUSES_S = (0.02, 0.05, 0.1)
+_MOST_UNRESOLVED = 10_000
 
 
 class Claim(NamedTuple):
@@ -93,6 +94,7 @@
         self._store = store
         self._owner = owner
         self._clock = clock
+        self._unresolved: dict[tables.Identity, str] = {}
 
     async def claim(
         self, identity: tables.Identity, deadline_ms: float
@@ -100,24 +102,43 @@
         """Claims a key for this process, unless it is owned already.
 
         A create whose reply is lost is resolved by reading the claim's token.
+        While that fails, the token is kept for the next call.
         """
-        name = name_of(identity)
-        wanted = Claim(*self._owner, secrets.token_hex(_TOKEN_BYTES))
-        value = msgspec.json.encode(wanted)
-        unsure = False
-        while True:
-            written = await self._store.put(KIND_CLAIM, name, value, 0)
+        token = self._unresolved.pop(identity, None)
+        unsure = token is not None
+        token = token or secrets.token_hex(_TOKEN_BYTES)
+        wanted = Claim(*self._owner, token)
+        for pause_s in _PAUSES_S:
+            if self._clock.now_ms() >= deadline_ms:
+                break
+            written = await self._create(identity, wanted)
             if isinstance(written, platform_base.Written):
                 return Owned()
             if isinstance(written, platform_base.Unavailable) and not unsure:
                 return NotClaimed()
             unsure = True
-            found = await self._store.get(KIND_CLAIM, name)
+            found = await self._store.get(KIND_CLAIM, name_of(identity))
             if isinstance(found, platform_base.Found):
                 return _owner_of(found.stored.value, wanted)
-            if self._clock.now_ms() >= deadline_ms:
-                return Unresolved()
-            await asyncio.sleep(_RETRY_PAUSE_S)
+            await asyncio.sleep(pause_s)
+        self._keep(identity, token)
+        return Unresolved()
+
+    async def _create(
+        self, identity: tables.Identity, wanted: Claim
+    ) -> (
+        platform_base.Written
+        | platform_base.Conflict
+        | platform_base.Unavailable
+        | platform_base.Unsure
+    ):
+        value = msgspec.json.encode(wanted)
+        return await self._store.put(KIND_CLAIM, name_of(identity), value, 0)
+
+    def _keep(self, identity: tables.Identity, token: str) -> None:
+        self._unresolved[identity] = token
+        if len(self._unresolved) > _MOST_UNRESOLVED:
+            del self._unresolved[next(iter(self._unresolved))]
 
 
 def name_of(identity: tables.Identity) -> str:
--- a/greengagedale/peers/grpc_client.py
+++ b/greengagedale/peers/grpc_client.py
@@ -11,6 +11,12 @@
 from greengagedale.peers import wire
 
 _MS_PER_S = 1000.0
+# A host that was replaced is reached again soon after it listens.
+_OPTIONS = (
+    ("grpc.initial_reconnect_backoff_ms", 100),
+    ("grpc.min_reconnect_backoff_ms", 100),
+    ("grpc.max_reconnect_backoff_ms", 500),
+)
 
 
 class GrpcTransport(base.PeerTransport):
@@ -65,7 +71,7 @@
     ) -> Any:
         channel = self._channels.get(endpoint)
         if channel is None:
-            channel = aio.insecure_channel(endpoint)
+            channel = aio.insecure_channel(endpoint, options=_OPTIONS)
             self._channels[endpoint] = channel
         call = channel.unary_unary(wire.path_of(method))
         try:
