--- /dev/null
+++ b/proofs/__init__.py
@@ -0,0 +1,1 @@
+"""Proofs by history: concurrent runs under faults, and what must hold."""
--- /dev/null
+++ b/proofs/checkers.py
@@ -0,0 +1,307 @@
+"""What must hold of every history, one function for each point.
+
+Each function returns the violations that it finds and has no side effects.
+"""
+
+import collections
+from collections.abc import Callable, Iterable, Iterator
+import itertools
+from typing import NamedTuple
+
+from greengagedale.query import hits
+from greengagedale.query import ranges
+from proofs import history as history_lib
+from standins import contents
+
+DRAIN_BOUND_MS = 2000.0
+CONFIGURATION_BOUND_MS = 6000.0
+
+
+class Violation(NamedTuple):
+    """Something that must not happen, and did."""
+
+    check: str
+    detail: str
+
+
+Checker = Callable[[history_lib.History], list[Violation]]
+
+
+def one_snapshot(history: history_lib.History) -> list[Violation]:
+    """Every answer is drawn from one snapshot that was published."""
+    return [
+        Violation("one_snapshot", f"{call.request_id}: {fault}")
+        for call in _answered_searches(history)
+        for fault in _snapshot_faults(call, history.index_versions)
+    ]
+
+
+def true_coverage(history: history_lib.History) -> list[Violation]:
+    """Stated coverage adds up, and upstreams answered each range in it."""
+    answered = collections.defaultdict(set)
+    for event in history.upstream_events:
+        if event.event == "answer":
+            request_id = event.attempt_id.rpartition(".")[0]
+            answered[request_id].add(event.holding)
+    return [
+        Violation("true_coverage", f"{call.request_id}: {fault}")
+        for call in _answered_searches(history)
+        for fault in _coverage_faults(call, answered[call.request_id])
+    ]
+
+
+def whole_and_own(history: history_lib.History) -> list[Violation]:
+    """Every answer holds just the hits of its own request, and all of them."""
+    searches = list(_answered_searches(history))
+    counts = collections.Counter(call.request_id for call in searches)
+    shared = [
+        Violation("whole_and_own", f"{request_id} was answered {count} times")
+        for request_id, count in counts.items()
+        if count > 1
+    ]
+    wrong = [
+        Violation("whole_and_own", f"{call.request_id}: hits of {call.text!r}")
+        for call in searches
+        if [hits.Hit(*item) for item in call.body["hits"]]
+        != _expected_hits(call)
+    ]
+    return shared + wrong
+
+
+def not_run_is_true(history: history_lib.History) -> list[Violation]:
+    """Nothing that was said not to be run was run."""
+    ran = {
+        event.attempt_id.rpartition(".")[0]
+        for event in history.upstream_events
+        if event.event in ("search", "act")
+    }
+    refused = [call for call in history.calls if call.outcome == "not_run"]
+    by_request = [
+        Violation("not_run_is_true", f"{call.request_id} ran")
+        for call in refused
+        if call.request_id in ran
+    ]
+    outcomes_of = collections.defaultdict(set)
+    for call in history.calls:
+        if call.kind == "act":
+            outcomes_of[call.key].add(call.outcome)
+    by_key = [
+        Violation("not_run_is_true", f"key {event.key} ran")
+        for event in _actions(history)
+        if outcomes_of[event.key] == {"not_run"}
+    ]
+    return by_request + by_key
+
+
+def at_most_once(history: history_lib.History) -> list[Violation]:
+    """No key of an unsafe request ran twice."""
+    counts = collections.Counter(event.key for event in _actions(history))
+    return [
+        Violation("at_most_once", f"key {key} ran {count} times")
+        for key, count in counts.items()
+        if count > 1
+    ]
+
+
+def no_work_to_leaving(history: history_lib.History) -> list[Violation]:
+    """An upstream that drains is sent nothing once the bound has passed."""
+    found = []
+    draining_since: dict[str, float] = {}
+    for event in history.upstream_events:
+        if event.draining is True:
+            draining_since.setdefault(event.upstream, event.at_ms)
+        elif event.draining is False:
+            draining_since.pop(event.upstream, None)
+        since_ms = draining_since.get(event.upstream, event.at_ms)
+        late = event.at_ms - since_ms > DRAIN_BOUND_MS
+        if late and event.event in ("search", "act", "refused_draining"):
+            found.append(
+                Violation(
+                    "no_work_to_leaving",
+                    f"{event.upstream} got {event.attempt_id} "
+                    f"{event.at_ms - since_ms:.0f} ms after it began to leave",
+                )
+            )
+    return found
+
+
+def shutdown_cuts_nothing(history: history_lib.History) -> list[Violation]:
+    """Requests at hosts that no hard fault struck all get an answer."""
+    hard = {"kill", "freeze", "cut"}
+    return [
+        Violation(
+            "shutdown_cuts_nothing",
+            f"{call.kind} at {call.host} ended by {call.failure}",
+        )
+        for call in history.calls
+        if call.failure in ("cut", "timeout")
+        and not any(
+            fault.what in hard
+            and fault.target == call.host
+            and fault.from_ms <= call.done_ms
+            and call.at_ms <= fault.to_ms
+            for fault in history.faults
+        )
+    ]
+
+
+def configuration_holds(history: history_lib.History) -> list[Violation]:
+    """Accepted changes come into force everywhere, and none is undone."""
+    accepted = [c for c in history.changes if c.outcome == "accepted"]
+    lost = [
+        Violation("configuration_holds", f"change {change.change_id} is lost")
+        for change in accepted
+        if change.change_id not in history.final_change_ids
+    ]
+    return [
+        *lost,
+        *_reversions(history),
+        *_late_revisions(history, accepted),
+    ]
+
+
+ALL: tuple[Checker, ...] = (
+    one_snapshot,
+    true_coverage,
+    whole_and_own,
+    not_run_is_true,
+    at_most_once,
+    no_work_to_leaving,
+    shutdown_cuts_nothing,
+    configuration_holds,
+)
+
+
+def check(history: history_lib.History) -> list[Violation]:
+    """Returns all violations of all points."""
+    return list(
+        itertools.chain.from_iterable(checker(history) for checker in ALL)
+    )
+
+
+def _answered_searches(
+    history: history_lib.History,
+) -> Iterator[history_lib.Call]:
+    return (
+        call
+        for call in history.calls
+        if call.kind == "search" and call.outcome == "ran"
+    )
+
+
+def _actions(
+    history: history_lib.History,
+) -> Iterator[history_lib.UpstreamEvent]:
+    return (e for e in history.upstream_events if e.event == "act")
+
+
+def _snapshot_faults(
+    call: history_lib.Call, published: frozenset[int]
+) -> Iterator[str]:
+    version = call.body["snapshot"]["index_version"]
+    if version not in published:
+        yield f"version {version} was never published"
+    found = {item[2] for item in call.body["hits"]}
+    if not found <= {f"v{version}"}:
+        yield f"stated v{version}, hits of {sorted(found)}"
+
+
+def _coverage_faults(
+    call: history_lib.Call, answered: set[tuple[int, ...]]
+) -> Iterator[str]:
+    coverage = call.body["coverage"]
+    lost = sum(item["high"] - item["low"] for item in coverage["missing"])
+    if coverage["total"] != ranges.KEY_SPACE.width:
+        yield f"total is {coverage['total']}"
+    if coverage["covered"] != coverage["total"] - lost:
+        yield "covered and missing do not add up to the total"
+    snapshot = call.body["snapshot"]
+    pinned = (snapshot["index_version"], snapshot["map_version"])
+    parts = sorted(held[2:] for held in answered if held[:2] == pinned)
+    uncovered = [
+        part
+        for part in _covered_ranges(call)
+        if not _is_tiled(part, [p for p in parts if _inside(p, part)])
+    ]
+    if uncovered:
+        yield f"no upstream answered {uncovered}"
+
+
+def _covered_ranges(call: history_lib.Call) -> list[ranges.KeyRange]:
+    """Returns the stretches of keys that an answer says it covers."""
+    missing = sorted(
+        (item["low"], item["high"]) for item in call.body["coverage"]["missing"]
+    )
+    lows = [0, *(high for _, high in missing)]
+    highs = [*(low for low, _ in missing), ranges.KEY_SPACE.high]
+    return [
+        ranges.KeyRange(low, high)
+        for low, high in zip(lows, highs, strict=True)
+        if low < high
+    ]
+
+
+def _inside(part: tuple[int, ...], whole: ranges.KeyRange) -> bool:
+    return whole.low <= part[0] and part[1] <= whole.high
+
+
+def _is_tiled(whole: ranges.KeyRange, parts: Iterable[tuple[int, ...]]) -> bool:
+    reached = whole.low
+    for low, high in parts:
+        if low > reached:
+            return False
+        reached = max(reached, high)
+    return reached >= whole.high
+
+
+def _expected_hits(call: history_lib.Call) -> list[hits.Hit]:
+    version = call.body["snapshot"]["index_version"]
+    parts = (
+        contents.search(part, version, call.text, call.limit)
+        for part in _covered_ranges(call)
+    )
+    return hits.merge(parts, call.limit)
+
+
+def _reversions(history: history_lib.History) -> list[Violation]:
+    found = []
+    highest: dict[str, int] = {}
+    for seen in sorted(history.observations):
+        before = highest.get(seen.host, 0)
+        if seen.revision < before:
+            found.append(
+                Violation(
+                    "configuration_holds",
+                    f"{seen.host} went from {before} to {seen.revision}",
+                )
+            )
+        highest[seen.host] = max(before, seen.revision)
+    return found
+
+
+def _late_revisions(
+    history: history_lib.History, accepted: list[history_lib.Change]
+) -> list[Violation]:
+    return [
+        Violation(
+            "configuration_holds",
+            f"{seen.host} had {seen.revision}, not {change.revision}, "
+            f"{seen.at_ms - change.done_ms:.0f} ms after it was accepted",
+        )
+        for change in accepted
+        for seen in history.observations
+        if seen.revision < change.revision
+        and seen.at_ms > change.done_ms + CONFIGURATION_BOUND_MS
+        and not _was_struck(history, seen.host, change.done_ms, seen.at_ms)
+    ]
+
+
+def _was_struck(
+    history: history_lib.History, host: str, from_ms: float, to_ms: float
+) -> bool:
+    return any(
+        fault.target == host
+        and fault.from_ms <= to_ms
+        and from_ms <= fault.to_ms + CONFIGURATION_BOUND_MS
+        for fault in history.faults
+    )
--- /dev/null
+++ b/proofs/runs.py
@@ -0,0 +1,91 @@
+"""One run: a deployment, traffic and faults, and the history of it all."""
+
+import asyncio
+from typing import NamedTuple
+
+import aiohttp
+
+from greengagedale import loops
+from proofs import history as history_lib
+from proofs import nemesis
+from proofs import traffic as traffic_lib
+from standins import deployments
+
+_CALLERS = 6
+_OPERATORS = 2
+_SETTLE_S = 3.0
+
+
+class RunPlan(NamedTuple):
+    """What a run is made of.
+
+    Attributes:
+        service: Service that is searched.
+        seed: Seed of traffic and faults.
+        duration_s: How long traffic and faults go on.
+        faults: Kinds of faults; none for a quiet run.
+        streams: How many faults may be in place at once.
+    """
+
+    service: str
+    seed: int
+    duration_s: float
+    faults: tuple[type[nemesis.Fault], ...]
+    streams: int = 1
+
+
+def run(
+    deployment: deployments.Deployment, plan: RunPlan
+) -> history_lib.History:
+    """Runs traffic and faults against a deployment that has started."""
+    deployment.apply_workspace(
+        traffic_lib.WORKSPACE, "member-a", plan.service, timeout_ms=1500
+    )
+    deployment.apply_template(
+        traffic_lib.TEMPLATE,
+        {
+            "parameters": {"weight": {"type": "integer"}},
+            "workspace": {"service": plan.service, "weight": "${weight}"},
+        },
+    )
+    return loops.run(_run(deployment, plan))
+
+
+async def _run(
+    deployment: deployments.Deployment, plan: RunPlan
+) -> history_lib.History:
+    striker = nemesis.Nemesis(deployment)
+    stop = asyncio.Event()
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        traffic = traffic_lib.Traffic(
+            deployment.shape, plan.service, session, plan.seed
+        )
+        async with asyncio.TaskGroup() as tasks:
+            for number in range(plan.streams if plan.faults else 0):
+                tasks.create_task(
+                    striker.strike_until(
+                        stop,
+                        plan.faults[number :: plan.streams],
+                        plan.seed + number,
+                    )
+                )
+            for number in range(_CALLERS):
+                tasks.create_task(traffic.call_until(stop, number))
+            for number in range(_OPERATORS):
+                tasks.create_task(traffic.change_until(stop, number))
+            tasks.create_task(traffic.observe_until(stop))
+            await asyncio.sleep(plan.duration_s)
+            stop.set()
+        await asyncio.sleep(_SETTLE_S)
+        known = await traffic.known_changes()
+    paths = sorted(deployment.folder.glob("*.jsonl"))
+    return history_lib.History(
+        traffic.calls,
+        history_lib.upstream_events(paths),
+        traffic.changes,
+        traffic.observations,
+        striker.windows,
+        frozenset({1}),
+        known,
+    )
--- /dev/null
+++ b/proofs/traffic.py
@@ -0,0 +1,270 @@
+"""Callers, operators and observers of one run, as tasks of one loop."""
+
+import asyncio
+from collections.abc import Callable
+import random
+import time
+from typing import Any, NamedTuple
+
+import aiohttp
+import msgspec
+
+from proofs import history as history_lib
+from standins import shapes
+
+WORKSPACE = "proof"
+TEMPLATE = "proof-template"
+
+_MS_PER_S = 1000.0
+_TIMEOUT_MS = 1500
+_ANSWER_GRACE_S = 2.0
+_LOCATE_TIMEOUT_S = 0.5
+_OBSERVE_EVERY_S = 0.2
+_CHANGE_EVERY_S = 0.4
+_RESEND_SHARE = 0.3
+_LIMIT = 10
+_DOCUMENT_KEYS = 1 << 32
+_OPERATOR_TIMEOUT_S = 8.0
+
+
+class Located(NamedTuple):
+    """A locate answer as a caller keeps it."""
+
+    endpoints: list[str]
+    until_s: float
+
+
+class Traffic:
+    """Sends requests and changes, and notes what comes of them."""
+
+    def __init__(
+        self,
+        shape: shapes.Shape,
+        service: str,
+        session: aiohttp.ClientSession,
+        seed: int,
+    ) -> None:
+        self._hosts = shape.entry_hosts()
+        self._service = service
+        self._session = session
+        self._rng = random.Random(seed)
+        self._seed = seed
+        self.calls: list[history_lib.Call] = []
+        self.changes: list[history_lib.Change] = []
+        self.observations: list[history_lib.Observation] = []
+
+    async def call_until(self, stop: asyncio.Event, caller: int) -> None:
+        """Sends one request after another until told to stop."""
+        located = Located([], 0.0)
+        rng = random.Random(f"{self._seed}/{caller}")
+        number = 0
+        while not stop.is_set():
+            number += 1
+            if time.monotonic() > located.until_s:
+                located = await self._locate(rng)
+            if not located.endpoints:
+                await asyncio.sleep(_OBSERVE_EVERY_S)
+                continue
+            if rng.random() < 0.5:
+                text = f"{caller}-{number}-{rng.randrange(1000)}"
+                await self._search(located.endpoints[0], text)
+            else:
+                key = f"{self._seed}-{caller}-{number}"
+                await self._act(located, key, rng)
+            if self.calls and self.calls[-1].failure:
+                located = Located([], 0.0)
+
+    async def change_until(self, stop: asyncio.Event, operator: int) -> None:
+        """Sends one change after another until told to stop."""
+        rng = random.Random(f"{self._seed}/operator/{operator}")
+        number = 0
+        while not stop.is_set():
+            number += 1
+            change_id = f"{self._seed}-{operator}-{number}"
+            await self._change(rng.choice(self._hosts), change_id, number)
+            await asyncio.sleep(_CHANGE_EVERY_S * rng.random())
+
+    async def observe_until(self, stop: asyncio.Event) -> None:
+        """Notes the revision of every ready host until told to stop."""
+        while not stop.is_set():
+            await asyncio.gather(*(self._observe(h) for h in self._hosts))
+            await asyncio.sleep(_OBSERVE_EVERY_S)
+
+    async def known_changes(self) -> frozenset[str]:
+        """Returns the accepted changes that the first host knows of."""
+        host = self._hosts[0]
+        known = set()
+        for change in self.changes:
+            if change.outcome != "accepted":
+                continue
+            answer = await self._ask(
+                "GET", _operator(host), f"/v1/changes/{change.change_id}"
+            )
+            if answer and answer.get("outcome") == "accepted":
+                known.add(change.change_id)
+        return frozenset(known)
+
+    async def _locate(self, rng: random.Random) -> Located:
+        for host in rng.sample(self._hosts, len(self._hosts)):
+            asked_s = time.monotonic()
+            body = await self._ask("GET", _caller(host), "/v1/locate")
+            if body and body.get("hosts"):
+                endpoints = [item["endpoint"] for item in body["hosts"]]
+                # A caller is free to prefer any; this one spreads the load.
+                rng.shuffle(endpoints)
+                return Located(endpoints, asked_s + body["ttl_ms"] / _MS_PER_S)
+        return Located([], 0.0)
+
+    async def _search(self, endpoint: str, text: str) -> None:
+        body = {"text": text, "limit": _LIMIT, "timeout_ms": _TIMEOUT_MS}
+        await self._call(
+            endpoint,
+            body,
+            lambda at_ms, done_ms, status, answer, failure: history_lib.Call(
+                at_ms,
+                done_ms,
+                self._name_of(endpoint),
+                "search",
+                text,
+                _LIMIT,
+                "",
+                status,
+                answer,
+                failure,
+            ),
+        )
+
+    async def _act(
+        self, located: Located, key: str, rng: random.Random
+    ) -> None:
+        body = {
+            "key": key,
+            "target": rng.randrange(_DOCUMENT_KEYS),
+            "body": {"offer": key},
+            "timeout_ms": _TIMEOUT_MS,
+        }
+        sends = [self._act_once(located.endpoints[0], key, body)]
+        if rng.random() < _RESEND_SHARE:
+            again = rng.choice(located.endpoints)
+            sends.append(self._act_once(again, key, body))
+        await asyncio.gather(*sends)
+
+    async def _act_once(
+        self, endpoint: str, key: str, body: dict[str, Any]
+    ) -> None:
+        await self._call(
+            endpoint,
+            body,
+            lambda at_ms, done_ms, status, answer, failure: history_lib.Call(
+                at_ms,
+                done_ms,
+                self._name_of(endpoint),
+                "act",
+                "",
+                0,
+                key,
+                status,
+                answer,
+                failure,
+            ),
+        )
+
+    async def _call(
+        self,
+        endpoint: str,
+        body: dict[str, Any],
+        make: Callable[..., history_lib.Call],
+    ) -> None:
+        path = "act" if "key" in body else "search"
+        timeout_s = _TIMEOUT_MS / _MS_PER_S + _ANSWER_GRACE_S
+        at_ms = _now_ms()
+        status, answer, failure = 0, None, ""
+        try:
+            async with self._session.post(
+                f"http://{endpoint}/v1/workspaces/{WORKSPACE}/{path}",
+                data=msgspec.json.encode(body),
+                timeout=aiohttp.ClientTimeout(total=timeout_s),
+            ) as response:
+                encoded = await response.read()
+                status, answer = response.status, msgspec.json.decode(encoded)
+        except aiohttp.ClientConnectorError:
+            failure = "connect"
+        except TimeoutError:
+            failure = "timeout"
+        except (aiohttp.ClientError, OSError):
+            failure = "cut"
+        self.calls.append(make(at_ms, _now_ms(), status, answer, failure))
+
+    async def _change(
+        self, host: shapes.EntryHost, change_id: str, number: int
+    ) -> None:
+        at_ms = _now_ms()
+        workspace = {
+            "member": "member-a",
+            "template": TEMPLATE,
+            "parameters": {"weight": 1 + number % 9},
+        }
+        answer = await self._ask(
+            "PUT",
+            _operator(host),
+            f"/v1/workspaces/{WORKSPACE}-{number % 3}",
+            workspace,
+            {"X-Change-Id": change_id},
+        )
+        answer = answer or {}
+        self.changes.append(
+            history_lib.Change(
+                at_ms,
+                _now_ms(),
+                change_id,
+                answer.get("outcome", ""),
+                answer.get("revision", 0),
+            )
+        )
+
+    async def _observe(self, host: shapes.EntryHost) -> None:
+        ready = await self._ask("GET", _caller(host), "/readyz")
+        if not ready or ready.get("status") != "ready":
+            return
+        at_ms = _now_ms()
+        answer = await self._ask("GET", _operator(host), "/v1/workspaces")
+        if answer and "revision" in answer:
+            self.observations.append(
+                history_lib.Observation(at_ms, host.name, answer["revision"])
+            )
+
+    async def _ask(
+        self,
+        method: str,
+        endpoint: str,
+        path: str,
+        body: Any = None,
+        headers: dict[str, str] | None = None,
+    ) -> dict[str, Any] | None:
+        total_s = _OPERATOR_TIMEOUT_S if body else _LOCATE_TIMEOUT_S
+        try:
+            async with self._session.request(
+                method,
+                f"http://{endpoint}{path}",
+                data=msgspec.json.encode(body) if body else None,
+                headers=headers,
+                timeout=aiohttp.ClientTimeout(total=total_s),
+            ) as response:
+                return msgspec.json.decode(await response.read())
+        except (aiohttp.ClientError, OSError, msgspec.DecodeError):
+            return None
+
+    def _name_of(self, endpoint: str) -> str:
+        return next(h.name for h in self._hosts if _caller(h) == endpoint)
+
+
+def _now_ms() -> float:
+    return time.monotonic() * _MS_PER_S
+
+
+def _caller(host: shapes.EntryHost) -> str:
+    return f"{host.address}:{host.caller_port}"
+
+
+def _operator(host: shapes.EntryHost) -> str:
+    return f"{host.address}:{host.operator_port}"
--- a/standins/deployments.py
+++ b/standins/deployments.py
@@ -64,6 +64,7 @@
         settings_extra: str = "",
         service: str | None = None,
         hosts: int = shapes.ENTRY_HOSTS,
+        one_process_each: bool = False,
     ) -> Self:
         """Starts everything and waits until all hosts know each other.
 
@@ -72,11 +73,15 @@
             service: If given, only its upstreams are started, in one process
                 for each replica number; else each has a process of its own.
             hosts: How many entry hosts are started.
+            one_process_each: Each upstream has a process of its own also if
+                a service is given.
         """
         if self.shape.proxied:
             self._launch_standin("proxy", "proxy")
         self.start_platform()
-        for name, members in self._upstream_groups(service).items():
+        for name, members in self._upstream_groups(
+            service, one_process_each
+        ).items():
             self.start_upstream(name, members)
         self._hosts = self.shape.entry_hosts()[:hosts]
         for host in self._hosts:
@@ -88,17 +93,21 @@
         """Starts the bare fan-out over a service."""
         self._launch_standin("bare", "bare", "--service", service)
 
-    def _upstream_groups(self, service: str | None) -> dict[str, str]:
-        placed = self.shape.upstreams()
-        if service is None:
-            return {p.upstream.name: p.upstream.name for p in placed}
+    def _upstream_groups(
+        self, service: str | None, one_process_each: bool
+    ) -> dict[str, str]:
+        names = [
+            item.upstream.name
+            for item in self.shape.upstreams()
+            if service in (None, item.shape.name)
+        ]
+        if service is None or one_process_each:
+            return {name: name for name in names}
         groups: dict[str, list[str]] = {}
-        for item in placed:
-            if item.shape.name == service:
-                replica = item.upstream.name.rpartition("-")[2]
-                key = f"{service}-replica-{replica}"
-                groups.setdefault(key, []).append(item.upstream.name)
-        return {key: ",".join(names) for key, names in groups.items()}
+        for name in names:
+            key = f"{service}-replica-{name.rpartition('-')[2]}"
+            groups.setdefault(key, []).append(name)
+        return {key: ",".join(members) for key, members in groups.items()}
 
     def start_platform(self) -> None:
         """Starts the platform."""
@@ -163,14 +172,19 @@
             service: Service that it searches.
             **plan: Further settings of the workspace.
         """
-        operator = self.operator(self.host(1))
-        template = {"workspace": {"service": service, **plan}}
         workspace = {"member": member, "template": name}
-        for kind, body in (("templates", template), ("workspaces", workspace)):
-            path = f"/v1/{kind}/{name}"
-            answer = httpcalls.call("PUT", operator, path, body)
-            if answer.status != httpcalls.STATUS_OK:
-                raise RuntimeError(f"{path}: {answer}")
+        self.apply_template(name, {"workspace": {"service": service, **plan}})
+        self._apply(f"/v1/workspaces/{name}", workspace)
+
+    def apply_template(self, name: str, template: dict[str, Any]) -> None:
+        """Applies a template; waits until all hosts have it."""
+        self._apply(f"/v1/templates/{name}", template)
+
+    def _apply(self, path: str, body: dict[str, Any]) -> None:
+        operator = self.operator(self.host(1))
+        answer = httpcalls.call("PUT", operator, path, body)
+        if answer.status != httpcalls.STATUS_OK:
+            raise RuntimeError(f"{path}: {answer}")
         self.wait_revision(answer.body["revision"])
 
     def wait_revision(self, revision: int) -> None:
