Checkers are shown bad histories and find them

Cause: a checker that has never failed proves nothing. Change: fifteen bad histories, each found by its checker alone; a good one passes all eight.

--- /dev/null
+++ b/tests/proofs/test_checkers.py
@@ -0,0 +1,209 @@
+"""Each checker finds the fault that it is for, and nothing in good runs."""
+
+import pytest
+
+from greengagedale.query import ranges
+from proofs import checkers
+from proofs import history as history_lib
+from standins import contents
+
+LOW, HIGH = ranges.split_evenly(ranges.KEY_SPACE, 2)
+LIMIT = 5
+
+
+def search_call(request_id="h.1.1", text="a", version=1, missing=(), **changes):
+    covered = [part for part in (LOW, HIGH) if part not in missing]
+    found = [
+        hit
+        for part in covered
+        for hit in contents.search(part, version, text, LIMIT)
+    ]
+    found.sort(key=lambda hit: (-hit.score, hit.key))
+    body = {
+        "request_id": request_id,
+        "outcome": "ran",
+        "snapshot": {"index_version": version, "map_version": 1},
+        "coverage": {
+            "covered": sum(part.width for part in covered),
+            "total": ranges.KEY_SPACE.width,
+            "missing": [
+                {"low": part.low, "high": part.high, "reason": "deadline"}
+                for part in missing
+            ],
+        },
+        "hits": [list(hit) for hit in found[:LIMIT]],
+    }
+    call = history_lib.Call(
+        0, 10, "h", "search", text, LIMIT, "", 200, body, ""
+    )
+    return call._replace(**changes)
+
+
+def answers(request_id="h.1.1", version=1, parts=(LOW, HIGH)):
+    return [
+        history_lib.UpstreamEvent(
+            5, event, "u", f"{request_id}.{i}", "", (version, 1, *part)
+        )
+        for i, part in enumerate(parts)
+        for event in ("search", "answer")
+    ]
+
+
+def act_call(key, outcome, request_id="h.1.2"):
+    body = {"request_id": request_id, "outcome": outcome}
+    return history_lib.Call(0, 10, "h", "act", "", 0, key, 200, body, "")
+
+
+def act_run(key, request_id="h.1.2", at_ms=5):
+    return history_lib.UpstreamEvent(at_ms, "act", "u", f"{request_id}.0", key)
+
+
+def control(at_ms, draining):
+    return history_lib.UpstreamEvent(at_ms, "control", "u", draining=draining)
+
+
+def refused(at_ms):
+    return history_lib.UpstreamEvent(at_ms, "refused_draining", "u", "h.1.3.0")
+
+
+GOOD = history_lib.History(
+    calls=[
+        search_call(),
+        search_call("h.1.4", "b", missing=(HIGH,)),
+        act_call("k", "ran"),
+        act_call("k", "ran"),
+        act_call("n", "not_run", "h.1.5"),
+    ],
+    upstream_events=[
+        *answers(),
+        *answers("h.1.4", parts=(LOW,)),
+        act_run("k"),
+        control(100, draining=True),
+        refused(1500),
+        control(9000, draining=False),
+        act_run("later", "h.1.9", at_ms=9500),
+    ],
+    changes=[history_lib.Change(0, 1, "c", "accepted", 3)],
+    observations=[
+        history_lib.Observation(0, "h", 2),
+        history_lib.Observation(8000, "h", 3),
+    ],
+    final_change_ids=frozenset({"c"}),
+)
+
+
+def mixed(call):
+    call.body["hits"][0][2] = "v2"
+    return call
+
+
+def overstated(call):
+    call.body["coverage"] |= {
+        "covered": ranges.KEY_SPACE.width,
+        "missing": [],
+    }
+    return call
+
+
+BAD = {
+    "one_snapshot: hits of another version": (
+        checkers.one_snapshot,
+        GOOD._replace(calls=[mixed(search_call())]),
+    ),
+    "one_snapshot: a version that never was": (
+        checkers.one_snapshot,
+        GOOD._replace(calls=[search_call(version=7)]),
+    ),
+    "true_coverage: a range that no upstream answered": (
+        checkers.true_coverage,
+        GOOD._replace(upstream_events=answers(parts=(LOW,))),
+    ),
+    "true_coverage: a range answered at another version": (
+        checkers.true_coverage,
+        GOOD._replace(upstream_events=answers(version=2)),
+    ),
+    "true_coverage: more than was merged": (
+        checkers.true_coverage,
+        GOOD._replace(
+            calls=[overstated(search_call(missing=(HIGH,)))],
+            upstream_events=answers(parts=(LOW,)),
+        ),
+    ),
+    "whole_and_own: the answer to another text": (
+        checkers.whole_and_own,
+        GOOD._replace(calls=[search_call(text="a", missing=())]),
+    ),
+    "whole_and_own: one identifier for two answers": (
+        checkers.whole_and_own,
+        GOOD._replace(calls=[search_call(), search_call()]),
+    ),
+    "not_run_is_true: the request ran": (
+        checkers.not_run_is_true,
+        GOOD._replace(calls=[act_call("k", "not_run")]),
+    ),
+    "not_run_is_true: the key ran under another identifier": (
+        checkers.not_run_is_true,
+        GOOD._replace(
+            calls=[act_call("k", "not_run", "x.1.1")],
+            upstream_events=[act_run("k", "y.1.1")],
+        ),
+    ),
+    "at_most_once: a key ran on two upstreams": (
+        checkers.at_most_once,
+        GOOD._replace(upstream_events=[act_run("k"), act_run("k", "x.1.1")]),
+    ),
+    "no_work_to_leaving: sent after the bound": (
+        checkers.no_work_to_leaving,
+        GOOD._replace(
+            upstream_events=[control(0, draining=True), refused(2001)]
+        ),
+    ),
+    "shutdown_cuts_nothing: cut by a graceful stop": (
+        checkers.shutdown_cuts_nothing,
+        GOOD._replace(
+            calls=[search_call(failure="cut", status=0, body=None)],
+            faults=[history_lib.FaultWindow(0, 20, "stop", "h")],
+        ),
+    ),
+    "configuration_holds: a lost change": (
+        checkers.configuration_holds,
+        GOOD._replace(final_change_ids=frozenset()),
+    ),
+    "configuration_holds: a reversion": (
+        checkers.configuration_holds,
+        GOOD._replace(
+            observations=[
+                history_lib.Observation(0, "h", 3),
+                history_lib.Observation(1, "h", 2),
+            ]
+        ),
+    ),
+    "configuration_holds: not in force in time": (
+        checkers.configuration_holds,
+        GOOD._replace(observations=[history_lib.Observation(6002, "h", 2)]),
+    ),
+}
+# The answer that belongs to another text is made here, since the helper
+# always makes right ones.
+BAD["whole_and_own: the answer to another text"][1].calls[0] = search_call(
+    text="other"
+)._replace(text="a")
+
+
+@pytest.mark.parametrize("checker", checkers.ALL)
+def test_good_history_has_no_violations(checker):
+    assert checker(GOOD) == []
+
+
+@pytest.mark.parametrize("name", BAD)
+def test_bad_history_is_found(name):
+    checker, history = BAD[name]
+    assert checker(history)
+    assert {item.check for item in checker(history)} == {checker.__name__}
+
+
+def test_hard_faults_excuse_cut_requests():
+    call = search_call(failure="cut", status=0, body=None)
+    killed = history_lib.FaultWindow(0, 20, "kill", "h")
+    history = GOOD._replace(calls=[call], faults=[killed])
+    assert checkers.shutdown_cuts_nothing(history) == []
