Carry news between hosts with their status calls

The board existed but nothing moved it. Each status call now tells the caller's news and brings back the callee's. Status calls between all pairs do not scale and are to be replaced.

--- a/greengagedale/daemons.py
+++ b/greengagedale/daemons.py
@@ -17,6 +17,7 @@
 from greengagedale import searches
 from greengagedale.callers import http_server as callers_http
 from greengagedale.config import settings as settings_lib
+from greengagedale.membership import news
 from greengagedale.operators import http_server as operators_http
 from greengagedale.peers import grpc_client
 from greengagedale.peers import grpc_server
@@ -74,7 +75,8 @@
     reader = configuration.Reader(
         store, holder, settings.platform.watch_wait_ms
     )
-    directory = hosts.Directory(peers)
+    board = news.Board(clock)
+    directory = hosts.Directory(peers, board)
     policy = policies.PlainPolicy(random.Random())
     host = hosts.Host(
         settings,
--- a/greengagedale/hosts.py
+++ b/greengagedale/hosts.py
@@ -17,6 +17,7 @@
 from greengagedale.catalog import catalogs
 from greengagedale.catalog import documents
 from greengagedale.config import settings as settings_lib
+from greengagedale.membership import news
 from greengagedale.operators import base as operators_base
 from greengagedale.peers import base as peers_base
 from greengagedale.query import fanout
@@ -30,8 +31,11 @@
 class Directory:
     """The other hosts, as far as this host knows."""
 
-    def __init__(self, peers: peers_base.PeerTransport) -> None:
+    def __init__(
+        self, peers: peers_base.PeerTransport, board: news.Board
+    ) -> None:
         self._peers = peers
+        self.board = board
         self._endpoints: dict[str, None] = {}
         self.alive: dict[str, peers_base.PeerStatus] = {}
 
@@ -42,15 +46,23 @@
     async def refresh(self) -> None:
         """Asks every known host for its status."""
         endpoints = list(self._endpoints)
+        told = self.board.current()
         answers = await asyncio.gather(
-            *(self._peers.status(endpoint) for endpoint in endpoints)
+            *(self._peers.heartbeat(endpoint, told) for endpoint in endpoints)
         )
+        for answer in filter(None, answers):
+            self.take_in(answer.news)
         self.alive = {
-            endpoint: answer
+            endpoint: answer.status
             for endpoint, answer in zip(endpoints, answers, strict=True)
             if answer is not None
         }
 
+    def take_in(self, told: list[news.News]) -> None:
+        """Takes in news from another host, the oldest first."""
+        for item in reversed(told):
+            self.board.take_in(item)
+
     def endpoint_of(self, name: str) -> str | None:
         """Returns where other hosts reach the named one."""
         found = (e for e, s in self.alive.items() if s.name == name)
@@ -105,6 +117,13 @@
             running=self._running,
         )
 
+    def heartbeat(self, told: list[news.News]) -> peers_base.Heartbeat:
+        """Takes in what another host tells and answers with the same."""
+        self._directory.take_in(told)
+        return peers_base.Heartbeat(
+            self.status(), self._directory.board.current()
+        )
+
     def ready(self) -> bool:
         """Tells whether this host knows enough to serve."""
         return self._holder.loaded
--- a/greengagedale/peers/base.py
+++ b/greengagedale/peers/base.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from greengagedale import records
+from greengagedale.membership import news
 
 
 class PeerStatus(NamedTuple):
@@ -30,6 +31,18 @@
     running: int
 
 
+class Heartbeat(NamedTuple):
+    """What one host tells another regularly.
+
+    Attributes:
+        status: Status of the host that sends it.
+        news: The newest facts that it knows.
+    """
+
+    status: PeerStatus
+    news: list[news.News]
+
+
 class PeerService(abc.ABC):
     """What a host answers to other hosts."""
 
@@ -37,6 +50,10 @@
     def status(self) -> PeerStatus:
         """Returns the status of this host."""
 
+    @abc.abstractmethod
+    def heartbeat(self, told: list[news.News]) -> Heartbeat:
+        """Takes in what another host tells and answers with the same."""
+
     @abc.abstractmethod
     def explain(self, request_id: str) -> records.Record | None:
         """Returns the record of a request that this host served."""
@@ -46,8 +63,10 @@
     """Asks other hosts; None stands for no answer."""
 
     @abc.abstractmethod
-    async def status(self, endpoint: str) -> PeerStatus | None:
-        """Asks a host for its status."""
+    async def heartbeat(
+        self, endpoint: str, told: list[news.News]
+    ) -> Heartbeat | None:
+        """Tells a host the news and returns its status and news."""
 
     @abc.abstractmethod
     async def explain(
--- a/greengagedale/peers/wire.py
+++ b/greengagedale/peers/wire.py
@@ -5,7 +5,7 @@
 import msgspec
 
 SERVICE = "greengagedale.Peers"
-STATUS = "Status"
+HEARTBEAT = "Heartbeat"
 EXPLAIN = "Explain"
 
 encode = msgspec.msgpack.encode
