Find live hosts by SWIM probes over datagrams

Status calls between all pairs grow with the square of the fleet and removed a host only when its own call timed out. Each host now probes one other every 300 ms, by relays where it gets no answer, and adds what it knows to the messages that it sends anyway. New facts are pushed to three hosts at once. Time counts only while the own loop runs, and a suspicion needs a relay that gets no answer either, so a frozen host or one cut one way accuses nobody.

--- a/greengagedale/config/settings.py
+++ b/greengagedale/config/settings.py
@@ -40,6 +40,7 @@
 
     seeds: list[options.Endpoint] = []
     timeout_ms: options.DurationMs = 300
+    max_bytes_per_s: options.Count = 1800
 
 
 class CallersSettings(Section):
--- a/greengagedale/daemons.py
+++ b/greengagedale/daemons.py
@@ -11,6 +11,7 @@
 from greengagedale import actions
 from greengagedale import clocks
 from greengagedale import configuration
+from greengagedale import directory as directory_lib
 from greengagedale import hosts
 from greengagedale import loops
 from greengagedale import metrics as metrics_lib
@@ -21,6 +22,7 @@
 from greengagedale.operators import http_server as operators_http
 from greengagedale.peers import grpc_client
 from greengagedale.peers import grpc_server
+from greengagedale.peers import udp
 from greengagedale.platform import base as platform_base
 from greengagedale.platform import http as platform_http
 from greengagedale.routing import policies
@@ -28,8 +30,7 @@
 
 log = logging.getLogger(__name__)
 
-_REFRESH_S = 0.3
-_HOST_LIST_EVERY = 3
+_HOST_LIST_S = 1.0
 _MS_PER_S = 1000.0
 
 
@@ -76,7 +77,10 @@
         store, holder, settings.platform.watch_wait_ms
     )
     board = news.Board(clock)
-    directory = hosts.Directory(peers, board)
+    rng = random.Random()
+    directory = directory_lib.Directory.from_config(
+        settings, board, peers, clock, rng
+    )
     policy = policies.PlainPolicy(random.Random())
     host = hosts.Host(
         settings,
@@ -89,7 +93,11 @@
         clock,
         metrics,
     )
+    own = f"{settings.host.address}:{settings.host.peer_port}"
+    datagrams = await udp.UdpTransport.from_config(own, directory.receive)
+    stack.push_async_callback(datagrams.close)
     background = [
+        directory.run(datagrams, host.status),
         reader.follow_catalog(),
         reader.follow_services(),
         _follow_hosts(settings, store, directory),
@@ -130,21 +138,14 @@
 async def _follow_hosts(
     settings: settings_lib.Settings,
     store: platform_base.ObjectStore,
-    directory: hosts.Directory,
+    directory: directory_lib.Directory,
 ) -> None:
-    own = f"{settings.host.address}:{settings.host.peer_port}"
-    directory.learn([seed for seed in settings.peers.seeds if seed != own])
-    rounds = 0
     while True:
-        if rounds % _HOST_LIST_EVERY == 0:
-            listed = await store.hosts()
-            if not isinstance(listed, platform_base.Unavailable):
-                directory.learn(
-                    [h.peer_endpoint for h in listed if h.peer_endpoint != own]
-                )
-        rounds += 1
-        await directory.refresh()
-        await asyncio.sleep(_REFRESH_S)
+        listed = await store.hosts()
+        if not isinstance(listed, platform_base.Unavailable):
+            endpoints = [item.peer_endpoint for item in listed]
+            directory.hint([*settings.peers.seeds, *endpoints])
+        await asyncio.sleep(_HOST_LIST_S)
 
 
 async def _stop_task(task: asyncio.Task[None]) -> None:
--- /dev/null
+++ b/greengagedale/directory.py
@@ -0,0 +1,146 @@
+"""The hosts of the fleet as this host knows them: membership, carried out."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+import logging
+import random
+import time
+from typing import Self
+
+from greengagedale import clocks
+from greengagedale.config import settings as settings_lib
+from greengagedale.membership import messages
+from greengagedale.membership import news
+from greengagedale.membership import ranking
+from greengagedale.membership import swim as swim_lib
+from greengagedale.peers import base as peers_base
+
+log = logging.getLogger(__name__)
+
+_MS_PER_S = 1000.0
+
+
+class Directory:
+    """Runs the membership protocol and answers from its table."""
+
+    def __init__(
+        self,
+        swim: swim_lib.Swim,
+        options: swim_lib.Options,
+        board: news.Board,
+        peers: peers_base.PeerTransport,
+        clock: clocks.Clock,
+        rng: random.Random,
+    ) -> None:
+        self._swim = swim
+        self._options = options
+        self._peers = peers
+        self._clock = clock
+        self._rng = rng
+        self._datagrams: peers_base.DatagramTransport | None = None
+        self._synchronized = False
+        self.board = board
+
+    @classmethod
+    def from_config(
+        cls,
+        settings: settings_lib.Settings,
+        board: news.Board,
+        peers: peers_base.PeerTransport,
+        clock: clocks.Clock,
+        rng: random.Random,
+    ) -> Self:
+        """Makes the directory of a host; its own endpoint is no hint."""
+        options = swim_lib.Options(
+            bytes_per_s=settings.peers.max_bytes_per_s,
+        )
+        swim = swim_lib.Swim(
+            _first_status(settings),
+            f"{settings.host.address}:{settings.host.peer_port}",
+            # Above that of an earlier life; refuting mends a clock set back.
+            int(time.time()),
+            options,
+            board,
+            rng,
+            clock.now_ms(),
+        )
+        swim.hint(settings.peers.seeds)
+        return cls(swim, options, board, peers, clock, rng)
+
+    @property
+    def alive(self) -> dict[str, messages.PeerStatus]:
+        """Status by peer endpoint of the hosts that probes find healthy."""
+        return {
+            member.update.endpoint: member.update.status
+            for member in self._swim.table.members.values()
+            if member.usable and member.update.status is not None
+        }
+
+    @property
+    def counts(self) -> dict[str, int]:
+        """How often each event of the protocol happened."""
+        malformed = self._datagrams.malformed if self._datagrams else 0
+        return {**self._swim.counts, "malformed": malformed}
+
+    def hint(self, endpoints: Iterable[str]) -> None:
+        """Takes in where other hosts may be, in place of earlier hints."""
+        self._swim.hint(endpoints)
+
+    def endpoint_of(self, name: str) -> str | None:
+        """Returns where other hosts reach the named one."""
+        member = self._swim.table.members.get(name)
+        return member.update.endpoint if member is not None else None
+
+    def ranked(
+        self, own: messages.PeerStatus, data_centre: str | None
+    ) -> list[messages.PeerStatus]:
+        """Returns the hosts to use, best first for a data centre."""
+        known = [own, *self._swim.usable()]
+        return ranking.rank(known, data_centre, self._rng)
+
+    def members(self) -> list[messages.Update]:
+        """Returns what is known of all hosts, this one included."""
+        return self._swim.known()
+
+    def receive(self, got: messages.Datagram) -> list[messages.Outgoing]:
+        """Takes in a datagram and returns the answers to it."""
+        return self._swim.receive(got)
+
+    async def run(
+        self,
+        datagrams: peers_base.DatagramTransport,
+        status: Callable[[], messages.PeerStatus],
+    ) -> None:
+        """Takes part in the protocol until cancelled, then says goodbye."""
+        self._datagrams = datagrams
+        try:
+            while True:
+                self._swim.set_status(status())
+                datagrams.send(self._swim.tick(self._clock.now_ms()))
+                await self._synchronize()
+                await asyncio.sleep(self._options.tick_ms / _MS_PER_S)
+        finally:
+            datagrams.send(self._swim.leave())
+
+    async def _synchronize(self) -> None:
+        """Gets the whole table once, from the first host that is met."""
+        alive = list(self.alive)
+        if self._synchronized or not alive:
+            return
+        self._synchronized = True
+        updates = await self._peers.members(alive[0])
+        self._swim.merge_all(updates or [])
+
+
+def _first_status(settings: settings_lib.Settings) -> messages.PeerStatus:
+    host = settings.host
+    return messages.PeerStatus(
+        name=host.name,
+        data_centre=host.data_centre,
+        incarnation="",
+        caller_endpoint=f"{host.address}:{host.caller_port}",
+        revision=0,
+        ready=False,
+        leaving=False,
+        running=0,
+    )
--- a/greengagedale/hosts.py
+++ b/greengagedale/hosts.py
@@ -1,6 +1,5 @@
 """One entry host: everything that it knows and does, behind its adapters."""
 
-import asyncio
 import itertools
 import logging
 import secrets
@@ -9,6 +8,7 @@
 from greengagedale import actions
 from greengagedale import clocks
 from greengagedale import configuration
+from greengagedale import directory as directory_lib
 from greengagedale import metrics as metrics_lib
 from greengagedale import outcomes
 from greengagedale import records as records_lib
@@ -17,7 +17,7 @@
 from greengagedale.catalog import catalogs
 from greengagedale.catalog import documents
 from greengagedale.config import settings as settings_lib
-from greengagedale.membership import news
+from greengagedale.membership import messages
 from greengagedale.operators import base as operators_base
 from greengagedale.peers import base as peers_base
 from greengagedale.query import fanout
@@ -28,47 +28,6 @@
 _NOT_READY_RETRY_MS = 1000
 
 
-class Directory:
-    """The other hosts, as far as this host knows."""
-
-    def __init__(
-        self, peers: peers_base.PeerTransport, board: news.Board
-    ) -> None:
-        self._peers = peers
-        self.board = board
-        self._endpoints: dict[str, None] = {}
-        self.alive: dict[str, peers_base.PeerStatus] = {}
-
-    def learn(self, endpoints: list[str]) -> None:
-        """Takes in where other hosts may be."""
-        self._endpoints.update(dict.fromkeys(endpoints))
-
-    async def refresh(self) -> None:
-        """Asks every known host for its status."""
-        endpoints = list(self._endpoints)
-        told = self.board.current()
-        answers = await asyncio.gather(
-            *(self._peers.heartbeat(endpoint, told) for endpoint in endpoints)
-        )
-        for answer in filter(None, answers):
-            self.take_in(answer.news)
-        self.alive = {
-            endpoint: answer.status
-            for endpoint, answer in zip(endpoints, answers, strict=True)
-            if answer is not None
-        }
-
-    def take_in(self, told: list[news.News]) -> None:
-        """Takes in news from another host, the oldest first."""
-        for item in reversed(told):
-            self.board.take_in(item)
-
-    def endpoint_of(self, name: str) -> str | None:
-        """Returns where other hosts reach the named one."""
-        found = (e for e, s in self.alive.items() if s.name == name)
-        return next(found, None)
-
-
 class Host(
     callers_base.CallerService,
     operators_base.OperatorService,
@@ -83,7 +42,7 @@
         writer: configuration.Writer,
         search_runner: searches.SearchRunner,
         action_runner: actions.ActionRunner,
-        directory: Directory,
+        directory: directory_lib.Directory,
         peers: peers_base.PeerTransport,
         clock: clocks.Clock,
         metrics: metrics_lib.Metrics,
@@ -117,12 +76,9 @@
             running=self._running,
         )
 
-    def heartbeat(self, told: list[news.News]) -> peers_base.Heartbeat:
-        """Takes in what another host tells and answers with the same."""
-        self._directory.take_in(told)
-        return peers_base.Heartbeat(
-            self.status(), self._directory.board.current()
-        )
+    def members(self) -> list[messages.Update]:
+        """Returns what is known of all hosts, this one included."""
+        return self._directory.members()
 
     def ready(self) -> bool:
         """Tells whether this host knows enough to serve."""
@@ -130,12 +86,7 @@
 
     def locate(self, data_centre: str | None) -> callers_base.Located:
         """Returns the hosts to use, best first for a data centre."""
-        known = [self.status(), *self._directory.alive.values()]
-        usable = [item for item in known if item.ready and not item.leaving]
-        ranked = sorted(
-            usable,
-            key=lambda s: (s.data_centre != data_centre, s.running, s.name),
-        )
+        ranked = self._directory.ranked(self.status(), data_centre)
         return callers_base.Located(
             hosts=[
                 callers_base.LocatedHost(
@@ -236,8 +187,7 @@
         return self._holder.current
 
     async def fleet(self) -> list[peers_base.PeerStatus]:
-        """Returns the status of every host that answers."""
-        await self._directory.refresh()
+        """Returns the status of every host that answers probes."""
         return [self.status(), *self._directory.alive.values()]
 
     def _new_request_id(self) -> str:
--- /dev/null
+++ b/greengagedale/membership/members.py
@@ -0,0 +1,129 @@
+"""The table of other hosts: which knowledge replaces which."""
+
+import dataclasses
+
+from greengagedale.membership import messages
+
+MOST_MEMBERS = 4096
+_TOMBSTONE_MS = 600_000.0
+
+
+@dataclasses.dataclass(slots=True)
+class Member:
+    """One other host.
+
+    Attributes:
+        update: The newest that is known of it.
+        changed_ms: When its state last changed.
+        doubted: Whether only this host fails to reach it, without a witness.
+    """
+
+    update: messages.Update
+    changed_ms: float
+    doubted: bool = False
+
+    @property
+    def usable(self) -> bool:
+        """Whether callers may be sent there, as far as probes tell."""
+        return self.update.state is messages.State.ALIVE and not self.doubted
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """What an update changed; `urgent` is worth a message of its own."""
+
+    name: str
+    urgent: bool
+
+
+class Table:
+    """All other hosts that this host knows of, and those that ended."""
+
+    def __init__(self) -> None:
+        self.members: dict[str, Member] = {}
+
+    def merge(self, got: messages.Update, now_ms: float) -> Change | None:
+        """Takes in an update; None if it is not newer than what is held."""
+        member = self.members.get(got.name)
+        if member is None:
+            return self._add(got, now_ms)
+        held = member.update
+        state_newer = (got.incarnation, got.state) > (
+            held.incarnation,
+            held.state,
+        )
+        status_newer = got.status is not None and (
+            got.incarnation,
+            got.version,
+        ) > (held.incarnation, held.version)
+        if not state_newer and not status_newer:
+            return None
+        merged = _merged(held, got, state_newer, status_newer)
+        if merged.state is not held.state:
+            member.changed_ms = now_ms
+        if merged.incarnation > held.incarnation:
+            member.doubted = False
+        member.update = merged
+        return Change(got.name, _is_urgent(held, merged))
+
+    def declare(self, name: str, state: messages.State, now_ms: float) -> None:
+        """Sets the state of a member, at the incarnation it has."""
+        member = self.members[name]
+        member.update = member.update._replace(state=state)
+        member.changed_ms = now_ms
+
+    def in_state(self, *states: messages.State) -> list[Member]:
+        """Returns the members in any of the states."""
+        return [m for m in self.members.values() if m.update.state in states]
+
+    def reachable(self) -> list[Member]:
+        """Returns the members that are worth a probe."""
+        return self.in_state(messages.State.ALIVE, messages.State.SUSPECT)
+
+    def expired(self, suspicion_ms: float, now_ms: float) -> list[str]:
+        """Returns the suspects whose time to refute is over."""
+        return [
+            member.update.name
+            for member in self.in_state(messages.State.SUSPECT)
+            if now_ms - member.changed_ms >= suspicion_ms
+        ]
+
+    def forget_ended(self, now_ms: float) -> None:
+        """Drops members that ended long ago."""
+        ended = self.in_state(messages.State.DEAD, messages.State.LEFT)
+        for member in ended:
+            if now_ms - member.changed_ms >= _TOMBSTONE_MS:
+                del self.members[member.update.name]
+
+    def _add(self, got: messages.Update, now_ms: float) -> Change | None:
+        if got.status is None or len(self.members) >= MOST_MEMBERS:
+            return None
+        self.members[got.name] = Member(got, now_ms)
+        return Change(got.name, urgent=True)
+
+
+def _merged(
+    held: messages.Update,
+    got: messages.Update,
+    state_newer: bool,
+    status_newer: bool,
+) -> messages.Update:
+    merged = held
+    if state_newer:
+        merged = merged._replace(
+            incarnation=got.incarnation, state=got.state, endpoint=got.endpoint
+        )
+    if status_newer:
+        merged = merged._replace(version=got.version, status=got.status)
+    elif got.incarnation > held.incarnation:
+        # Any version of the new incarnation is newer than the old status.
+        merged = merged._replace(version=-1)
+    return merged
+
+
+def _is_urgent(held: messages.Update, merged: messages.Update) -> bool:
+    if (held.incarnation, held.state) != (merged.incarnation, merged.state):
+        return True
+    if held.status is None or merged.status is None:
+        return True
+    return held.status._replace(running=0) != merged.status._replace(running=0)
--- /dev/null
+++ b/greengagedale/membership/swim.py
@@ -0,0 +1,417 @@
+"""Finds out which hosts are alive: SWIM probes, without input or output.
+
+Two rules keep healthy hosts in. Time counts only while this host's own loop
+runs, so that a host that was frozen or busy blames no other. And a host is
+suspected aloud only if a relay says that it gets no answer either; a host
+that reaches no relay keeps the doubt to itself, for the fault may be its own.
+"""
+
+import collections
+from collections.abc import Iterable
+import dataclasses
+import random
+from typing import NamedTuple
+
+from greengagedale.membership import gossip as gossip_lib
+from greengagedale.membership import members as members_lib
+from greengagedale.membership import messages
+from greengagedale.membership import news as news_lib
+
+State = messages.State
+Kind = messages.Kind
+
+
+class Options(NamedTuple):
+    """Times and bounds of the protocol.
+
+    Attributes:
+        tick_ms: How often `tick` is called.
+        probe_interval_ms: Time between two probes.
+        resend_ms: Time between two pings of one probe.
+        direct_timeout_ms: After this without an answer relays are asked.
+        relay_timeout_ms: How long a relay waits before it says no.
+        probe_timeout_ms: After this the probe has failed.
+        suspicion_ms: How long a suspect may refute.
+        join_interval_ms: Time between calls to where a host may be.
+        relays: How many hosts are asked to probe for this one.
+        push_hosts: How many hosts get something new at once.
+        bytes_per_s: Bound on what is sent, on average.
+        datagram_bytes: Largest message.
+    """
+
+    tick_ms: float = 50.0
+    probe_interval_ms: float = 300.0
+    resend_ms: float = 150.0
+    direct_timeout_ms: float = 300.0
+    relay_timeout_ms: float = 350.0
+    probe_timeout_ms: float = 900.0
+    suspicion_ms: float = 5000.0
+    join_interval_ms: float = 1000.0
+    relays: int = 3
+    push_hosts: int = 3
+    bytes_per_s: float = 1800.0
+    datagram_bytes: int = 500
+
+
+@dataclasses.dataclass(slots=True)
+class _Probe:
+    target: str
+    sent_ms: float
+    pinged_ms: float
+    relayed: bool = False
+    witnesses: int = 0
+
+
+class _Relay(NamedTuple):
+    asked_by: messages.Update
+    asked_sequence: int
+    target: str
+    until_ms: float
+
+
+class Swim:
+    """The membership of one host.
+
+    Attributes:
+        table: What is known of the other hosts.
+        counts: How often each event happened, by its name.
+    """
+
+    def __init__(
+        self,
+        status: messages.PeerStatus,
+        endpoint: str,
+        incarnation: int,
+        options: Options,
+        board: news_lib.Board,
+        rng: random.Random,
+        now_ms: float,
+    ) -> None:
+        self._own = messages.Update(
+            status.name, endpoint, incarnation, State.ALIVE, 0, status
+        )
+        self._options = options
+        self._board = board
+        self._rng = rng
+        self.table = members_lib.Table()
+        self._gossip = gossip_lib.Gossip(self.table, board, rng)
+        self._budget = gossip_lib.Budget(options.bytes_per_s, now_ms)
+        self._hints: set[str] = set()
+        self._probes: dict[int, _Probe] = {}
+        self._relays: dict[int, _Relay] = {}
+        self._order: list[str] = []
+        self._sequence = 0
+        self._now_ms = now_ms
+        # Time during which this host's own loop ran.
+        self._active_ms = 0.0
+        self._next_probe_ms = 0.0
+        self._next_join_ms = 0.0
+        self.counts: collections.Counter[str] = collections.Counter()
+
+    @property
+    def incarnation(self) -> int:
+        """The incarnation of this host."""
+        return self._own.incarnation
+
+    def hint(self, endpoints: Iterable[str]) -> None:
+        """Takes in where other hosts may be, in place of earlier hints."""
+        self._hints = {e for e in endpoints if e != self._own.endpoint}
+
+    def set_status(self, status: messages.PeerStatus) -> None:
+        """Sets what this host says of itself."""
+        held = self._own.status
+        if status == held:
+            return
+        self._own = self._own._replace(
+            version=self._own.version + 1, status=status
+        )
+        if held._replace(running=0) != status._replace(running=0):
+            self._gossip.urgent = True
+
+    def usable(self) -> list[messages.PeerStatus]:
+        """Returns what the hosts say that callers may be sent to."""
+        return [
+            member.update.status
+            for member in self.table.members.values()
+            if member.usable and member.update.status is not None
+        ]
+
+    def tick(self, now_ms: float) -> list[messages.Outgoing]:
+        """Does what is due; call it every `tick_ms`."""
+        passed_ms = now_ms - self._now_ms
+        self._now_ms = now_ms
+        self._active_ms += min(passed_ms, 2 * self._options.tick_ms)
+        out = [*self._end_relays(), *self._end_probes()]
+        self._end_suspicions()
+        self._gossip.note_news()
+        if self._active_ms >= self._next_probe_ms:
+            self._next_probe_ms = (
+                self._active_ms + self._options.probe_interval_ms
+            )
+            out += self._start_probe()
+        if self._active_ms >= self._next_join_ms:
+            self._next_join_ms = (
+                self._active_ms + self._options.join_interval_ms
+            )
+            out += self._join()
+        return out + self._push()
+
+    def receive(self, got: messages.Datagram) -> list[messages.Outgoing]:
+        """Takes in a message and returns the answers to it."""
+        sender = got.sender
+        if sender.name == self._own.name or sender.status is None:
+            self.counts["foreign"] += 1
+            return []
+        for update in (sender, *got.updates):
+            self._merge(update)
+        for item in reversed(got.news):
+            self._board.take_in(item)
+        match got.kind:
+            case Kind.PING if got.target in ("", self._own.name):
+                return [self._answer(Kind.ACK, sender, got.sequence)]
+            case Kind.PING_REQUEST:
+                return self._relay(got)
+            case Kind.ACK:
+                return self._acknowledge(got)
+            case Kind.NACK:
+                probe = self._probes.get(got.sequence)
+                if probe is not None and probe.target == got.target:
+                    probe.witnesses += 1
+            case Kind.PING:
+                self.counts["misdirected"] += 1
+        return []
+
+    def known(self) -> list[messages.Update]:
+        """Returns what is known of all hosts, this one included."""
+        return [self._own, *(m.update for m in self.table.members.values())]
+
+    def merge_all(self, updates: Iterable[messages.Update]) -> None:
+        """Takes in what another host knows, which it got long ago itself."""
+        for update in updates:
+            self._merge(update)
+
+    def leave(self) -> list[messages.Outgoing]:
+        """Tells others that this host is gone."""
+        self._own = self._own._replace(state=State.LEFT)
+        return self._push_to(self.table.reachable())
+
+    def _merge(self, update: messages.Update) -> None:
+        if update.name == self._own.name:
+            self._refute(update)
+            return
+        change = self.table.merge(update, self._active_ms)
+        if change is not None and change.urgent:
+            state = self.table.members[change.name].update.state
+            self.counts[f"heard_{state.name.lower()}"] += 1
+            self._gossip.enqueue(change.name, urgent=True)
+
+    def _refute(self, update: messages.Update) -> None:
+        own = self._own
+        accused = update.state is not State.ALIVE
+        if update.incarnation > own.incarnation or (
+            accused and update.incarnation == own.incarnation
+        ):
+            self._own = own._replace(incarnation=update.incarnation + 1)
+            self._gossip.urgent = True
+            self.counts["refuted"] += 1
+
+    def _start_probe(self) -> list[messages.Outgoing]:
+        target = self._next_target()
+        if target is None:
+            return []
+        sequence = self._next_sequence()
+        self._probes[sequence] = _Probe(
+            target.name, self._active_ms, self._active_ms
+        )
+        return [self._ping(target, sequence)]
+
+    def _next_target(self) -> messages.Update | None:
+        for _ in range(len(self._order) + len(self.table.members) + 1):
+            if not self._order:
+                self._order = [m.update.name for m in self.table.reachable()]
+                self._rng.shuffle(self._order)
+            if not self._order:
+                return None
+            member = self.table.members.get(self._order.pop())
+            if member is not None and member.update.state <= State.SUSPECT:
+                return member.update
+        return None
+
+    def _end_probes(self) -> list[messages.Outgoing]:
+        out = []
+        for sequence, probe in list(self._probes.items()):
+            waited_ms = self._active_ms - probe.sent_ms
+            if waited_ms >= self._options.probe_timeout_ms:
+                del self._probes[sequence]
+                self._fail(probe)
+                continue
+            if waited_ms >= self._options.direct_timeout_ms:
+                out += self._ask_relays(sequence, probe)
+            out += self._resend(sequence, probe)
+        return out
+
+    def _resend(self, sequence: int, probe: _Probe) -> list[messages.Outgoing]:
+        member = self.table.members.get(probe.target)
+        waited_ms = self._active_ms - probe.pinged_ms
+        if member is None or not member.usable:
+            return []
+        if waited_ms < self._options.resend_ms:
+            return []
+        probe.pinged_ms = self._active_ms
+        return [self._ping(member.update, sequence)]
+
+    def _ask_relays(
+        self, sequence: int, probe: _Probe
+    ) -> list[messages.Outgoing]:
+        member = self.table.members.get(probe.target)
+        if probe.relayed or member is None:
+            return []
+        probe.relayed = True
+        self.counts["relay_requests"] += 1
+        update = member.update
+        request = messages.Datagram(
+            Kind.PING_REQUEST,
+            sequence,
+            self._own,
+            update.name,
+            update.endpoint,
+        )
+        return [
+            self._send(relay.update.endpoint, request, None)
+            for relay in self._sample(self._options.relays, update.name)
+        ]
+
+    def _fail(self, probe: _Probe) -> None:
+        member = self.table.members.get(probe.target)
+        if member is None or member.update.state is not State.ALIVE:
+            return
+        if probe.witnesses == 0:
+            if not member.doubted:
+                self.counts["doubted"] += 1
+            member.doubted = True
+            return
+        self.counts["suspected"] += 1
+        self.table.declare(probe.target, State.SUSPECT, self._active_ms)
+        self._gossip.enqueue(probe.target, urgent=True)
+
+    def _end_suspicions(self) -> None:
+        for name in self.table.expired(
+            self._options.suspicion_ms, self._active_ms
+        ):
+            self.counts["declared_dead"] += 1
+            self.table.declare(name, State.DEAD, self._active_ms)
+            self._gossip.enqueue(name, urgent=True)
+        self.table.forget_ended(self._active_ms)
+
+    def _acknowledge(self, got: messages.Datagram) -> list[messages.Outgoing]:
+        relay = self._relays.pop(got.sequence, None)
+        if relay is not None and relay.target == got.sender.name:
+            return [
+                self._answer(
+                    Kind.ACK, relay.asked_by, relay.asked_sequence, relay.target
+                )
+            ]
+        name = got.target or got.sender.name
+        probe = self._probes.get(got.sequence)
+        if probe is not None and probe.target == name:
+            del self._probes[got.sequence]
+            self.table.members[name].doubted = False
+        return []
+
+    def _relay(self, got: messages.Datagram) -> list[messages.Outgoing]:
+        sequence = self._next_sequence()
+        until_ms = self._active_ms + self._options.relay_timeout_ms
+        self._relays[sequence] = _Relay(
+            got.sender, got.sequence, got.target, until_ms
+        )
+        ping = messages.Datagram(Kind.PING, sequence, self._own, got.target)
+        return [self._send(got.target_endpoint, ping, got.target)]
+
+    def _end_relays(self) -> list[messages.Outgoing]:
+        ended = [
+            sequence
+            for sequence, relay in self._relays.items()
+            if self._active_ms >= relay.until_ms
+        ]
+        relays = [self._relays.pop(sequence) for sequence in ended]
+        return [
+            self._answer(Kind.NACK, r.asked_by, r.asked_sequence, r.target)
+            for r in relays
+        ]
+
+    def _join(self) -> list[messages.Outgoing]:
+        """Calls one place where a host may be that is not known as alive."""
+        reached = {m.update.endpoint for m in self.table.reachable()}
+        dead = {m.update.endpoint for m in self.table.in_state(State.DEAD)}
+        candidates = sorted((self._hints | dead) - reached)
+        if not candidates:
+            return []
+        ping = messages.Datagram(Kind.PING, self._next_sequence(), self._own)
+        return [self._send(self._rng.choice(candidates), ping, None)]
+
+    def _push(self) -> list[messages.Outgoing]:
+        if not self._gossip.urgent:
+            return []
+        left = self._budget.left_bytes(self._now_ms)
+        if left < self._options.datagram_bytes:
+            self.counts["pushes_deferred"] += 1
+            return []
+        self._gossip.urgent = False
+        return self._push_to(self._sample(self._options.push_hosts, None))
+
+    def _push_to(
+        self, members: list[members_lib.Member]
+    ) -> list[messages.Outgoing]:
+        return [
+            self._send(
+                member.update.endpoint,
+                messages.Datagram(Kind.PUSH, 0, self._own),
+                None,
+            )
+            for member in members
+        ]
+
+    def _ping(
+        self, target: messages.Update, sequence: int
+    ) -> messages.Outgoing:
+        ping = messages.Datagram(Kind.PING, sequence, self._own, target.name)
+        return self._send(target.endpoint, ping, target.name)
+
+    def _answer(
+        self, kind: Kind, to: messages.Update, sequence: int, target: str = ""
+    ) -> messages.Outgoing:
+        answer = messages.Datagram(kind, sequence, self._own, target)
+        return self._send(to.endpoint, answer, to.name)
+
+    def _send(
+        self, endpoint: str, message: messages.Datagram, to: str | None
+    ) -> messages.Outgoing:
+        """Fills a message up; a suspect is told first that it is one."""
+        left = self._budget.left_bytes(self._now_ms)
+        limit = min(self._options.datagram_bytes, max(0, left))
+        accused = self.table.members.get(to) if to is not None else None
+        first = None
+        if accused is not None and accused.update.state is not State.ALIVE:
+            first = to
+            limit = self._options.datagram_bytes
+        rotate = self._budget.has_reserve(self._now_ms)
+        filled = self._gossip.fill(message, first, limit, rotate)
+        size = messages.size_bytes(filled) + messages.PACKET_OVERHEAD_BYTES
+        self._budget.spend(size)
+        self.counts["sent_bytes"] += size
+        self.counts["sent_messages"] += 1
+        return messages.Outgoing(endpoint, filled)
+
+    def _sample(
+        self, count: int, without: str | None
+    ) -> list[members_lib.Member]:
+        found = [
+            member
+            for member in self.table.in_state(State.ALIVE)
+            if not member.doubted and member.update.name != without
+        ]
+        return self._rng.sample(found, min(count, len(found)))
+
+    def _next_sequence(self) -> int:
+        self._sequence += 1
+        return self._sequence
--- a/greengagedale/peers/base.py
+++ b/greengagedale/peers/base.py
@@ -1,58 +1,20 @@
 """The interface between hosts, whatever its wire details are."""
 
 import abc
-from typing import NamedTuple
+from collections.abc import Callable
 
 from greengagedale import records
-from greengagedale.membership import news
+from greengagedale.membership import messages
 
-
-class PeerStatus(NamedTuple):
-    """What a host says of itself.
-
-    Attributes:
-        name: Name of the host.
-        data_centre: Where it runs.
-        incarnation: Identifies one life of its process.
-        caller_endpoint: Where callers connect.
-        revision: Revision of the configuration in force.
-        ready: Whether it knows enough to serve.
-        leaving: Whether it is on its way out.
-        running: Requests in progress.
-    """
-
-    name: str
-    data_centre: str
-    incarnation: str
-    caller_endpoint: str
-    revision: int
-    ready: bool
-    leaving: bool
-    running: int
-
-
-class Heartbeat(NamedTuple):
-    """What one host tells another regularly.
-
-    Attributes:
-        status: Status of the host that sends it.
-        news: The newest facts that it knows.
-    """
-
-    status: PeerStatus
-    news: list[news.News]
+PeerStatus = messages.PeerStatus
 
 
 class PeerService(abc.ABC):
     """What a host answers to other hosts."""
 
     @abc.abstractmethod
-    def status(self) -> PeerStatus:
-        """Returns the status of this host."""
-
-    @abc.abstractmethod
-    def heartbeat(self, told: list[news.News]) -> Heartbeat:
-        """Takes in what another host tells and answers with the same."""
+    def members(self) -> list[messages.Update]:
+        """Returns what is known of all hosts, this one included."""
 
     @abc.abstractmethod
     def explain(self, request_id: str) -> records.Record | None:
@@ -63,10 +25,8 @@
     """Asks other hosts; None stands for no answer."""
 
     @abc.abstractmethod
-    async def heartbeat(
-        self, endpoint: str, told: list[news.News]
-    ) -> Heartbeat | None:
-        """Tells a host the news and returns its status and news."""
+    async def members(self, endpoint: str) -> list[messages.Update] | None:
+        """Asks a host what it knows of all hosts."""
 
     @abc.abstractmethod
     async def explain(
@@ -77,3 +37,24 @@
     @abc.abstractmethod
     async def close(self) -> None:
         """Closes all connections."""
+
+
+Receiver = Callable[[messages.Datagram], list[messages.Outgoing]]
+
+
+class DatagramTransport(abc.ABC):
+    """Carries small messages that may be lost, doubled or reordered.
+
+    Attributes:
+        malformed: How many datagrams could not be read.
+    """
+
+    malformed: int = 0
+
+    @abc.abstractmethod
+    def send(self, outgoing: list[messages.Outgoing]) -> None:
+        """Sends messages, as far as the network takes them."""
+
+    @abc.abstractmethod
+    async def close(self) -> None:
+        """Stops to send and to receive."""
--- a/greengagedale/peers/grpc_client.py
+++ b/greengagedale/peers/grpc_client.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from greengagedale import records
-from greengagedale.membership import news
+from greengagedale.membership import messages
 from greengagedale.peers import base
 from greengagedale.peers import wire
 
@@ -26,11 +26,11 @@
         """Makes a transport; must be called on a running loop."""
         return cls(timeout_ms)
 
-    async def heartbeat(
-        self, endpoint: str, told: list[news.News]
-    ) -> base.Heartbeat | None:
-        """Tells a host the news and returns its status and news."""
-        return await self._ask(endpoint, wire.HEARTBEAT, told, base.Heartbeat)
+    async def members(self, endpoint: str) -> list[messages.Update] | None:
+        """Asks a host what it knows of all hosts."""
+        return await self._ask(
+            endpoint, wire.MEMBERS, None, list[messages.Update]
+        )
 
     async def explain(
         self, endpoint: str, request_id: str
--- a/greengagedale/peers/grpc_server.py
+++ b/greengagedale/peers/grpc_server.py
@@ -7,7 +7,6 @@
 from grpc import aio
 import msgspec
 
-from greengagedale.membership import news
 from greengagedale.peers import base
 from greengagedale.peers import wire
 
@@ -23,7 +22,7 @@
 
 def _handlers(service: base.PeerService) -> grpc.GenericRpcHandler:
     methods = {
-        wire.HEARTBEAT: _unary(service.heartbeat, list[news.News]),
+        wire.MEMBERS: _unary(lambda _: service.members(), type(None)),
         wire.EXPLAIN: _unary(service.explain, str),
     }
     return grpc.method_handlers_generic_handler(wire.SERVICE, methods)
--- a/greengagedale/peers/wire.py
+++ b/greengagedale/peers/wire.py
@@ -5,7 +5,7 @@
 import msgspec
 
 SERVICE = "greengagedale.Peers"
-HEARTBEAT = "Heartbeat"
+MEMBERS = "Members"
 EXPLAIN = "Explain"
 
 encode = msgspec.msgpack.encode
