Drain upstreams on the first signal and shut hosts down without cuts

Upstreams that leave are known from their refusals, their health (asked once a second by one owner, by rendezvous), the platform's object or news of peers; whichever comes first counts, and is counted by source. A drain is over once the upstream has said that it is ready for a while, which doubles each time that turns out wrong.

A host that leaves serves for the spread time (2 s) plus the locate TTL, then closes connections after answers, and waits for requests in progress, gRPC included. A second signal or the hard limit ends it at once.

Ruled out: polling each upstream from each host (grows with hosts times upstreams); believing one ready answer, since health lags.

--- a/greengagedale/config/settings.py
+++ b/greengagedale/config/settings.py
@@ -63,6 +63,13 @@
     """How the host leaves."""
 
     hard_limit_ms: options.DurationMs = 30_000
+    spread_ms: options.DurationMs = 2000
+
+
+class DrainSettings(Section):
+    """How upstreams that leave are found."""
+
+    poll_interval_ms: options.DurationMs = 1000
 
 
 class LogsSettings(Section):
@@ -80,6 +87,7 @@
     callers: CallersSettings = CallersSettings()
     upstreams: UpstreamsSettings = UpstreamsSettings()
     shutdown: ShutdownSettings = ShutdownSettings()
+    drain: DrainSettings = DrainSettings()
     logs: LogsSettings = LogsSettings()
 
     @classmethod
--- a/greengagedale/daemons.py
+++ b/greengagedale/daemons.py
@@ -4,7 +4,7 @@
 import contextlib
 import logging
 import random
-import signal
+import time
 
 from aiohttp import web
 
@@ -12,12 +12,16 @@
 from greengagedale import clocks
 from greengagedale import configuration
 from greengagedale import directory as directory_lib
+from greengagedale import drain_watch
+from greengagedale import fleet_metrics
 from greengagedale import hosts
 from greengagedale import loops
 from greengagedale import metrics as metrics_lib
 from greengagedale import searches
+from greengagedale import shutdowns
 from greengagedale.callers import http_server as callers_http
 from greengagedale.config import settings as settings_lib
+from greengagedale.membership import drains as drains_lib
 from greengagedale.membership import news
 from greengagedale.operators import http_server as operators_http
 from greengagedale.peers import grpc_client
@@ -25,8 +29,10 @@
 from greengagedale.peers import udp
 from greengagedale.platform import base as platform_base
 from greengagedale.platform import http as platform_http
+from greengagedale.routing import leaving
 from greengagedale.routing import policies
 from greengagedale.upstreams import http as upstreams_http
+from greengagedale.upstreams import observed
 
 log = logging.getLogger(__name__)
 
@@ -36,29 +42,23 @@
 
 async def serve(settings: settings_lib.Settings) -> None:
     """Runs an entry host until SIGTERM or SIGINT."""
-    stop = _stop_event()
+    shutdown = shutdowns.Shutdown.from_config(settings)
+    shutdown.listen()
     async with contextlib.AsyncExitStack() as stack:
-        host = await _start(settings, stack)
+        host = await _start(settings, shutdown, stack)
         loops.check_descriptors()
         log.info("serving", extra={"status": host.status()._asdict()})
-        await stop.wait()
+        await shutdown.asked()
         host.leaving = True
         log.info("leaving")
-        # Callers keep a locate answer for its TTL, so all of it is waited out.
-        await asyncio.sleep(settings.callers.locate_ttl_ms / _MS_PER_S)
+        await shutdown.wait_for_callers()
     log.info("stopped")
 
 
-def _stop_event() -> asyncio.Event:
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    return stop
-
-
 async def _start(
-    settings: settings_lib.Settings, stack: contextlib.AsyncExitStack
+    settings: settings_lib.Settings,
+    shutdown: shutdowns.Shutdown,
+    stack: contextlib.AsyncExitStack,
 ) -> hosts.Host:
     clock = clocks.MonotonicClock()
     metrics = metrics_lib.Metrics()
@@ -66,22 +66,36 @@
         settings.platform.endpoint, settings.platform.timeout_ms, metrics
     )
     stack.push_async_callback(store.close)
-    transport = upstreams_http.HttpTransport.from_config(
+    board = news.Board(clock)
+    drains = drains_lib.Drains(
+        board,
+        clock,
+        _wall_ms,
+        lambda source: metrics.drain_signals.labels(source).inc(),
+    )
+    plain_transport = upstreams_http.HttpTransport.from_config(
         settings.host.data_centre, settings.upstreams.connect_timeout_ms
     )
-    stack.push_async_callback(transport.close)
+    stack.push_async_callback(plain_transport.close)
+    transport = observed.ObservedTransport(plain_transport, drains)
     peers = grpc_client.GrpcTransport.from_config(settings.peers.timeout_ms)
     stack.push_async_callback(peers.close)
     holder = configuration.Holder()
     reader = configuration.Reader(
         store, holder, settings.platform.watch_wait_ms
     )
-    board = news.Board(clock)
     rng = random.Random()
     directory = directory_lib.Directory.from_config(
         settings, board, peers, clock, rng
     )
-    policy = policies.PlainPolicy(random.Random())
+    metrics.registry.register(
+        fleet_metrics.MembershipCollector(
+            lambda: directory.counts, directory.hosts_by_state
+        )
+    )
+    policy = leaving.LeavingFilter(
+        policies.PlainPolicy(random.Random()), drains.is_leaving
+    )
     host = hosts.Host(
         settings,
         holder,
@@ -96,7 +110,17 @@
     own = f"{settings.host.address}:{settings.host.peer_port}"
     datagrams = await udp.UdpTransport.from_config(own, directory.receive)
     stack.push_async_callback(datagrams.close)
+    watch = drain_watch.DrainWatch(
+        drains,
+        lambda: holder.services,
+        transport,
+        settings.host.name,
+        lambda: [status.name for status in directory.alive.values()],
+        settings.drain.poll_interval_ms,
+    )
     background = [
+        watch.follow_platform(),
+        watch.poll(),
         directory.run(datagrams, host.status),
         reader.follow_catalog(),
         reader.follow_services(),
@@ -104,19 +128,21 @@
     ]
     for work in background:
         stack.push_async_callback(_stop_task, asyncio.create_task(work))
-    await _listen(settings, host, stack)
+    await _listen(settings, host, shutdown, stack)
     return host
 
 
 async def _listen(
     settings: settings_lib.Settings,
     host: hosts.Host,
+    shutdown: shutdowns.Shutdown,
     stack: contextlib.AsyncExitStack,
 ) -> None:
     peer_server = await grpc_server.start(
         host, f"{settings.host.address}:{settings.host.peer_port}"
     )
-    stack.push_async_callback(peer_server.stop, None)
+    hard_limit_s = settings.shutdown.hard_limit_ms / _MS_PER_S
+    stack.push_async_callback(peer_server.stop, hard_limit_s)
     apps = (
         (operators_http.application(host), settings.host.operator_port),
         (
@@ -125,10 +151,11 @@
         ),
     )
     for app, port in apps:
+        app.on_response_prepare.append(shutdown.close_connection)
         runner = web.AppRunner(
             app,
             access_log=None,
-            shutdown_timeout=settings.shutdown.hard_limit_ms / _MS_PER_S,
+            shutdown_timeout=hard_limit_s,
         )
         await runner.setup()
         stack.push_async_callback(runner.cleanup)
@@ -148,6 +175,10 @@
         await asyncio.sleep(_HOST_LIST_S)
 
 
+def _wall_ms() -> int:
+    return int(time.time() * _MS_PER_S)
+
+
 async def _stop_task(task: asyncio.Task[None]) -> None:
     task.cancel()
     with contextlib.suppress(asyncio.CancelledError):
--- a/greengagedale/directory.py
+++ b/greengagedale/directory.py
@@ -1,6 +1,7 @@
 """The hosts of the fleet as this host knows them: membership, carried out."""
 
 import asyncio
+import collections
 from collections.abc import Callable, Iterable
 import logging
 import random
@@ -82,6 +83,14 @@
         malformed = self._datagrams.malformed if self._datagrams else 0
         return {**self._swim.counts, "malformed": malformed}
 
+    def hosts_by_state(self) -> dict[str, int]:
+        """Counts the other hosts by state."""
+        members = self._swim.table.members.values()
+        return collections.Counter(
+            "doubted" if m.doubted else m.update.state.name.lower()
+            for m in members
+        )
+
     def hint(self, endpoints: Iterable[str]) -> None:
         """Takes in where other hosts may be, in place of earlier hints."""
         self._swim.hint(endpoints)
--- /dev/null
+++ b/greengagedale/drain_watch.py
@@ -0,0 +1,81 @@
+"""Looks for upstreams that leave: asks them, and reads the platform's word.
+
+Each upstream is asked by one host only, its owner; others hear by news.
+"""
+
+import asyncio
+from collections.abc import Callable, Iterable, Mapping
+import itertools
+import logging
+
+import xxhash
+
+from greengagedale.catalog import services as services_lib
+from greengagedale.membership import drains as drains_lib
+from greengagedale.upstreams import base as upstreams_base
+
+log = logging.getLogger(__name__)
+
+_PLATFORM_INTERVAL_S = 0.2
+_MS_PER_S = 1000.0
+
+
+class DrainWatch:
+    """Feeds the drains of one host."""
+
+    def __init__(
+        self,
+        drains: drains_lib.Drains,
+        services: Callable[[], Mapping[str, services_lib.Service]],
+        transport: upstreams_base.UpstreamTransport,
+        own_name: str,
+        others: Callable[[], Iterable[str]],
+        poll_interval_ms: int,
+    ) -> None:
+        self._drains = drains
+        self._services = services
+        self._transport = transport
+        self._own_name = own_name
+        self._others = others
+        self._poll_interval_s = poll_interval_ms / _MS_PER_S
+
+    async def follow_platform(self) -> None:
+        """Reads which upstreams the platform says leave, until cancelled."""
+        while True:
+            self._drains.on_platform(
+                item.name for item in self._upstreams() if item.leaving
+            )
+            await asyncio.sleep(_PLATFORM_INTERVAL_S)
+
+    async def poll(self) -> None:
+        """Asks the upstreams that this host owns, until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            while True:
+                hosts = [self._own_name, *self._others()]
+                owned = [
+                    item
+                    for item in self._upstreams()
+                    if owner_of(item.name, hosts) == self._own_name
+                ]
+                # Spread over the interval, so that none is late in a burst.
+                pause_s = self._poll_interval_s / max(1, len(owned))
+                for item in owned:
+                    group.create_task(self._ask(item))
+                    await asyncio.sleep(pause_s)
+                if not owned:
+                    await asyncio.sleep(self._poll_interval_s)
+
+    async def _ask(self, upstream: upstreams_base.Upstream) -> None:
+        health = await self._transport.health(upstream)
+        if health is not None:
+            self._drains.on_health(upstream.name, health.state)
+
+    def _upstreams(self) -> Iterable[upstreams_base.Upstream]:
+        return itertools.chain.from_iterable(
+            service.upstreams.values() for service in self._services().values()
+        )
+
+
+def owner_of(upstream: str, hosts: Iterable[str]) -> str:
+    """Returns the host that asks an upstream, by rendezvous hashing."""
+    return max(hosts, key=lambda host: xxhash.xxh64_intdigest(host + upstream))
--- /dev/null
+++ b/greengagedale/membership/drains.py
@@ -0,0 +1,160 @@
+"""Which upstreams are leaving: the first signal of any source counts."""
+
+from collections.abc import Callable, Iterable
+import dataclasses
+import enum
+
+from greengagedale import clocks
+from greengagedale.membership import news
+
+KIND = "leaving"
+_LEAVING = "leaving"
+_BACK = "back"
+_NEWS_LIFE_MS = 20_000.0
+# Without a new signal a drain is taken to be over, one way or the other.
+_FORGET_MS = 60_000.0
+_CONFIRM_MS = 10_000.0
+_FIRST_PROOF_MS = 3000.0
+_MOST_PROOF_MS = 60_000.0
+_LEAST_READY_ANSWERS = 3
+
+
+class Source(enum.StrEnum):
+    """Where a signal came from."""
+
+    REFUSAL = "refusal"
+    HEALTH = "health"
+    PLATFORM = "platform"
+    PEER = "peer"
+
+
+class HealthState(enum.StrEnum):
+    """What an upstream says of itself, as far as drains go."""
+
+    READY = "ready"
+    DRAINING = "draining"
+
+
+@dataclasses.dataclass(slots=True)
+class _Drain:
+    leaving: bool = False
+    sequence: int = 0
+    signalled_ms: float = 0.0
+    published_ms: float = 0.0
+    ready_since_ms: float | None = None
+    ready_answers: int = 0
+    proof_ms: float = _FIRST_PROOF_MS
+
+
+class Drains:
+    """The drains that this host knows of.
+
+    An upstream that answers that it is ready again is believed once it has
+    said nothing else for a while, since its health may lag. That while
+    doubles each time it turns out to be wrong.
+    """
+
+    def __init__(
+        self,
+        board: news.Board,
+        clock: clocks.Clock,
+        wall_ms: Callable[[], int],
+        count: Callable[[Source], None],
+    ) -> None:
+        self._board = board
+        self._clock = clock
+        self._wall_ms = wall_ms
+        self._count = count
+        self._drains: dict[str, _Drain] = {}
+        self._by_platform: frozenset[str] = frozenset()
+        board.listen(KIND, self._on_news)
+
+    def is_leaving(self, upstream: str) -> bool:
+        """Tells whether an upstream must get no new work."""
+        if upstream in self._by_platform:
+            return True
+        drain = self._drains.get(upstream)
+        if drain is None or not drain.leaving:
+            return False
+        return self._clock.now_ms() - drain.signalled_ms < _FORGET_MS
+
+    def leaving(self) -> list[str]:
+        """Returns all upstreams that must get no new work."""
+        names = sorted(self._drains.keys() | self._by_platform)
+        return [name for name in names if self.is_leaving(name)]
+
+    def on_refusal(self, upstream: str) -> None:
+        """Takes in that an upstream refused work because it is leaving."""
+        self._signal(upstream, Source.REFUSAL)
+
+    def on_health(self, upstream: str, state: str) -> None:
+        """Takes in what an upstream says of itself."""
+        if state == HealthState.DRAINING:
+            self._signal(upstream, Source.HEALTH)
+        elif state == HealthState.READY:
+            self._on_ready(upstream)
+
+    def on_platform(self, leaving: Iterable[str]) -> None:
+        """Takes in all upstreams that the platform says are leaving."""
+        now_leaving = frozenset(leaving)
+        for _ in now_leaving - self._by_platform:
+            self._count(Source.PLATFORM)
+        self._by_platform = now_leaving
+
+    def _signal(self, upstream: str, source: Source) -> None:
+        drain = self._drains.setdefault(upstream, _Drain())
+        now_ms = self._clock.now_ms()
+        was_leaving = self.is_leaving(upstream) and drain.leaving
+        drain.leaving = True
+        drain.signalled_ms = now_ms
+        drain.ready_since_ms = None
+        drain.ready_answers = 0
+        if not was_leaving:
+            self._count(source)
+            self._publish(upstream, drain, _LEAVING)
+        elif now_ms - drain.published_ms >= _CONFIRM_MS:
+            self._publish(upstream, drain, _LEAVING)
+
+    def _on_ready(self, upstream: str) -> None:
+        drain = self._drains.get(upstream)
+        if drain is None or not drain.leaving:
+            return
+        now_ms = self._clock.now_ms()
+        if drain.ready_since_ms is None:
+            drain.ready_since_ms = now_ms
+        drain.ready_answers += 1
+        if (
+            now_ms - drain.ready_since_ms >= drain.proof_ms
+            and drain.ready_answers >= _LEAST_READY_ANSWERS
+        ):
+            self._end(drain)
+            self._publish(upstream, drain, _BACK)
+
+    def _end(self, drain: _Drain) -> None:
+        drain.leaving = False
+        drain.ready_since_ms = None
+        drain.ready_answers = 0
+        drain.proof_ms = min(2 * drain.proof_ms, _MOST_PROOF_MS)
+
+    def _publish(self, upstream: str, drain: _Drain, body: str) -> None:
+        drain.sequence = max(drain.sequence + 1, self._wall_ms())
+        drain.published_ms = self._clock.now_ms()
+        self._board.take_in(
+            news.News(KIND, upstream, drain.sequence, body, _NEWS_LIFE_MS)
+        )
+
+    def _on_news(self, item: news.News) -> None:
+        drain = self._drains.setdefault(item.name, _Drain())
+        if item.sequence <= drain.sequence:
+            return
+        drain.sequence = item.sequence
+        if item.body == _LEAVING:
+            if not self.is_leaving(item.name):
+                self._count(Source.PEER)
+            drain.leaving = True
+            drain.signalled_ms = self._clock.now_ms()
+            drain.published_ms = drain.signalled_ms
+            drain.ready_since_ms = None
+            drain.ready_answers = 0
+        elif drain.leaving:
+            self._end(drain)
--- a/greengagedale/metrics.py
+++ b/greengagedale/metrics.py
@@ -63,6 +63,7 @@
         retries: Attempts beyond the first by reason.
         attempts: Attempts sent to upstreams by service.
         drops: Answers of upstreams that were not used, by reason.
+        drain_signals: First signals that an upstream leaves, by source.
         platform_calls: Calls to the platform by operation and result.
         request_latency: Latency of requests by workspace.
         attempt_latency: Latency of attempts by service.
@@ -85,6 +86,9 @@
         self.drops = self._counter(
             "dropped_answers", "Answers not used.", "reason"
         )
+        self.drain_signals = self._counter(
+            "drain_signals", "Upstreams found leaving.", "source"
+        )
         self.platform_calls = self._counter(
             "platform_calls", "Calls to the platform.", "operation", "result"
         )
--- /dev/null
+++ b/greengagedale/routing/leaving.py
@@ -0,0 +1,22 @@
+"""Keeps new work from upstreams that are leaving."""
+
+from collections.abc import Callable, Sequence
+
+from greengagedale.routing import policies
+
+
+class LeavingFilter(policies.RoutingPolicy):
+    """Chooses as another policy does, among those that stay."""
+
+    def __init__(
+        self,
+        inner: policies.RoutingPolicy,
+        is_leaving: Callable[[str], bool],
+    ) -> None:
+        self._inner = inner
+        self._is_leaving = is_leaving
+
+    def choose(self, replicas: Sequence[str]) -> str | None:
+        """Returns the upstream to use, or None if all are leaving."""
+        staying = [name for name in replicas if not self._is_leaving(name)]
+        return self._inner.choose(staying)
--- /dev/null
+++ b/greengagedale/shutdowns.py
@@ -0,0 +1,90 @@
+"""How an entry host leaves: the signals, the wait and the closing."""
+
+import asyncio
+import logging
+import os
+import signal
+from typing import Self
+
+from aiohttp import web
+
+from greengagedale.config import settings as settings_lib
+
+log = logging.getLogger(__name__)
+
+HURRIED_STATUS = 1
+_CLOSING_S = 0.5
+_MS_PER_S = 1000.0
+
+
+class Shutdown:
+    """The graceful shutdown of one process.
+
+    A host that leaves says so to the others, and serves on until the last
+    locate answer that named it has expired. Then its answers close their
+    connections, and it ends once the requests in progress are answered.
+
+    Attributes:
+        closing: Whether answers close their connections.
+    """
+
+    def __init__(self, leave_s: float, hard_limit_s: float) -> None:
+        self._leave_s = leave_s
+        self._hard_limit_s = hard_limit_s
+        self._asked = asyncio.Event()
+        self.closing = False
+
+    @classmethod
+    def from_config(cls, settings: settings_lib.Settings) -> Self:
+        """Makes the shutdown of a host."""
+        return cls(
+            (settings.shutdown.spread_ms + settings.callers.locate_ttl_ms)
+            / _MS_PER_S,
+            settings.shutdown.hard_limit_ms / _MS_PER_S,
+        )
+
+    def listen(self) -> None:
+        """Takes SIGTERM and SIGINT; the second one ends the process at once."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._on_signal)
+
+    async def asked(self) -> None:
+        """Waits for the first signal."""
+        await self._asked.wait()
+
+    async def wait_for_callers(self) -> None:
+        """Waits until no caller may start a request here any more.
+
+        Others stop to name this host in locate answers within the spread
+        time, whether its word reaches them or its silence does; callers keep
+        such an answer for its TTL.
+        """
+        loop = asyncio.get_running_loop()
+        loop.call_later(
+            self._leave_s + _CLOSING_S + self._hard_limit_s,
+            _end_at_once,
+            "hard limit reached",
+        )
+        await asyncio.sleep(self._leave_s)
+        self.closing = True
+        await asyncio.sleep(_CLOSING_S)
+
+    async def close_connection(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        """Closes the connection after an answer, once callers are gone."""
+        del request
+        if self.closing:
+            response.headers["Connection"] = "close"
+            response.force_close()
+
+    def _on_signal(self) -> None:
+        if self._asked.is_set():
+            _end_at_once("second signal")
+        self._asked.set()
+
+
+def _end_at_once(reason: str) -> None:
+    log.warning("ending at once; requests in progress are cut: %s", reason)
+    os._exit(HURRIED_STATUS)
