--- a/greengagedale/config/settings.py
+++ b/greengagedale/config/settings.py
@@ -40,6 +40,7 @@
 
     seeds: list[options.Endpoint] = []
     timeout_ms: options.DurationMs = 300
+    max_bytes_per_s: options.Count = 1800
 
 
 class CallersSettings(Section):
@@ -62,6 +63,13 @@
     """How the host leaves."""
 
     hard_limit_ms: options.DurationMs = 30_000
+    spread_ms: options.DurationMs = 2000
+
+
+class DrainSettings(Section):
+    """How upstreams that leave are found."""
+
+    poll_interval_ms: options.DurationMs = 1000
 
 
 class LogsSettings(Section):
@@ -79,6 +87,7 @@
     callers: CallersSettings = CallersSettings()
     upstreams: UpstreamsSettings = UpstreamsSettings()
     shutdown: ShutdownSettings = ShutdownSettings()
+    drain: DrainSettings = DrainSettings()
     logs: LogsSettings = LogsSettings()
 
     @classmethod
