--- a/greengagedale/peers/wire.py
+++ b/greengagedale/peers/wire.py
@@ -7,6 +7,7 @@
 SERVICE = "greengagedale.Peers"
 MEMBERS = "Members"
 EXPLAIN = "Explain"
+ACT = "Act"
 
 encode = msgspec.msgpack.encode
 
