--- a/greengagedale/forwarding.py
+++ b/greengagedale/forwarding.py
@@ -2,8 +2,8 @@
 
 from greengagedale import actions
 from greengagedale import clocks
+from greengagedale import directory as directory_lib
 from greengagedale import dispatches
-from greengagedale import hosts
 from greengagedale import outcomes
 from greengagedale import records
 from greengagedale.idempotency import tickets
@@ -16,7 +16,7 @@
 
     def __init__(
         self,
-        directory: hosts.Directory,
+        directory: directory_lib.Directory,
         peers: peers_base.PeerTransport,
         clock: clocks.Clock,
     ) -> None:
--- a/greengagedale/hosts.py
+++ b/greengagedale/hosts.py
@@ -1,6 +1,5 @@
 """One entry host: everything that it knows and does, behind its adapters."""
 
-import asyncio
 import itertools
 import logging
 from typing import Any
@@ -8,6 +7,7 @@
 from greengagedale import actions
 from greengagedale import clocks
 from greengagedale import configuration
+from greengagedale import directory as directory_lib
 from greengagedale import dispatches
 from greengagedale import metrics as metrics_lib
 from greengagedale import outcomes
@@ -17,6 +17,7 @@
 from greengagedale.catalog import catalogs
 from greengagedale.catalog import documents
 from greengagedale.config import settings as settings_lib
+from greengagedale.membership import messages
 from greengagedale.operators import base as operators_base
 from greengagedale.peers import base as peers_base
 from greengagedale.peers import results
@@ -27,36 +28,6 @@
 _NOT_READY_RETRY_MS = 1000
 
 
-class Directory:
-    """The other hosts, as far as this host knows."""
-
-    def __init__(self, peers: peers_base.PeerTransport) -> None:
-        self._peers = peers
-        self._endpoints: dict[str, None] = {}
-        self.alive: dict[str, peers_base.PeerStatus] = {}
-
-    def learn(self, endpoints: list[str]) -> None:
-        """Takes in where other hosts may be."""
-        self._endpoints.update(dict.fromkeys(endpoints))
-
-    async def refresh(self) -> None:
-        """Asks every known host for its status."""
-        endpoints = list(self._endpoints)
-        answers = await asyncio.gather(
-            *(self._peers.status(endpoint) for endpoint in endpoints)
-        )
-        self.alive = {
-            endpoint: answer
-            for endpoint, answer in zip(endpoints, answers, strict=True)
-            if answer is not None
-        }
-
-    def endpoint_of(self, name: str) -> str | None:
-        """Returns where other hosts reach the named one."""
-        found = (e for e, s in self.alive.items() if s.name == name)
-        return next(found, None)
-
-
 class Host(
     callers_base.CallerService,
     operators_base.OperatorService,
@@ -71,7 +42,7 @@
         writer: configuration.Writer,
         search_runner: searches.SearchRunner,
         action_runner: actions.ActionRunner,
-        directory: Directory,
+        directory: directory_lib.Directory,
         peers: peers_base.PeerTransport,
         clock: clocks.Clock,
         metrics: metrics_lib.Metrics,
@@ -105,18 +76,17 @@
             running=self._running,
         )
 
+    def members(self) -> list[messages.Update]:
+        """Returns what is known of all hosts, this one included."""
+        return self._directory.members()
+
     def ready(self) -> bool:
         """Tells whether this host knows enough to serve."""
         return self._holder.loaded
 
     def locate(self, data_centre: str | None) -> callers_base.Located:
         """Returns the hosts to use, best first for a data centre."""
-        known = [self.status(), *self._directory.alive.values()]
-        usable = [item for item in known if item.ready and not item.leaving]
-        ranked = sorted(
-            usable,
-            key=lambda s: (s.data_centre != data_centre, s.running, s.name),
-        )
+        ranked = self._directory.ranked(self.status(), data_centre)
         return callers_base.Located(
             hosts=[
                 callers_base.LocatedHost(
@@ -258,8 +228,7 @@
         return self._holder.current
 
     async def fleet(self) -> list[peers_base.PeerStatus]:
-        """Returns the status of every host that answers."""
-        await self._directory.refresh()
+        """Returns the status of every host that answers probes."""
         return [self.status(), *self._directory.alive.values()]
 
     def _new_request_id(self) -> str:
