Bench case for requests not safe to repeat, under seven faults

Policies side by side in one run: ticketed keys, claimed keys, three copies of a ticketed key at different hosts, and a caller that tries again under a new key. Runs are counted from what upstreams record; their stand-in now records the body of an action.

--- /dev/null
+++ b/bench/unsafe.py
@@ -0,0 +1,383 @@
+"""Actions with resends while hosts, upstreams and the platform fail."""
+
+import asyncio
+import collections
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
+import contextlib
+import itertools
+import random
+import signal
+from typing import NamedTuple
+
+from bench import cases
+from greengagedale import client as client_lib
+from greengagedale import exceptions
+from greengagedale import loops
+from greengagedale import outcomes
+from greengagedale.callers import http_client
+from greengagedale.callers import wire
+from greengagedale.idempotency import tickets
+from greengagedale.query import ranges
+from greengagedale.retry import resends
+from standins import deployments
+
+_SERVICES = {"kodklubben": "enrolment", "tuners": "booking"}
+_WORKSPACE = "bench"
+_PATH = f"/v1/workspaces/{_WORKSPACE}/act"
+_RATE_PER_S = 100.0
+_TIMEOUT_MS = 1500
+_STORM_COPIES = 3
+_STORM_SPREAD_S = 0.2
+_MOST_NEW_KEYS = 3
+_FAULT_S = (0.5, 1.2)
+_PAUSE_S = (0.1, 0.4)
+
+
+class Asked(NamedTuple):
+    """One request, as its caller saw it.
+
+    Attributes:
+        name: Unique; upstreams record it with each run.
+        policy: How its caller resends.
+        told: Every outcome that the caller was told.
+    """
+
+    name: str
+    policy: str
+    told: list[outcomes.Outcome]
+
+    @property
+    def outcome(self) -> outcomes.Outcome:
+        """What the caller believes: a copy that ran outweighs the others."""
+        order = (outcomes.Ran, outcomes.Unknown, outcomes.NotRun)
+        return min(self.told, key=lambda item: order.index(type(item)))
+
+
+class Unsafe(cases.Case):
+    """No request runs twice, and none that was said not to run did."""
+
+    name = "unsafe"
+    duration_s = 10.0
+
+    def run(self, context: cases.Context) -> Iterable[cases.Row]:
+        """Mixes all policies in one run, under one sequence of faults."""
+        service = _SERVICES[context.shape.name]
+        deployment = deployments.Deployment(
+            context.folder, context.shape_path, context.base_port, proxied=True
+        )
+        try:
+            deployment.start(service=service)
+            deployment.apply_workspace(_WORKSPACE, "member-a", service)
+            asked = loops.run(_offer(deployment, service, context))
+            runs = _runs_by_name(deployment, service)
+        finally:
+            deployment.stop()
+        for policy in _POLICIES:
+            mine = [item for item in asked if item.policy == policy]
+            yield _row(self.name, context, policy, mine, runs)
+
+
+def _row(
+    name: str,
+    context: cases.Context,
+    policy: str,
+    asked: list[Asked],
+    runs: collections.Counter[str],
+) -> cases.Row:
+    counts = collections.Counter(item.outcome.tag for item in asked)
+    twice = sum(runs[item.name] > 1 for item in asked)
+    false_not_run = sum(
+        runs[item.name] > 0
+        for item in asked
+        if isinstance(item.outcome, outcomes.NotRun)
+    )
+    lost = sum(
+        runs[item.name] == 0
+        for item in asked
+        if isinstance(item.outcome, outcomes.Ran)
+    )
+    figures = {
+        "requests": len(asked),
+        "ran": counts["ran"],
+        "not_run": counts["not_run"],
+        "unknown": counts["unknown"],
+        "unknown_share": counts["unknown"] / max(1, len(asked)),
+        "ran_twice": twice,
+        "not_run_that_ran": false_not_run,
+        "ran_without_run": lost,
+    }
+    reasons = collections.Counter(
+        f"unknown_{item.outcome.reason}"
+        for item in asked
+        if isinstance(item.outcome, outcomes.Unknown)
+    )
+    baseline = policy == "new_key"
+    return cases.Row(
+        name,
+        context.shape.name,
+        policy,
+        context.seed,
+        figures | reasons,
+        "" if baseline else "0 run twice, 0 not run that ran",
+        None if baseline else twice == false_not_run == lost == 0,
+    )
+
+
+def _runs_by_name(
+    deployment: deployments.Deployment, service: str
+) -> collections.Counter[str]:
+    names = [
+        name for name in deployment.processes if name.startswith(service + "-")
+    ]
+    return collections.Counter(
+        event["asked"]["name"]
+        for name in names
+        for event in deployment.record_of(name)
+        if event["event"] == "act"
+    )
+
+
+async def _offer(
+    deployment: deployments.Deployment, service: str, context: cases.Context
+) -> list[Asked]:
+    rng = random.Random(context.seed)
+    faults = asyncio.create_task(_inject(deployment, service, context))
+    tasks = []
+    async with _client(deployment) as client:
+        for number in itertools.count():
+            if faults.done():
+                break
+            policy = rng.choice(list(_POLICIES))
+            target = rng.randrange(ranges.KEY_SPACE.high)
+            asked = Asked(f"{policy}-{number}", policy, [])
+            work = _POLICIES[policy](client, deployment, asked, target)
+            tasks.append(asyncio.create_task(work))
+            await asyncio.sleep(rng.expovariate(_RATE_PER_S))
+        await faults
+        return list(await asyncio.gather(*tasks))
+
+
+@contextlib.asynccontextmanager
+async def _client(
+    deployment: deployments.Deployment,
+) -> AsyncIterator[client_lib.Client]:
+    client = client_lib.Client.from_config(_endpoints(deployment))
+    try:
+        yield client
+    finally:
+        await client.close()
+
+
+def _endpoints(deployment: deployments.Deployment) -> list[str]:
+    hosts = deployment.shape.entry_hosts()
+    return [deployment.caller(host) for host in hosts]
+
+
+async def _by_ticket(
+    client: client_lib.Client,
+    deployment: deployments.Deployment,
+    asked: Asked,
+    target: int,
+) -> Asked:
+    """The library's default: a key from a ticket."""
+    del deployment
+    asked.told.append(await _act(client, asked, target))
+    return asked
+
+
+async def _by_claim(
+    client: client_lib.Client,
+    deployment: deployments.Deployment,
+    asked: Asked,
+    target: int,
+) -> Asked:
+    """A key of the caller's own, claimed in the platform."""
+    del deployment
+    asked.told.append(await _act(client, asked, target, asked.name))
+    return asked
+
+
+async def _by_new_key(
+    client: client_lib.Client,
+    deployment: deployments.Deployment,
+    asked: Asked,
+    target: int,
+) -> Asked:
+    """The baseline: a caller that tries again under a new key."""
+    del deployment
+    for _ in range(_MOST_NEW_KEYS):
+        asked.told.append(await _act(client, asked, target))
+        if not isinstance(asked.told[-1], outcomes.Unknown):
+            break
+    return asked
+
+
+async def _by_storm(
+    client: client_lib.Client,
+    deployment: deployments.Deployment,
+    asked: Asked,
+    target: int,
+) -> Asked:
+    """Copies of one ticketed key at several hosts, in any order."""
+    rng = random.Random(asked.name)
+    try:
+        ticket = (await client.locate())["ticket"]
+    except exceptions.RemoteError:
+        ticket = ""
+    if not ticket:
+        asked.told.append(_no_host())
+        return asked
+    body = wire.ActionBody(
+        key=tickets.new_key(ticket),
+        target=target,
+        body={"name": asked.name},
+        timeout_ms=_TIMEOUT_MS,
+    )
+    hosts = rng.sample(_endpoints(deployment), _STORM_COPIES)
+    calls = http_client.HostCalls.from_config()
+    try:
+        asked.told.extend(
+            await asyncio.gather(
+                *(_send_copy(calls, host, body, rng) for host in hosts)
+            )
+        )
+    finally:
+        await calls.close()
+    return asked
+
+
+async def _send_copy(
+    calls: http_client.HostCalls,
+    endpoint: str,
+    body: wire.ActionBody,
+    rng: random.Random,
+) -> outcomes.Outcome:
+    await asyncio.sleep(rng.uniform(0, _STORM_SPREAD_S))
+    result = await calls.send(endpoint, _PATH, body, _TIMEOUT_MS)
+    if isinstance(result, resends.Answered):
+        return result.outcome
+    return outcomes.Unknown(outcomes.Reason.REPLY_LOST)
+
+
+async def _act(
+    client: client_lib.Client, asked: Asked, target: int, key: str | None = None
+) -> outcomes.Outcome:
+    try:
+        return await client.act(
+            _WORKSPACE,
+            target,
+            {"name": asked.name},
+            key,
+            _TIMEOUT_MS,
+            first_send=key is not None,
+        )
+    except exceptions.RemoteError:
+        return _no_host()
+
+
+def _no_host() -> outcomes.NotRun:
+    return outcomes.NotRun(outcomes.Reason.CONNECT_FAILED, 0)
+
+
+_Policy = Callable[
+    [client_lib.Client, deployments.Deployment, Asked, int], Awaitable[Asked]
+]
+_POLICIES: dict[str, _Policy] = {
+    "ticket": _by_ticket,
+    "claim": _by_claim,
+    "storm": _by_storm,
+    "new_key": _by_new_key,
+}
+
+
+async def _inject(
+    deployment: deployments.Deployment, service: str, context: cases.Context
+) -> None:
+    rng = random.Random(f"faults/{context.seed}")
+    until_s = asyncio.get_running_loop().time() + context.duration_s
+    rounds = iter(())
+    while asyncio.get_running_loop().time() < until_s:
+        fault = next(rounds, None)
+        if fault is None:
+            rounds = iter(rng.sample(_FAULTS, len(_FAULTS)))
+            continue
+        mend = await asyncio.to_thread(fault, deployment, service, rng)
+        await asyncio.sleep(rng.uniform(*_FAULT_S))
+        await asyncio.to_thread(mend)
+        await asyncio.sleep(rng.uniform(*_PAUSE_S))
+
+
+def _kill_host(
+    deployment: deployments.Deployment, service: str, rng: random.Random
+) -> Callable[[], None]:
+    del service
+    host = rng.choice(deployment.shape.entry_hosts())
+    deployment.kill(host.name)
+    return lambda: deployment.start_host(host)
+
+
+def _freeze_host(
+    deployment: deployments.Deployment, service: str, rng: random.Random
+) -> Callable[[], None]:
+    del service
+    host = rng.choice(deployment.shape.entry_hosts())
+    deployment.signal(host.name, signal.SIGSTOP)
+    return lambda: deployment.signal(host.name, signal.SIGCONT)
+
+
+def _kill_upstreams(
+    deployment: deployments.Deployment, service: str, rng: random.Random
+) -> Callable[[], None]:
+    group = rng.choice(["1", "2", "3"])
+    name = f"{service}-replica-{group}"
+    members = [
+        placed.upstream.name
+        for placed in deployment.shape.upstreams()
+        if placed.shape.name == service
+        and placed.upstream.name.endswith(f"-{group}")
+    ]
+    deployment.kill(name)
+    return lambda: deployment.start_upstream(name, ",".join(members))
+
+
+def _lose_replies(
+    deployment: deployments.Deployment, service: str, rng: random.Random
+) -> Callable[[], None]:
+    del service, rng
+    deployment.control_proxy(drop_to_caller=True)
+    return deployment.control_proxy
+
+
+def _reset_connections(
+    deployment: deployments.Deployment, service: str, rng: random.Random
+) -> Callable[[], None]:
+    del service, rng
+    deployment.control_proxy(reset=True, refuse=True)
+    return deployment.control_proxy
+
+
+def _stop_platform(
+    deployment: deployments.Deployment, service: str, rng: random.Random
+) -> Callable[[], None]:
+    del service, rng
+    deployment.control_platform(down=True)
+    return deployment.control_platform
+
+
+def _lose_claims(
+    deployment: deployments.Deployment, service: str, rng: random.Random
+) -> Callable[[], None]:
+    del service, rng
+    deployment.control_platform(lose_replies=20)
+    return deployment.control_platform
+
+
+_FAULTS = (
+    _kill_host,
+    _freeze_host,
+    _kill_upstreams,
+    _lose_replies,
+    _reset_connections,
+    _stop_platform,
+    _lose_claims,
+)
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -120,7 +120,7 @@
         if refused:
             return self._refuse(refused)
         try:
-            self._note("act", body, key=body["key"])
+            self._note("act", body, key=body["key"], asked=body["body"])
             self._crash_if_poisoned(str(body["body"]))
             await self._work()
             done = {"done_by": self._name, "key": body["key"]}
