--- /dev/null
+++ b/greengagedale/assembly.py
@@ -0,0 +1,109 @@
+"""Builds configurations from a catalog and the documents that it binds."""
+
+import abc
+import asyncio
+import dataclasses
+
+from greengagedale import configuration
+from greengagedale import exceptions
+from greengagedale.catalog import catalogs
+from greengagedale.peers import base as peers_base
+from greengagedale.platform import base as platform_base
+
+_PARALLEL_READS = 32
+_NAMES_PER_CALL = 200
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unreadable:
+    """The objects are no configuration; reading them again won't help."""
+
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Incomplete:
+    """Some documents can't be had now."""
+
+
+class DocumentSource(abc.ABC):
+    """Where documents are read from."""
+
+    @abc.abstractmethod
+    async def fetch(self, names: list[str]) -> dict[str, bytes]:
+        """Returns those of the named documents that can be had."""
+
+
+class PlatformSource(DocumentSource):
+    """Documents from the platform."""
+
+    def __init__(self, store: platform_base.ObjectStore) -> None:
+        self._store = store
+        self._slots = asyncio.Semaphore(_PARALLEL_READS)
+
+    async def fetch(self, names: list[str]) -> dict[str, bytes]:
+        """Returns those of the named documents that can be had."""
+        found = await asyncio.gather(*(self._get(name) for name in names))
+        return {
+            item.stored.name: item.stored.value
+            for item in found
+            if isinstance(item, platform_base.Found)
+        }
+
+    async def _get(self, name: str) -> object:
+        async with self._slots:
+            return await self._store.get(catalogs.KIND_DOCUMENT, name)
+
+
+class PeerSource(DocumentSource):
+    """Documents from another host."""
+
+    def __init__(self, peers: peers_base.PeerTransport, endpoint: str) -> None:
+        self._peers = peers
+        self._endpoint = endpoint
+
+    async def fetch(self, names: list[str]) -> dict[str, bytes]:
+        """Returns those of the named documents that can be had."""
+        wanted = list(names)
+        got: dict[str, bytes] = {}
+        while wanted:
+            found = await self._peers.documents(
+                self._endpoint, wanted[:_NAMES_PER_CALL]
+            )
+            if not found:
+                return got
+            got.update(found)
+            wanted = [name for name in wanted if name not in got]
+        return got
+
+
+class Assembler:
+    """Builds configurations, starting from what is in force."""
+
+    def __init__(self, holder: configuration.Holder) -> None:
+        self._holder = holder
+
+    async def assemble(
+        self, value: bytes, source: DocumentSource
+    ) -> catalogs.Configuration | Unreadable | Incomplete:
+        """Decodes a catalog and fetches the documents that are not held."""
+        try:
+            catalog = catalogs.decode_catalog(value)
+        except exceptions.InvalidInputError as error:
+            return Unreadable(str(error))
+        held = self._holder.current
+        if value == held.encoded.catalog:
+            return held
+        wanted = catalogs.names_in(catalog)
+        known = held.encoded.documents
+        missing = sorted(wanted - known.keys())
+        fetched = await source.fetch(missing) if missing else {}
+        if len(fetched) < len(missing):
+            return Incomplete()
+        bound = {
+            name: known.get(name) or fetched[name] for name in sorted(wanted)
+        }
+        try:
+            return catalogs.decode(catalogs.Encoded(value, bound), held)
+        except exceptions.InvalidInputError as error:
+            return Unreadable(str(error))
--- a/greengagedale/catalog/catalogs.py
+++ b/greengagedale/catalog/catalogs.py
@@ -2,6 +2,10 @@
 
 A change of configuration is accepted exactly when the conditional update of
 the catalog succeeds, so templates and workspaces cannot drift apart.
+
+A document's name starts with the revision that it was written for. Only the
+update that makes this very revision can bind it first, and a name that is no
+longer bound is never bound again.
 """
 
 import hashlib
@@ -16,15 +20,22 @@
 KIND_DOCUMENT = "documents"
 CATALOG_NAME = "main"
 RECENT_CHANGES = 200
+KEPT_REVISIONS = 20
 
 _DIGEST_BYTES = 16
 
 
 class AppliedChange(TypedDict):
-    """A change that was accepted."""
+    """A change that was accepted.
+
+    `keys` names what it touched, such as `templates/site`; `released` names
+    the documents that it unbound.
+    """
 
     change_id: str
     revision: int
+    keys: list[str]
+    released: list[str]
 
 
 class CatalogObject(TypedDict):
@@ -39,20 +50,16 @@
     changes: list[AppliedChange]
 
 
-class Change(NamedTuple):
-    """One change that an operator asks for.
+class Encoded(NamedTuple):
+    """A configuration as the platform keeps it.
 
     Attributes:
-        change_id: Chosen by the operator's side; unique over all changes.
-        template: Template to put, if any.
-        workspace: Workspace to put, if any.
-        delete_workspace: Name of a workspace to delete, if any.
+        catalog: The catalog.
+        documents: The documents that it binds, by object name.
     """
 
-    change_id: str
-    template: documents.Template | None = None
-    workspace: documents.Workspace | None = None
-    delete_workspace: str | None = None
+    catalog: bytes
+    documents: dict[str, bytes]
 
 
 class Configuration(NamedTuple):
@@ -63,59 +70,43 @@
         templates: Templates by name.
         workspaces: Workspaces by name.
         plans: Resolved workspaces by name.
-        changes: Recent changes, oldest first.
+        catalog: The catalog that binds them.
+        encoded: The same as the platform keeps it.
     """
 
     revision: int
     templates: dict[str, documents.Template]
     workspaces: dict[str, documents.Workspace]
     plans: dict[str, documents.WorkspacePlan]
-    changes: list[AppliedChange]
+    catalog: CatalogObject
+    encoded: Encoded
 
 
-EMPTY = Configuration(0, {}, {}, {}, [])
+_EMPTY_CATALOG = CatalogObject(
+    revision=0, templates={}, workspaces={}, changes=[]
+)
+EMPTY = Configuration(
+    0,
+    {},
+    {},
+    {},
+    _EMPTY_CATALOG,
+    Encoded(msgspec.json.encode(_EMPTY_CATALOG), {}),
+)
 
-object_decoder = msgspec.json.Decoder(CatalogObject)
+_decoder = msgspec.json.Decoder(CatalogObject)
 
 
-def apply(current: Configuration, change: Change) -> Configuration:
-    """Returns the configuration after a change.
+def decode_catalog(value: bytes) -> CatalogObject:
+    """Decodes a catalog.
 
     Raises:
-        InvalidInputError: The change does not fit; all mistakes are listed.
+        InvalidInputError: It is not a catalog.
     """
-    templates = dict(current.templates)
-    workspaces = dict(current.workspaces)
-    if change.template is not None:
-        templates[change.template.name] = change.template
-    if change.workspace is not None:
-        workspaces[change.workspace.name] = change.workspace
-    if change.delete_workspace is not None:
-        if change.delete_workspace not in workspaces:
-            raise exceptions.InvalidInputError(
-                "change",
-                [exceptions.Mistake(change.delete_workspace, "not found")],
-            )
-        del workspaces[change.delete_workspace]
-    revision = current.revision + 1
-    applied = AppliedChange(change_id=change.change_id, revision=revision)
-    return Configuration(
-        revision,
-        templates,
-        workspaces,
-        _resolve_all(templates, workspaces),
-        [*current.changes, applied][-RECENT_CHANGES:],
-    )
-
-
-def revision_of(current: Configuration, change_id: str) -> int | None:
-    """Returns the revision at which a recent change was accepted, if any."""
-    found = (
-        item["revision"]
-        for item in current.changes
-        if item["change_id"] == change_id
-    )
-    return next(found, None)
+    try:
+        return _decoder.decode(value)
+    except msgspec.DecodeError as error:
+        raise _unreadable("catalog", error) from error
 
 
 def encode_document(
@@ -125,71 +116,65 @@
     return msgspec.json.encode(document.model_dump(), order="sorted")
 
 
-def document_name(encoded: bytes) -> str:
-    """Names an immutable object after its content."""
-    return hashlib.blake2b(encoded, digest_size=_DIGEST_BYTES).hexdigest()
+def document_name(encoded: bytes, revision: int) -> str:
+    """Names an immutable object after its first revision and its content."""
+    digest = hashlib.blake2b(encoded, digest_size=_DIGEST_BYTES).hexdigest()
+    return f"{revision}-{digest}"
 
 
-def to_object(current: Configuration) -> tuple[bytes, dict[str, bytes]]:
-    """Encodes a configuration as a catalog and its immutable objects.
+def first_revision(name: str) -> int:
+    """Returns the revision that a document was written for.
 
-    Returns:
-        The encoded catalog, and the encoded documents by object name.
+    Raises:
+        ValueError: It is not the name of a document.
     """
-    blobs: dict[str, bytes] = {}
-
-    def bind(items: dict[str, Any]) -> dict[str, str]:
-        bound = {}
-        for name, item in items.items():
-            encoded = encode_document(item)
-            bound[name] = document_name(encoded)
-            blobs[bound[name]] = encoded
-        return bound
-
-    catalog = CatalogObject(
-        revision=current.revision,
-        templates=bind(current.templates),
-        workspaces=bind(current.workspaces),
-        changes=current.changes,
-    )
-    return msgspec.json.encode(catalog), blobs
+    return int(name.partition("-")[0])
 
 
-def from_object(
-    catalog: CatalogObject, blobs: dict[str, bytes]
-) -> Configuration:
-    """Rebuilds a configuration from a catalog and its immutable objects.
+def names_in(catalog: CatalogObject) -> set[str]:
+    """Returns the names of all immutable objects that a catalog binds."""
+    return {*catalog["templates"].values(), *catalog["workspaces"].values()}
+
+
+def decode(encoded: Encoded, previous: Configuration = EMPTY) -> Configuration:
+    """Rebuilds a configuration; parses only what `previous` does not hold.
 
     Raises:
-        KeyError: An object is missing from `blobs`.
-        InvalidInputError: The objects don't fit together.
+        InvalidInputError: An object can't be read, or is missing, or the
+            objects don't fit together.
     """
+    catalog = decode_catalog(encoded.catalog)
     templates = {
-        name: documents.parse_template(msgspec.json.decode(blobs[blob]))
-        for name, blob in catalog["templates"].items()
+        name: previous.templates[name]
+        if previous.catalog["templates"].get(name) == bound
+        else documents.parse_template(_document(encoded, bound))
+        for name, bound in catalog["templates"].items()
     }
     workspaces = {
-        name: documents.parse_workspace(msgspec.json.decode(blobs[blob]))
-        for name, blob in catalog["workspaces"].items()
+        name: previous.workspaces[name]
+        if previous.catalog["workspaces"].get(name) == bound
+        else documents.parse_workspace(_document(encoded, bound))
+        for name, bound in catalog["workspaces"].items()
     }
     return Configuration(
         catalog["revision"],
         templates,
         workspaces,
-        _resolve_all(templates, workspaces),
-        catalog["changes"],
+        resolve_all(templates, workspaces),
+        catalog,
+        encoded,
     )
 
 
-def names_in(catalog: CatalogObject) -> set[str]:
-    """Returns the names of all immutable objects that a catalog binds."""
-    return {*catalog["templates"].values(), *catalog["workspaces"].values()}
-
-
-def _resolve_all(
+def resolve_all(
     templates: dict[str, documents.Template],
     workspaces: dict[str, documents.Workspace],
 ) -> dict[str, documents.WorkspacePlan]:
+    """Fills every workspace's template in.
+
+    Raises:
+        InvalidInputError: Some don't fit; all mistakes are listed.
+    """
     plans = {}
     mistakes: list[exceptions.Mistake] = []
     for name, workspace in workspaces.items():
@@ -211,3 +196,54 @@
     if mistakes:
         raise exceptions.InvalidInputError("configuration", mistakes)
     return plans
+
+
+def collectable(catalog: CatalogObject, names: list[str]) -> list[str]:
+    """Chooses the documents that no catalog will bind any more.
+
+    A document whose first revision has passed and that is not bound now is
+    never bound again, so an old catalog gives a smaller choice, never a wrong
+    one. Documents released lately stay for hosts that still fetch them.
+
+    Args:
+        catalog: Any catalog that was in force.
+        names: Names of documents; others are left alone.
+    """
+    revision = catalog["revision"]
+    kept = names_in(catalog).union(
+        name
+        for item in catalog["changes"]
+        if item["revision"] > revision - KEPT_REVISIONS
+        for name in item["released"]
+    )
+    return [
+        name
+        for name in names
+        if name not in kept and _has_passed(name, revision)
+    ]
+
+
+def _has_passed(name: str, revision: int) -> bool:
+    try:
+        return first_revision(name) <= revision
+    except ValueError:
+        return False
+
+
+def _document(encoded: Encoded, name: str) -> Any:
+    value = encoded.documents.get(name)
+    if value is None:
+        raise exceptions.InvalidInputError(
+            "catalog", [exceptions.Mistake(name, "is missing")]
+        )
+    try:
+        return msgspec.json.decode(value)
+    except msgspec.DecodeError as error:
+        raise _unreadable(name, error) from error
+
+
+def _unreadable(key: str, error: Exception) -> exceptions.InvalidInputError:
+    return exceptions.InvalidInputError(
+        "stored configuration",
+        [exceptions.Mistake(key, f"can't be read: {error}")],
+    )
--- /dev/null
+++ b/greengagedale/catalog/edits.py
@@ -0,0 +1,336 @@
+"""Decides what a change does to a configuration, free of I/O."""
+
+import dataclasses
+import re
+import secrets
+from typing import Any, ClassVar, NamedTuple
+
+import msgspec
+
+from greengagedale import exceptions
+from greengagedale.catalog import catalogs
+from greengagedale.catalog import documents
+
+MAX_OBJECT_BYTES = 1_000_000
+ABSENT = "absent"
+
+_CHANGE_ID = re.compile(r"(0|[1-9][0-9]{0,14})-[0-9A-Za-z_.-]{8,64}")
+_TOKEN_BYTES = 12
+
+
+class Change(NamedTuple):
+    """One change that an operator asks for.
+
+    Attributes:
+        change_id: Unique over all changes; starts with a revision that was in
+            force when the change was made.
+        template: Template to put, if any.
+        workspace: Workspace to put, if any.
+        delete_template: Name of a template to delete, if any.
+        delete_workspace: Name of a workspace to delete, if any.
+        expected_version: Version of the document that the operator read, or
+            `ABSENT`; None accepts any.
+        expected_revision: Revision that the operator read; None accepts any.
+    """
+
+    change_id: str
+    template: documents.Template | None = None
+    workspace: documents.Workspace | None = None
+    delete_template: str | None = None
+    delete_workspace: str | None = None
+    expected_version: str | None = None
+    expected_revision: int | None = None
+
+
+class Conflict(NamedTuple):
+    """What stands against an operator's expectation.
+
+    Attributes:
+        key: What was changed, such as `templates/site`.
+        change_id: The change that did it; empty if it is too old to be known.
+        revision: Revision at which it was changed; 0 if too old to be known.
+    """
+
+    key: str
+    change_id: str
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Prepared:
+    """The change fits; it is accepted once its catalog is stored."""
+
+    configuration: catalogs.Configuration
+    new_documents: dict[str, bytes]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AlreadyAccepted:
+    """The change is part of the configuration."""
+
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refused:
+    """The change does not fit."""
+
+    INVALID: ClassVar[str] = "invalid"
+    CONFLICT: ClassVar[str] = "conflict"
+    TOO_LARGE: ClassVar[str] = "too_large"
+    reason: str
+    detail: str
+    mistakes: list[exceptions.Mistake] = dataclasses.field(default_factory=list)
+    conflicts: list[Conflict] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Absent:
+    """The change is not part of the configuration at this revision."""
+
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Expired:
+    """The id is older than the recent changes, so nothing is known of it."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stale:
+    """The operator has seen a newer configuration than the given one."""
+
+
+Decision = Prepared | AlreadyAccepted | Refused | Expired | Stale
+Finding = AlreadyAccepted | Absent | Expired | Stale
+
+
+def new_change_id(revision: int) -> str:
+    """Makes an id for a change against a revision."""
+    return f"{revision}-{secrets.token_hex(_TOKEN_BYTES)}"
+
+
+def check_change_id(change_id: str) -> None:
+    """Checks the form of an id.
+
+    Raises:
+        InvalidInputError: It has another form.
+    """
+    if _CHANGE_ID.fullmatch(change_id):
+        return
+    message = "must be REVISION-TOKEN, as POST /v1/changes gives them"
+    raise exceptions.InvalidInputError(
+        "change id", [exceptions.Mistake("change_id", message)]
+    )
+
+
+def keys_of(change: Change) -> list[str]:
+    """Returns what a change touches."""
+    named = (
+        ("templates", change.template and change.template.name),
+        ("templates", change.delete_template),
+        ("workspaces", change.workspace and change.workspace.name),
+        ("workspaces", change.delete_workspace),
+    )
+    return [f"{kind}/{name}" for kind, name in named if name]
+
+
+def find(current: catalogs.Configuration, change_id: str) -> Finding:
+    """Looks a change up among the recent ones."""
+    for item in current.catalog["changes"]:
+        if item["change_id"] == change_id:
+            return AlreadyAccepted(item["revision"])
+    made_against = int(change_id.partition("-")[0])
+    if made_against > current.revision:
+        return Stale()
+    if current.revision - made_against > catalogs.RECENT_CHANGES:
+        return Expired()
+    return Absent(current.revision)
+
+
+def decide(current: catalogs.Configuration, change: Change) -> Decision:
+    """Applies a change to a configuration, or says why not."""
+    found = find(current, change.change_id)
+    if not isinstance(found, Absent):
+        return found
+    if (change.expected_revision or 0) > current.revision:
+        return Stale()
+    conflicts = [
+        conflict
+        for key in keys_of(change)
+        for conflict in _conflicts(current.catalog, change, key)
+    ]
+    if conflicts:
+        return _conflicting(conflicts)
+    missing = _missing(current, change)
+    if missing:
+        return _invalid(exceptions.InvalidInputError("change", missing))
+    try:
+        return _prepare(current, change)
+    except exceptions.InvalidInputError as error:
+        return _invalid(error)
+
+
+def _prepare(
+    current: catalogs.Configuration, change: Change
+) -> Prepared | Refused:
+    revision = current.revision + 1
+    templates = _edited(
+        current.templates, change.template, change.delete_template
+    )
+    workspaces = _edited(
+        current.workspaces, change.workspace, change.delete_workspace
+    )
+    plans = catalogs.resolve_all(templates, workspaces)
+    added = _new_documents(current, change, revision)
+    catalog = _catalog(current.catalog, change, revision, added)
+    value = msgspec.json.encode(catalog)
+    new_documents = {name: blob for _, name, blob in added}
+    too_large = _too_large({"catalog": value, **new_documents})
+    if too_large:
+        return too_large
+    known = {**current.encoded.documents, **new_documents}
+    bound = {name: known[name] for name in catalogs.names_in(catalog)}
+    encoded = catalogs.Encoded(value, bound)
+    return Prepared(
+        catalogs.Configuration(
+            revision, templates, workspaces, plans, catalog, encoded
+        ),
+        new_documents,
+    )
+
+
+def _edited(
+    items: dict[str, Any], put: Any | None, delete: str | None
+) -> dict[str, Any]:
+    kept = {name: item for name, item in items.items() if name != delete}
+    return kept if put is None else {**kept, put.name: put}
+
+
+def _new_documents(
+    current: catalogs.Configuration, change: Change, revision: int
+) -> list[tuple[str, str, bytes]]:
+    """Returns key, object name and content of each document to be written."""
+    puts = (
+        ("templates", current.templates, change.template),
+        ("workspaces", current.workspaces, change.workspace),
+    )
+    added = []
+    for kind, items, put in puts:
+        if put is None or items.get(put.name) == put:
+            continue
+        blob = catalogs.encode_document(put)
+        name = catalogs.document_name(blob, revision)
+        added.append((f"{kind}/{put.name}", name, blob))
+    return added
+
+
+def _catalog(
+    old: catalogs.CatalogObject,
+    change: Change,
+    revision: int,
+    added: list[tuple[str, str, bytes]],
+) -> catalogs.CatalogObject:
+    names = {key: name for key, name, _ in added}
+
+    def bind(kind: str, items: dict[str, str], delete: str | None) -> Any:
+        new = {
+            key.partition("/")[2]: name
+            for key, name in names.items()
+            if key.startswith(f"{kind}/")
+        }
+        kept = {name: item for name, item in items.items() if name != delete}
+        return {**kept, **new}
+
+    templates = bind("templates", old["templates"], change.delete_template)
+    workspaces = bind("workspaces", old["workspaces"], change.delete_workspace)
+    bound = {*templates.values(), *workspaces.values()}
+    applied = catalogs.AppliedChange(
+        change_id=change.change_id,
+        revision=revision,
+        keys=keys_of(change),
+        released=sorted(catalogs.names_in(old) - bound),
+    )
+    return catalogs.CatalogObject(
+        revision=revision,
+        templates=templates,
+        workspaces=workspaces,
+        changes=[*old["changes"], applied][-catalogs.RECENT_CHANGES :],
+    )
+
+
+def _missing(
+    current: catalogs.Configuration, change: Change
+) -> list[exceptions.Mistake]:
+    deletes = (
+        (change.delete_template, current.templates),
+        (change.delete_workspace, current.workspaces),
+    )
+    return [
+        exceptions.Mistake(name, "not found")
+        for name, items in deletes
+        if name is not None and name not in items
+    ]
+
+
+def version_of(catalog: catalogs.CatalogObject, key: str) -> str | None:
+    """Returns the version of a document, None if there is none."""
+    kind, _, name = key.partition("/")
+    items = catalog["templates" if kind == "templates" else "workspaces"]
+    return items.get(name)
+
+
+def _conflicts(
+    catalog: catalogs.CatalogObject, change: Change, key: str
+) -> list[Conflict]:
+    version = version_of(catalog, key)
+    last = _last_change(catalog, key)
+    expected = change.expected_version
+    if expected is not None and (version or ABSENT) != expected:
+        return [last]
+    since = change.expected_revision
+    if since is None:
+        return []
+    if version is not None:
+        return [last] if catalogs.first_revision(version) > since else []
+    forgotten = catalog["revision"] - since > catalogs.RECENT_CHANGES
+    return [last] if last.revision > since or forgotten else []
+
+
+def _last_change(catalog: catalogs.CatalogObject, key: str) -> Conflict:
+    for item in reversed(catalog["changes"]):
+        if key in item["keys"]:
+            return Conflict(key, item["change_id"], item["revision"])
+    return Conflict(key, "", 0)
+
+
+def _conflicting(conflicts: list[Conflict]) -> Refused:
+    lines = [
+        f"{item.key} was changed at revision {item.revision} by "
+        f"change {item.change_id}"
+        if item.change_id
+        else f"{item.key} is not as expected; no recent change touched it"
+        for item in conflicts
+    ]
+    detail = "; ".join(lines) + "; read it again and redo the edit"
+    return Refused(Refused.CONFLICT, detail, conflicts=conflicts)
+
+
+def _invalid(error: exceptions.InvalidInputError) -> Refused:
+    return Refused(Refused.INVALID, str(error), mistakes=error.mistakes)
+
+
+def _too_large(objects: dict[str, bytes]) -> Refused | None:
+    mistakes = [
+        exceptions.Mistake(
+            name,
+            f"would take {len(value)} bytes; the platform holds at most "
+            f"{MAX_OBJECT_BYTES} in one object",
+        )
+        for name, value in objects.items()
+        if len(value) > MAX_OBJECT_BYTES
+    ]
+    if not mistakes:
+        return None
+    detail = "; ".join(str(item) for item in mistakes)
+    return Refused(Refused.TOO_LARGE, detail, mistakes=mistakes)
--- /dev/null
+++ b/greengagedale/collection.py
@@ -0,0 +1,59 @@
+"""Deletes documents that no catalog will bind any more."""
+
+import asyncio
+import logging
+
+from greengagedale import configuration_metrics
+from greengagedale.catalog import catalogs
+from greengagedale.platform import base as platform_base
+
+log = logging.getLogger(__name__)
+
+_EVERY_REVISIONS = 50
+
+
+class Collector:
+    """Collects after the changes that this host got accepted.
+
+    Each revision is accepted by one host, so that no lease is needed; two
+    collections at once would do no harm.
+    """
+
+    def __init__(
+        self,
+        store: platform_base.ObjectStore,
+        metrics: configuration_metrics.ConfigurationMetrics,
+    ) -> None:
+        self._store = store
+        self._metrics = metrics
+        self._task: asyncio.Task[None] | None = None
+
+    def accepted(self, current: catalogs.Configuration) -> None:
+        """Starts to collect in the background when it is time to."""
+        running = self._task is not None and not self._task.done()
+        if current.revision % _EVERY_REVISIONS == 0 and not running:
+            self._task = asyncio.create_task(self.collect(current.catalog))
+
+    async def collect(self, catalog: catalogs.CatalogObject) -> None:
+        """Deletes what is collectable; stops at the first failed call."""
+        names = await self._store.names(catalogs.KIND_DOCUMENT)
+        if isinstance(names, platform_base.Unavailable):
+            return
+        for name in catalogs.collectable(catalog, names):
+            found = await self._store.get(catalogs.KIND_DOCUMENT, name)
+            if isinstance(found, platform_base.Missing):
+                continue
+            if isinstance(found, platform_base.Unavailable):
+                return
+            deleted = await self._store.delete(
+                catalogs.KIND_DOCUMENT, name, found.stored.version
+            )
+            if not isinstance(deleted, platform_base.Written):
+                return
+            self._metrics.collected.inc()
+
+    async def close(self) -> None:
+        """Stops collecting."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
--- a/greengagedale/commands/remote.py
+++ b/greengagedale/commands/remote.py
@@ -32,10 +32,17 @@
 
 
 class Reply(NamedTuple):
-    """A host's answer, decoded."""
+    """A host's answer, decoded.
+
+    Attributes:
+        status: HTTP status.
+        body: Decoded body.
+        version: Version of the document that was read, if it has one.
+    """
 
     status: int
     body: Any
+    version: str | None = None
 
 
 def run(work: Coroutine[Any, Any, Any]) -> Any:
@@ -69,7 +76,10 @@
             ) as response,
         ):
             decoded = msgspec.json.decode(await response.read())
-            return Reply(response.status, decoded)
+            version = response.headers.get("ETag")
+            return Reply(
+                response.status, decoded, version and version.strip('"')
+            )
     except (aiohttp.ClientError, OSError, msgspec.DecodeError) as error:
         raise exceptions.RemoteError(
             f"{endpoint} does not answer as an entry host: {error}; "
--- a/greengagedale/commands/workspace.py
+++ b/greengagedale/commands/workspace.py
@@ -13,17 +13,19 @@
     host: remote.OperatorEndpoint,
     file: changes.File,
     wait: changes.Wait = False,
+    if_version: changes.Version = None,
 ) -> None:
     """Create or replace a workspace."""
     document = changes.read_document(file)
     path = f"/v1/workspaces/{document['name']}"
-    changes.change("PUT", host, path, document, wait)
+    request = changes.Request("PUT", path, document, if_version)
+    changes.change(host, request, wait)
 
 
 @app.command()
 def get(host: remote.OperatorEndpoint, name: str) -> None:
-    """Show one workspace that is in force."""
-    remote.show(remote.run(remote.fetch(host, f"/v1/workspaces/{name}")))
+    """Show one workspace that is in force, and its version."""
+    changes.show_document(host, f"/v1/workspaces/{name}")
 
 
 @app.command("list")
@@ -34,7 +36,12 @@
 
 @app.command()
 def delete(
-    host: remote.OperatorEndpoint, name: str, wait: changes.Wait = False
+    host: remote.OperatorEndpoint,
+    name: str,
+    wait: changes.Wait = False,
+    if_version: changes.Version = None,
 ) -> None:
     """Delete a workspace; its requests are refused from then on."""
-    changes.change("DELETE", host, f"/v1/workspaces/{name}", None, wait)
+    path = f"/v1/workspaces/{name}"
+    request = changes.Request("DELETE", path, version=if_version)
+    changes.change(host, request, wait)
--- a/greengagedale/config/settings.py
+++ b/greengagedale/config/settings.py
@@ -51,6 +51,12 @@
     record_requests: options.Count = 2000
 
 
+class ConfigurationSettings(Section):
+    """How changes of configuration are accepted."""
+
+    accept_timeout_ms: options.DurationMs = 10_000
+
+
 class UpstreamsSettings(Section):
     """How upstreams are used."""
 
@@ -77,6 +83,7 @@
     platform: PlatformSettings
     peers: PeersSettings = PeersSettings()
     callers: CallersSettings = CallersSettings()
+    configuration: ConfigurationSettings = ConfigurationSettings()
     upstreams: UpstreamsSettings = UpstreamsSettings()
     shutdown: ShutdownSettings = ShutdownSettings()
     logs: LogsSettings = LogsSettings()
--- /dev/null
+++ b/greengagedale/configuration_metrics.py
@@ -0,0 +1,79 @@
+"""Metrics of accepting and distributing configuration."""
+
+from typing import Self
+
+import prometheus_client
+
+from greengagedale import configuration
+from greengagedale import metrics as metrics_lib
+
+_NEVER_MS = -1.0
+
+
+class ConfigurationMetrics:
+    """Counters and gauges of configuration on one host.
+
+    Attributes:
+        applied: Configurations put in force, by where they came from.
+        rejected: Objects that could not be used, by reason.
+        changes: Changes asked of this host, by outcome and reason.
+        retries: Further tries of a change, by reason.
+        change_calls: Calls to the platform made for changes, by operation.
+        collected: Old documents deleted from the platform.
+    """
+
+    def __init__(self, registry: prometheus_client.CollectorRegistry) -> None:
+        self._registry = registry
+        self.applied = self._counter(
+            "configuration_applied", "Put in force.", "source"
+        )
+        self.rejected = self._counter(
+            "configuration_rejected", "Objects that can't be used.", "reason"
+        )
+        self.changes = self._counter(
+            "changes", "Changes asked for.", "outcome", "reason"
+        )
+        self.retries = self._counter(
+            "change_retries", "Further tries of changes.", "reason"
+        )
+        self.change_calls = self._counter(
+            "change_platform_calls", "Platform calls for changes.", "operation"
+        )
+        self.collected = self._counter(
+            "collected_documents", "Old documents deleted."
+        )
+
+    @classmethod
+    def from_config(
+        cls, metrics: metrics_lib.Metrics, holder: configuration.Holder
+    ) -> Self:
+        """Registers the metrics of a process and of what it holds."""
+        made = cls(metrics.registry)
+        made.watch(holder)
+        return made
+
+    def watch(self, holder: configuration.Holder) -> None:
+        """Exports the revision in force and how long ago it was current."""
+        revision = self._gauge("configuration_revision", "Revision in force.")
+        revision.set_function(lambda: holder.current.revision)
+        age = self._gauge(
+            "configuration_age_ms", "Since known to be current; -1 is never."
+        )
+        age.set_function(lambda: _age_ms(holder))
+
+    def _counter(
+        self, name: str, help_text: str, *labels: str
+    ) -> prometheus_client.Counter:
+        return prometheus_client.Counter(
+            f"greengagedale_{name}", help_text, labels, registry=self._registry
+        )
+
+    def _gauge(self, name: str, help_text: str) -> prometheus_client.Gauge:
+        return prometheus_client.Gauge(
+            f"greengagedale_{name}", help_text, registry=self._registry
+        )
+
+
+def _age_ms(holder: configuration.Holder) -> float:
+    age_ms = holder.age_ms()
+    return _NEVER_MS if age_ms is None else age_ms
--- a/greengagedale/daemons.py
+++ b/greengagedale/daemons.py
@@ -8,9 +8,13 @@
 
 from aiohttp import web
 
+from greengagedale import acceptance
 from greengagedale import actions
 from greengagedale import clocks
+from greengagedale import collection
 from greengagedale import configuration
+from greengagedale import configuration_metrics
+from greengagedale import distribution
 from greengagedale import hosts
 from greengagedale import loops
 from greengagedale import metrics as metrics_lib
@@ -61,7 +65,10 @@
     clock = clocks.MonotonicClock()
     metrics = metrics_lib.Metrics()
     store = platform_http.HttpStore.from_config(
-        settings.platform.endpoint, settings.platform.timeout_ms, metrics
+        settings.platform.endpoint,
+        settings.platform.timeout_ms,
+        metrics,
+        client_name=settings.host.name,
     )
     stack.push_async_callback(store.close)
     transport = upstreams_http.HttpTransport.from_config(
@@ -70,16 +77,28 @@
     stack.push_async_callback(transport.close)
     peers = grpc_client.GrpcTransport.from_config(settings.peers.timeout_ms)
     stack.push_async_callback(peers.close)
-    holder = configuration.Holder()
-    reader = configuration.Reader(
-        store, holder, settings.platform.watch_wait_ms
+    holder = configuration.Holder(clock)
+    held_metrics = configuration_metrics.ConfigurationMetrics.from_config(
+        metrics, holder
+    )
+    collector = collection.Collector(store, held_metrics)
+    stack.push_async_callback(collector.close)
+    rng = random.Random()
+    writer = acceptance.Writer(
+        store,
+        holder,
+        collector,
+        settings.configuration.accept_timeout_ms,
+        clock,
+        rng,
+        held_metrics,
     )
     directory = hosts.Directory(peers)
     policy = policies.PlainPolicy(random.Random())
     host = hosts.Host(
         settings,
         holder,
-        configuration.Writer(store, reader, holder),
+        writer,
         searches.SearchRunner(transport, policy, clock, metrics),
         actions.ActionRunner(transport, policy, clock),
         directory,
@@ -87,9 +106,19 @@
         clock,
         metrics,
     )
+    own = f"{settings.host.address}:{settings.host.peer_port}"
+    follower = distribution.Follower(
+        store,
+        peers,
+        holder,
+        lambda: directory.alive,
+        [seed for seed in settings.peers.seeds if seed != own],
+        settings.platform.watch_wait_ms,
+        rng,
+        held_metrics,
+    )
     background = [
-        reader.follow_catalog(),
-        reader.follow_services(),
+        follower.run(),
         _follow_hosts(settings, store, directory),
     ]
     for work in background:
--- /dev/null
+++ b/greengagedale/distribution.py
@@ -0,0 +1,270 @@
+"""Keeps this host's configuration current, from the platform and hosts."""
+
+import asyncio
+from collections.abc import Callable, Mapping
+import logging
+import random
+
+import msgspec
+
+from greengagedale import assembly
+from greengagedale import configuration
+from greengagedale import configuration_metrics
+from greengagedale.catalog import catalogs
+from greengagedale.catalog import services
+from greengagedale.peers import base as peers_base
+from greengagedale.platform import base as platform_base
+
+log = logging.getLogger(__name__)
+
+FROM_PLATFORM = "platform"
+FROM_PEER = "peer"
+
+_FIRST_DELAY_S = 0.2
+_LONGEST_DELAY_S = 2.0
+_PEER_CHECK_S = 0.1
+_FAILED_FETCH_DELAY_S = 0.5
+_SEEDS_ASKED = 4
+
+Alive = Callable[[], Mapping[str, peers_base.PeerStatus]]
+
+
+class _Backoff:
+    """Growing delays with jitter between calls that fail."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self._delay_s = _FIRST_DELAY_S
+
+    def reset(self) -> None:
+        self._delay_s = _FIRST_DELAY_S
+
+    async def wait(self) -> None:
+        delay_s = self._delay_s
+        self._delay_s = min(_LONGEST_DELAY_S, delay_s * 2)
+        await asyncio.sleep(delay_s * self._rng.uniform(0.5, 1.0))
+
+
+class Follower:
+    """Follows configuration and services; runs until it is cancelled."""
+
+    def __init__(
+        self,
+        store: platform_base.ObjectStore,
+        peers: peers_base.PeerTransport,
+        holder: configuration.Holder,
+        alive: Alive,
+        seeds: list[str],
+        wait_ms: int,
+        rng: random.Random,
+        metrics: configuration_metrics.ConfigurationMetrics,
+    ) -> None:
+        """Makes a follower.
+
+        Args:
+            store: The platform.
+            peers: How to ask other hosts.
+            holder: Where to put what is found.
+            alive: Returns the status of the hosts that answer, by endpoint.
+            seeds: Hosts to ask before any is known to answer.
+            wait_ms: Longest wait of a watch.
+            rng: For jitter and for the choice of hosts.
+            metrics: Where to count.
+        """
+        self._store = store
+        self._peers = peers
+        self._holder = holder
+        self._alive = alive
+        self._seeds = seeds
+        self._wait_ms = wait_ms
+        self._rng = rng
+        self._metrics = metrics
+        self._assembler = assembly.Assembler(holder)
+        self._platform = assembly.PlatformSource(store)
+        self._platform_revision = 0
+
+    async def run(self) -> None:
+        """Follows everything until cancelled."""
+        await self._ask_seeds()
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._follow_catalog())
+            group.create_task(self._follow_services())
+            group.create_task(self._follow_peers())
+
+    async def _ask_seeds(self) -> None:
+        """Takes over what other hosts have before the platform is asked.
+
+        A stale read by the platform then can't take a restarted host back.
+        """
+        count = min(_SEEDS_ASKED, len(self._seeds))
+        chosen = self._rng.sample(self._seeds, count)
+        await asyncio.gather(*(self._take_from_peer(e) for e in chosen))
+        await asyncio.gather(*(self._services_from_peer(e) for e in chosen))
+
+    async def _follow_catalog(self) -> None:
+        cursor = 0
+        backoff = _Backoff(self._rng)
+        while True:
+            changes = await self._store.watch(
+                catalogs.KIND_CATALOG, cursor, self._wait_ms
+            )
+            if isinstance(changes, platform_base.Unavailable):
+                # The watch may be silent while reads are answered.
+                await self._read_catalog()
+                await backoff.wait()
+                continue
+            values = [
+                item.value
+                for item in changes.objects
+                if item.name == catalogs.CATALOG_NAME
+            ]
+            if not all([await self._take(v, FROM_PLATFORM) for v in values]):
+                await backoff.wait()
+                continue
+            backoff.reset()
+            if cursor == 0 and not values:
+                self._holder.configuration_known = True
+            cursor = changes.cursor
+            self._platform_answered()
+
+    async def _read_catalog(self) -> None:
+        found = await self._store.get(
+            catalogs.KIND_CATALOG, catalogs.CATALOG_NAME
+        )
+        if isinstance(found, platform_base.Unavailable):
+            return
+        if isinstance(found, platform_base.Missing):
+            self._holder.configuration_known = True
+        elif not await self._take(found.stored.value, FROM_PLATFORM):
+            return
+        self._platform_answered()
+
+    def _platform_answered(self) -> None:
+        if self._platform_revision >= self._holder.current.revision:
+            self._holder.confirm()
+
+    async def _take(
+        self,
+        value: bytes,
+        origin: str,
+        source: assembly.DocumentSource | None = None,
+    ) -> bool:
+        """Puts a catalog in force; False if it is worth another try."""
+        result = await self._assembler.assemble(value, source or self._platform)
+        if isinstance(result, assembly.Incomplete):
+            self._metrics.rejected.labels("incomplete").inc()
+            return False
+        if isinstance(result, assembly.Unreadable):
+            self._metrics.rejected.labels("unreadable").inc()
+            log.error("catalog from %s is not used: %s", origin, result.detail)
+            return True
+        if origin == FROM_PLATFORM:
+            self._platform_revision = max(
+                self._platform_revision, result.revision
+            )
+        self._holder.configuration_known = True
+        if self._holder.offer(result):
+            self._metrics.applied.labels(origin).inc()
+        return True
+
+    async def _follow_peers(self) -> None:
+        """Fetches what other hosts have and this one lacks.
+
+        A host is asked once it has been ahead for two checks, which leaves
+        time for the watch to bring the same.
+        """
+        was_behind = False
+        while True:
+            await asyncio.sleep(_PEER_CHECK_S)
+            ahead = self._ahead()
+            if ahead and was_behind:
+                await self._catch_up(ahead)
+            was_behind = bool(ahead)
+
+    def _ahead(self) -> list[str]:
+        """Returns the hosts with the highest revision above this host's."""
+        alive = self._alive()
+        highest = max((s.revision for s in alive.values()), default=0)
+        if highest <= self._holder.current.revision:
+            return []
+        return [e for e, s in alive.items() if s.revision == highest]
+
+    async def _catch_up(self, ahead: list[str]) -> None:
+        before = self._holder.current.revision
+        await self._take_from_peer(self._rng.choice(ahead))
+        if self._holder.current.revision == before:
+            await self._read_catalog()
+        if self._holder.current.revision == before:
+            await asyncio.sleep(_FAILED_FETCH_DELAY_S)
+
+    async def _take_from_peer(self, endpoint: str) -> None:
+        shared = await self._peers.catalog(endpoint)
+        if shared is None:
+            return
+        source = assembly.PeerSource(self._peers, endpoint)
+        if not await self._take(shared.value, FROM_PEER, source):
+            return
+        same = shared.revision == self._holder.current.revision
+        if same and shared.age_ms is not None:
+            self._holder.confirm(shared.age_ms)
+
+    async def _follow_services(self) -> None:
+        cursor = 0
+        backoff = _Backoff(self._rng)
+        while True:
+            changes = await self._store.watch(
+                services.KIND_SERVICE, cursor, self._wait_ms
+            )
+            if isinstance(changes, platform_base.Unavailable):
+                await self._services_otherwise()
+                await backoff.wait()
+                continue
+            backoff.reset()
+            cursor = changes.cursor
+            self._take_services(changes.objects)
+
+    async def _services_otherwise(self) -> None:
+        endpoints = list(self._alive()) or self._seeds
+        asked = endpoints and await self._services_from_peer(
+            self._rng.choice(endpoints)
+        )
+        if not asked:
+            await self._services_from_platform()
+
+    async def _services_from_peer(self, endpoint: str) -> bool:
+        shared = await self._peers.services(
+            endpoint, self._holder.service_versions()
+        )
+        if shared is None:
+            return False
+        for item in shared:
+            self._take_service(item)
+        self._holder.services_known = True
+        return True
+
+    async def _services_from_platform(self) -> None:
+        names = await self._store.names(services.KIND_SERVICE)
+        if isinstance(names, platform_base.Unavailable):
+            return
+        found = [
+            await self._store.get(services.KIND_SERVICE, name) for name in names
+        ]
+        if any(isinstance(item, platform_base.Unavailable) for item in found):
+            return
+        self._take_services(
+            [i.stored for i in found if isinstance(i, platform_base.Found)]
+        )
+
+    def _take_services(self, objects: list[platform_base.StoredObject]) -> None:
+        for item in objects:
+            self._take_service(
+                configuration.StoredService(item.name, item.version, item.value)
+            )
+        self._holder.services_known = True
+
+    def _take_service(self, offered: configuration.StoredService) -> None:
+        try:
+            self._holder.offer_service(offered)
+        except msgspec.DecodeError as error:
+            self._metrics.rejected.labels("unreadable_service").inc()
+            log.error("service %s can't be read: %s", offered.name, error)
--- a/greengagedale/hosts.py
+++ b/greengagedale/hosts.py
@@ -6,6 +6,7 @@
 import secrets
 from typing import Any
 
+from greengagedale import acceptance
 from greengagedale import actions
 from greengagedale import clocks
 from greengagedale import configuration
@@ -16,6 +17,7 @@
 from greengagedale.callers import base as callers_base
 from greengagedale.catalog import catalogs
 from greengagedale.catalog import documents
+from greengagedale.catalog import edits
 from greengagedale.config import settings as settings_lib
 from greengagedale.operators import base as operators_base
 from greengagedale.peers import base as peers_base
@@ -68,7 +70,7 @@
         self,
         settings: settings_lib.Settings,
         holder: configuration.Holder,
-        writer: configuration.Writer,
+        writer: acceptance.Writer,
         search_runner: searches.SearchRunner,
         action_runner: actions.ActionRunner,
         directory: Directory,
@@ -207,10 +209,35 @@
         return self._metrics.exposition()
 
     async def change(
-        self, change: catalogs.Change
+        self, change: edits.Change, first_attempt: bool
     ) -> configuration.ChangeResult:
         """Gets a change accepted, or says why not."""
-        return await self._writer.accept(change)
+        return await self._writer.accept(change, first_attempt)
+
+    async def follow_up(self, change_id: str) -> configuration.FollowUp:
+        """Finds out what became of a change."""
+        return await self._writer.follow_up(change_id)
+
+    def catalog(self) -> peers_base.SharedCatalog | None:
+        """Returns the catalog in force, None if nothing is known."""
+        if not self._holder.configuration_known:
+            return None
+        current = self._holder.current
+        return peers_base.SharedCatalog(
+            current.revision, current.encoded.catalog, self._holder.age_ms()
+        )
+
+    def shared_documents(self, names: list[str]) -> dict[str, bytes]:
+        """Returns the first of the named documents, as fit in one message."""
+        return self._holder.some_documents(names)
+
+    def newer_services(
+        self, known: dict[str, int]
+    ) -> list[configuration.StoredService] | None:
+        """Returns services of higher versions, None if nothing is known."""
+        if not self._holder.services_known:
+            return None
+        return self._holder.newer_services(known)
 
     def current(self) -> catalogs.Configuration:
         """Returns the configuration in force on this host."""
--- a/greengagedale/operators/base.py
+++ b/greengagedale/operators/base.py
@@ -4,6 +4,7 @@
 
 from greengagedale import configuration
 from greengagedale.catalog import catalogs
+from greengagedale.catalog import edits
 from greengagedale.peers import base as peers_base
 
 
@@ -12,10 +13,14 @@
 
     @abc.abstractmethod
     async def change(
-        self, change: catalogs.Change
+        self, change: edits.Change, first_attempt: bool
     ) -> configuration.ChangeResult:
         """Gets a change accepted, or says why not."""
 
+    @abc.abstractmethod
+    async def follow_up(self, change_id: str) -> configuration.FollowUp:
+        """Finds out what became of a change."""
+
     @abc.abstractmethod
     def current(self) -> catalogs.Configuration:
         """Returns the configuration in force on this host."""
--- a/greengagedale/operators/http_server.py
+++ b/greengagedale/operators/http_server.py
@@ -1,6 +1,5 @@
 """Answers operators over HTTP, with aiohttp."""
 
-import secrets
 from typing import Any
 
 from aiohttp import web
@@ -8,14 +7,24 @@
 from greengagedale import configuration
 from greengagedale import exceptions
 from greengagedale import http_replies
-from greengagedale.catalog import catalogs
+from greengagedale.callers import wire as callers_wire
 from greengagedale.catalog import documents
+from greengagedale.catalog import edits
 from greengagedale.operators import base
+from greengagedale.operators import preconditions
 from greengagedale.operators import wire
 
 _MAX_BODY_BYTES = 256 * 1024
-_CHANGE_ID_BYTES = 12
-_STATUS_OF_REASON = {"invalid": 422, "conflict": 409, "platform_down": 503}
+_FIRST_ATTEMPT = "1"
+_STATUS_OF_REASON = {
+    "invalid": 422,
+    "too_large": 413,
+    "conflict": 409,
+    "expired": 409,
+    "unreadable": 500,
+}
+_RETRY_LATER = ("platform_down", "busy")
+_RETRY_AFTER_MS = 1000
 _UNKNOWN_STATUS = 502
 
 
@@ -31,10 +40,12 @@
             web.get("/v1/templates", handlers.templates),
             web.get("/v1/templates/{name}", handlers.template),
             web.put("/v1/templates/{name}", handlers.put_template),
+            web.delete("/v1/templates/{name}", handlers.delete_template),
             web.get("/v1/workspaces", handlers.workspaces),
             web.get("/v1/workspaces/{name}", handlers.workspace),
             web.put("/v1/workspaces/{name}", handlers.put_workspace),
             web.delete("/v1/workspaces/{name}", handlers.delete_workspace),
+            web.post("/v1/changes", handlers.new_change),
             web.get("/v1/changes/{change_id}", handlers.change),
             web.get("/v1/fleet", handlers.fleet),
         ]
@@ -60,11 +71,17 @@
 
     async def template(self, request: web.Request) -> web.Response:
         """Answers one template in force."""
-        return _document(request, self._service.current().templates)
+        current = self._service.current()
+        return _document(
+            request, current.templates, current.catalog["templates"]
+        )
 
     async def workspace(self, request: web.Request) -> web.Response:
         """Answers one workspace in force."""
-        return _document(request, self._service.current().workspaces)
+        current = self._service.current()
+        return _document(
+            request, current.workspaces, current.catalog["workspaces"]
+        )
 
     async def put_template(self, request: web.Request) -> web.Response:
         """Creates or replaces a template."""
@@ -72,6 +89,11 @@
         template = documents.parse_template(_named(request, body))
         return await self._change(request, template=template)
 
+    async def delete_template(self, request: web.Request) -> web.Response:
+        """Deletes a template that no workspace uses."""
+        name = request.match_info["name"]
+        return await self._change(request, delete_template=name)
+
     async def put_workspace(self, request: web.Request) -> web.Response:
         """Creates or replaces a workspace."""
         body = await http_replies.read(request, dict[str, Any])
@@ -83,22 +105,30 @@
         name = request.match_info["name"]
         return await self._change(request, delete_workspace=name)
 
-    async def change(self, request: web.Request) -> web.Response:
-        """Answers whether a recent change is in force here."""
-        change_id = request.match_info["change_id"]
-        revision = catalogs.revision_of(self._service.current(), change_id)
-        if revision is None:
-            return http_replies.error(
-                404, "unknown_change", f"no change {change_id!r} in force here"
-            )
+    async def new_change(self, request: web.Request) -> web.Response:
+        """Answers a new id for a change."""
+        del request
+        revision = self._service.current().revision
+        change_id = edits.new_change_id(revision)
         return http_replies.reply(
-            wire.ChangeReply(
-                outcome=configuration.Accepted.tag,
-                change_id=change_id,
-                revision=revision,
-            )
+            wire.ChangeIdReply(change_id=change_id, revision=revision)
         )
 
+    async def change(self, request: web.Request) -> web.Response:
+        """Answers what became of a change."""
+        change_id = request.match_info["change_id"]
+        edits.check_change_id(change_id)
+        found = await self._service.follow_up(change_id)
+        body = wire.ChangeReply(outcome=found.tag, change_id=change_id)
+        if isinstance(found, configuration.Accepted):
+            body["revision"] = found.revision
+        elif isinstance(found, configuration.Absent):
+            body["as_of_revision"] = found.as_of_revision
+        else:
+            body["detail"] = found.detail
+            return http_replies.reply(body, status=_UNKNOWN_STATUS)
+        return http_replies.reply(body)
+
     async def fleet(self, request: web.Request) -> web.Response:
         """Answers the status of every host."""
         del request
@@ -107,11 +137,21 @@
         return http_replies.reply({"hosts": [h._asdict() for h in hosts]})
 
     async def _change(self, request: web.Request, **parts: Any) -> web.Response:
-        change_id = request.headers.get(
-            wire.HEADER_CHANGE_ID, secrets.token_hex(_CHANGE_ID_BYTES)
+        sent_id = request.headers.get(wire.HEADER_CHANGE_ID)
+        attempt = request.headers.get(wire.HEADER_CHANGE_ATTEMPT)
+        expected = preconditions.from_headers(request.headers)
+        revision = self._service.current().revision
+        change_id = sent_id or edits.new_change_id(revision)
+        edits.check_change_id(change_id)
+        change = edits.Change(
+            change_id,
+            expected_version=expected.version,
+            expected_revision=expected.revision,
+            **parts,
+        )
+        result = await self._service.change(
+            change, first_attempt=not sent_id or attempt == _FIRST_ATTEMPT
         )
-        change = catalogs.Change(change_id, **parts)
-        result = await self._service.change(change)
         return _change_response(change_id, result)
 
 
@@ -126,6 +166,14 @@
     if isinstance(result, configuration.Undecided):
         return http_replies.reply(body, status=_UNKNOWN_STATUS)
     body["reason"] = result.reason
+    body["mistakes"] = [
+        callers_wire.MistakeReply(**item._asdict()) for item in result.mistakes
+    ]
+    body["conflicts"] = [
+        wire.ConflictReply(**item._asdict()) for item in result.conflicts
+    ]
+    if result.reason in _RETRY_LATER:
+        return http_replies.retry_later(body, _RETRY_AFTER_MS)
     return http_replies.reply(body, _STATUS_OF_REASON[result.reason])
 
 
@@ -148,8 +196,12 @@
     )
 
 
-def _document(request: web.Request, items: dict[str, Any]) -> web.Response:
+def _document(
+    request: web.Request, items: dict[str, Any], versions: dict[str, str]
+) -> web.Response:
     name = request.match_info["name"]
     if name not in items:
         return http_replies.error(404, "not_found", f"{name!r} is not in force")
-    return http_replies.reply(items[name].model_dump())
+    made = http_replies.reply(items[name].model_dump())
+    made.headers["ETag"] = f'"{versions[name]}"'
+    return made
--- a/greengagedale/operators/wire.py
+++ b/greengagedale/operators/wire.py
@@ -2,9 +2,19 @@
 
 from typing import Any, NotRequired, TypedDict
 
+from greengagedale.callers import wire as callers_wire
 from greengagedale.peers import base as peers_base
 
 HEADER_CHANGE_ID = "X-Change-Id"
+HEADER_CHANGE_ATTEMPT = "X-Change-Attempt"
+
+
+class ConflictReply(TypedDict):
+    """What was changed since the operator read it."""
+
+    key: str
+    change_id: str
+    revision: int
 
 
 class ChangeReply(TypedDict):
@@ -13,8 +23,18 @@
     outcome: str
     change_id: str
     revision: NotRequired[int]
+    as_of_revision: NotRequired[int]
     reason: NotRequired[str]
     detail: NotRequired[str]
+    mistakes: NotRequired[list[callers_wire.MistakeReply]]
+    conflicts: NotRequired[list[ConflictReply]]
+
+
+class ChangeIdReply(TypedDict):
+    """A new id for a change, with the revision in force."""
+
+    change_id: str
+    revision: int
 
 
 class DocumentsReply(TypedDict):
--- a/greengagedale/peers/grpc_client.py
+++ b/greengagedale/peers/grpc_client.py
@@ -6,6 +6,7 @@
 from grpc import aio
 import msgspec
 
+from greengagedale import configuration
 from greengagedale import records
 from greengagedale.peers import base
 from greengagedale.peers import wire
@@ -37,6 +38,31 @@
             endpoint, wire.EXPLAIN, request_id, records.Record | None
         )
 
+    async def catalog(self, endpoint: str) -> base.SharedCatalog | None:
+        """Asks a host for its catalog."""
+        return await self._ask(
+            endpoint, wire.CATALOG, None, base.SharedCatalog | None
+        )
+
+    async def documents(
+        self, endpoint: str, names: list[str]
+    ) -> dict[str, bytes] | None:
+        """Asks a host for documents; it may send only some of them."""
+        return await self._ask(
+            endpoint, wire.DOCUMENTS, names, dict[str, bytes]
+        )
+
+    async def services(
+        self, endpoint: str, known: dict[str, int]
+    ) -> list[configuration.StoredService] | None:
+        """Asks a host for services of higher versions than the known."""
+        return await self._ask(
+            endpoint,
+            wire.SERVICES,
+            known,
+            list[configuration.StoredService] | None,
+        )
+
     async def close(self) -> None:
         """Closes all connections."""
         for channel in self._channels.values():
--- a/greengagedale/peers/grpc_server.py
+++ b/greengagedale/peers/grpc_server.py
@@ -24,6 +24,9 @@
     methods = {
         wire.STATUS: _unary(lambda _: service.status(), type(None)),
         wire.EXPLAIN: _unary(service.explain, str),
+        wire.CATALOG: _unary(lambda _: service.catalog(), type(None)),
+        wire.DOCUMENTS: _unary(service.shared_documents, list[str]),
+        wire.SERVICES: _unary(service.newer_services, dict[str, int]),
     }
     return grpc.method_handlers_generic_handler(wire.SERVICE, methods)
 
--- a/greengagedale/peers/wire.py
+++ b/greengagedale/peers/wire.py
@@ -7,6 +7,9 @@
 SERVICE = "greengagedale.Peers"
 STATUS = "Status"
 EXPLAIN = "Explain"
+CATALOG = "Catalog"
+DOCUMENTS = "Documents"
+SERVICES = "Services"
 
 encode = msgspec.msgpack.encode
 
--- a/greengagedale/platform/http.py
+++ b/greengagedale/platform/http.py
@@ -13,7 +13,7 @@
 log = logging.getLogger(__name__)
 
 _MS_PER_S = 1000.0
-_WATCH_GRACE_MS = 1000
+_WATCH_GRACE_MS = 500
 
 
 class _Reply(NamedTuple):
@@ -43,10 +43,24 @@
 
     @classmethod
     def from_config(
-        cls, endpoint: str, timeout_ms: int, metrics: metrics_lib.Metrics
+        cls,
+        endpoint: str,
+        timeout_ms: int,
+        metrics: metrics_lib.Metrics,
+        client_name: str = "client",
     ) -> Self:
-        """Makes a store; must be called on a running loop."""
-        session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+        """Makes a store; must be called on a running loop.
+
+        Args:
+            endpoint: Where the platform listens.
+            timeout_ms: Longest time for a call, watches apart.
+            metrics: Where calls are counted.
+            client_name: Told to the platform as part of the user agent.
+        """
+        session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0),
+            headers={"User-Agent": f"greengagedale/{client_name}"},
+        )
         return cls(session, endpoint, timeout_ms, metrics)
 
     async def get(
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -31,6 +31,8 @@
         lose_replies: This many writes take effect without a reply.
         stale_reads: Reads give the version before the newest.
         silent_watches: Watches never answer.
+        silent_clients: Watches of these clients never answer; each is the
+            end of a user agent.
         writes_per_s: Limit on writes; more get status 429.
         reads_per_s: Limit on reads; more get status 429.
     """
@@ -40,6 +42,7 @@
     lose_replies: int
     stale_reads: bool
     silent_watches: bool
+    silent_clients: list[str]
     writes_per_s: int
     reads_per_s: int
 
@@ -109,11 +112,13 @@
         try:
             async with asyncio.timeout(wait_s), self._changed:
                 await self._changed.wait_for(
-                    lambda: self._after(kind, cursor) and self._watchable()
+                    lambda: (
+                        self._after(kind, cursor) and self._watchable(request)
+                    )
                 )
         except TimeoutError:
             pass
-        while not self._watchable():
+        while not self._watchable(request):
             await asyncio.sleep(wait_s)
         if self.faults.get("down"):
             raise web.HTTPServiceUnavailable
@@ -141,8 +146,12 @@
         del request
         return _json(self.calls)
 
-    def _watchable(self) -> bool:
-        return not self.faults.get("silent_watches")
+    def _watchable(self, request: web.Request) -> bool:
+        agent = request.headers.get("User-Agent", "")
+        silent = tuple(self.faults.get("silent_clients", ()))
+        return not self.faults.get("silent_watches") and not (
+            agent.endswith(silent)
+        )
 
     def _read(self, key: tuple[str, str]) -> Stored | None:
         versions = self._objects.get(key)
