--- /dev/null
+++ b/tests/stores.py
@@ -0,0 +1,135 @@
+"""A small store in memory that loses, delays and denies its answers."""
+
+import asyncio
+import itertools
+import random
+
+from greengagedale.catalog import catalogs
+from greengagedale.platform import base
+
+
+class FaultyStore(base.ObjectStore):
+    """An object store whose faults are shares of its calls.
+
+    Attributes:
+        down: Every call fails.
+        lost_share: Writes without a reply; half of them take effect, some
+            of these late.
+        masked_share: Writes that take effect and come back as conflicts.
+        stale_share: Reads that give the version before the newest.
+        catalogs: Every catalog that was stored.
+        documents: Every document that was ever stored.
+        silent: Watches fail while reads are answered.
+    """
+
+    def __init__(self, seed=0):
+        self._rng = random.Random(seed)
+        self._versions = itertools.count(1)
+        self._objects = {}
+        self._older = {}
+        self._late = set()
+        self.down = False
+        self.silent = False
+        self.lost_share = 0.0
+        self.masked_share = 0.0
+        self.stale_share = 0.0
+        self.catalogs = []
+        self.documents = {}
+        self.calls = []
+
+    async def get(self, kind, name):
+        await self._enter("get")
+        if self.down:
+            return base.Unavailable("down")
+        stored = self._objects.get((kind, name))
+        if self._rng.random() < self.stale_share:
+            stored = self._older.get((kind, name), stored)
+        return base.Missing() if stored is None else base.Found(stored)
+
+    async def put(self, kind, name, value, expected_version):
+        return await self._change(kind, name, value, expected_version)
+
+    async def delete(self, kind, name, expected_version):
+        return await self._change(kind, name, None, expected_version)
+
+    async def names(self, kind):
+        await self._enter("names")
+        if self.down:
+            return base.Unavailable("down")
+        return [name for held, name in self._objects if held == kind]
+
+    async def watch(self, kind, cursor, wait_ms):
+        await self._enter("watch")
+        if self.down or self.silent:
+            await asyncio.sleep(0.001)
+            return base.Unavailable("down")
+        found = [
+            stored
+            for (held, _), stored in self._objects.items()
+            if held == kind and stored.version > cursor
+        ]
+        await asyncio.sleep(0 if found else 0.001)
+        newest = max([cursor, *(item.version for item in found)])
+        return base.Changes(found, newest)
+
+    async def hosts(self):
+        return []
+
+    async def close(self):
+        await asyncio.gather(*self._late)
+
+    def seed(self, kind, name, value):
+        """Stores an object, whatever was there."""
+        stored = base.StoredObject(kind, name, next(self._versions), value)
+        self._older[kind, name] = self._objects.get((kind, name), stored)
+        self._objects[kind, name] = stored
+
+    def newest(self):
+        """Returns the stored catalog, decoded."""
+        key = (catalogs.KIND_CATALOG, catalogs.CATALOG_NAME)
+        return catalogs.decode_catalog(self._objects[key].value)
+
+    async def _enter(self, operation):
+        self.calls.append(operation)
+        for _ in range(self._rng.randrange(3)):
+            await asyncio.sleep(0)
+
+    async def _change(self, kind, name, value, expected_version):
+        await self._enter("put")
+        if self.down:
+            return base.Unsure("down")
+        if self._rng.random() < self.lost_share:
+            self._lose(kind, name, value, expected_version)
+            return base.Unsure("no reply")
+        result = self._apply(kind, name, value, expected_version)
+        masked = self._rng.random() < self.masked_share
+        return base.Conflict() if masked else result
+
+    def _lose(self, *write):
+        fate = self._rng.choice(["never", "never", "now", "late"])
+        if fate == "now":
+            self._apply(*write)
+        if fate == "late":
+            task = asyncio.create_task(self._apply_late(*write))
+            self._late.add(task)
+            task.add_done_callback(self._late.discard)
+
+    async def _apply_late(self, *write):
+        await asyncio.sleep(self._rng.uniform(0, 0.01))
+        self._apply(*write)
+
+    def _apply(self, kind, name, value, expected_version):
+        held = self._objects.get((kind, name))
+        if (held.version if held else 0) != expected_version:
+            return base.Conflict()
+        if value is None:
+            del self._objects[kind, name]
+            return base.Written(next(self._versions))
+        self.seed(kind, name, value)
+        if kind == catalogs.KIND_CATALOG:
+            self.catalogs.append(value)
+            for bound in catalogs.names_in(self.newest()):
+                assert (catalogs.KIND_DOCUMENT, bound) in self._objects
+        else:
+            self.documents[name] = value
+        return base.Written(self._objects[kind, name].version)
--- /dev/null
+++ b/tests/test_acceptance.py
@@ -0,0 +1,224 @@
+"""Changes under lost replies, races, stale reads and outages."""
+
+import asyncio
+import random
+
+import aiohttp
+from aiohttp import test_utils
+from catalog import test_edits
+import pytest
+import stores
+
+from greengagedale import acceptance
+from greengagedale import clocks
+from greengagedale import collection
+from greengagedale import configuration
+from greengagedale import configuration_metrics
+from greengagedale import metrics
+from greengagedale.catalog import catalogs
+from greengagedale.catalog import edits
+from greengagedale.platform import base
+from greengagedale.platform import http
+from standins import change_history
+from standins import platform
+from standins import records
+from standins import shapes
+
+
+def make_writer(store, timeout_ms=2000, seed=0):
+    """Makes the writer of a host that knows nothing yet, and its holder."""
+    counters = configuration_metrics.ConfigurationMetrics(
+        metrics.Metrics().registry
+    )
+    holder = configuration.Holder()
+    writer = acceptance.Writer(
+        store,
+        holder,
+        collection.Collector(store, counters),
+        timeout_ms,
+        clocks.MonotonicClock(),
+        random.Random(seed),
+        counters,
+    )
+    return writer, holder
+
+
+@pytest.fixture
+def quick(monkeypatch):
+    monkeypatch.setattr(acceptance, "_FIRST_DELAY_MS", 1)
+    monkeypatch.setattr(acceptance, "_LONGEST_DELAY_MS", 4)
+
+
+def put(name="site", revision=0, **parameters):
+    return edits.Change(
+        edits.new_change_id(revision),
+        template=test_edits.template(name, **parameters),
+    )
+
+
+async def test_change_takes_one_read_and_one_write_an_object(quick):
+    store = stores.FaultyStore()
+    writer, _ = make_writer(store)
+    accepted = await writer.accept(put(), True)
+    assert accepted == configuration.Accepted(1)
+    assert store.calls == ["get", "put", "put"]
+    store.calls.clear()
+    accepted = await writer.accept(put("other", 1), True)
+    assert accepted == configuration.Accepted(2)
+    assert store.calls == ["get", "put", "put"]
+
+
+async def test_race_cannot_slip_past_validation(quick):
+    store = stores.FaultyStore()
+    first, _ = make_writer(store)
+    second, _ = make_writer(store)
+    await first.accept(put(timeout_ms=9), True)
+    loses_parameter = put(revision=1)
+    starts_to_use_it = edits.Change(
+        edits.new_change_id(1), workspace=test_edits.workspace(timeout_ms=5)
+    )
+    results = await asyncio.gather(
+        first.accept(loses_parameter, True),
+        second.accept(starts_to_use_it, True),
+    )
+    tags = sorted(result.tag for result in results)
+    assert tags == ["accepted", "not_accepted"]
+
+
+async def test_outage_never_gives_a_false_answer(quick):
+    store = stores.FaultyStore()
+    writer, _ = make_writer(store, timeout_ms=100)
+    store.down = True
+    change = put()
+    refused = await writer.accept(change, True)
+    assert refused.reason == "platform_down"
+    resent = await writer.accept(change, False)
+    assert isinstance(resent, configuration.Undecided)
+    followed = await writer.follow_up(change.change_id)
+    assert isinstance(followed, configuration.Undecided)
+    store.down = False
+    followed = await writer.follow_up(change.change_id)
+    assert followed == configuration.Absent(0)
+    assert await writer.accept(change, False) == configuration.Accepted(1)
+    store.down = True
+    assert await writer.accept(change, False) != configuration.Absent(1)
+    followed = await writer.follow_up(change.change_id)
+    assert followed == configuration.Accepted(1)
+
+
+async def test_write_that_may_land_late_is_not_called_refused(quick):
+    store = stores.FaultyStore()
+    writer, holder = make_writer(store, timeout_ms=100)
+    await writer.accept(put(), True)
+    apply = store.put
+
+    async def go_down(kind, name, value, expected_version):
+        if kind == catalogs.KIND_CATALOG:
+            store.down = True
+            return base.Unsure("no reply")
+        return await apply(kind, name, value, expected_version)
+
+    store.put = go_down
+    change = put("late", 1)
+    result = await writer.accept(change, True)
+    assert result.tag == "unknown"
+    assert result.change_id == change.change_id
+    assert holder.current.revision == 1
+
+
+async def test_catalog_older_than_the_one_in_force_accepts_nothing(quick):
+    store = stores.FaultyStore()
+    writer, holder = make_writer(store, timeout_ms=100)
+    await writer.accept(put(), True)
+    await writer.accept(put("other", 1), True)
+    store.stale_share = 1.0
+    result = await writer.accept(put("third", 2), True)
+    assert result.reason == "busy"
+    assert "revision 1 while 2 is in force" in result.detail
+    assert holder.current.revision == 2
+
+
+async def test_write_repeated_by_the_client_library_is_accepted_once(tmp_path):
+    recorder = records.Recorder.from_config(tmp_path / "platform.jsonl")
+    shape = shapes.Shape(
+        name="none",
+        base_port=1,
+        data_centres=["dc-a"],
+        between_ms=0,
+        clients_ms=0,
+        services=[],
+    )
+    server = test_utils.TestServer(platform.application(shape, recorder))
+    async with server, aiohttp.ClientSession() as session:
+        endpoint = f"127.0.0.1:{server.port}"
+        store = http.HttpStore.from_config(endpoint, 1000, metrics.Metrics())
+        writer, _ = make_writer(store)
+        await writer.accept(put(), True)
+        unchanged = edits.Change(
+            edits.new_change_id(1), template=test_edits.template()
+        )
+        control = f"http://{endpoint}/control"
+        await session.post(control, json={"lose_replies": 1})
+        accepted = await writer.accept(unchanged, True)
+        await store.close()
+    assert accepted == configuration.Accepted(2)
+    written = records.read(tmp_path / "platform.jsonl")
+    values, _ = change_history.from_record(written)
+    assert len(values) == 2
+
+
+def some_change(rng, revision):
+    """Makes a change that often clashes with the others."""
+    change_id = f"{revision}-{rng.randbytes(8).hex()}"
+    used = {"timeout_ms": 7} if rng.random() < 0.5 else {}
+    name = f"w{rng.randrange(4)}"
+    kind = rng.randrange(8)
+    if kind == 0:
+        return edits.Change(change_id, delete_template="site")
+    if kind == 1:
+        return edits.Change(change_id, delete_workspace=name)
+    if kind < 4:
+        return edits.Change(change_id, template=test_edits.template(**used))
+    return edits.Change(change_id, workspace=test_edits.workspace(name, **used))
+
+
+@pytest.mark.parametrize("seed", range(4))
+async def test_racing_operators_are_told_the_truth(quick, seed):
+    store = stores.FaultyStore(seed)
+    store.lost_share = store.masked_share = 0.15
+    store.stale_share = 0.1 * (seed % 2)
+    hosts = [make_writer(store, 5000, seed * 10 + i) for i in range(4)]
+
+    async def operate(number):
+        rng = random.Random(seed * 100 + number)
+        told = []
+        for _ in range(25):
+            writer, holder = rng.choice(hosts)
+            before = holder.current.revision
+            stored = len(store.catalogs)
+            change = some_change(rng, before)
+            result = await writer.accept(change, True)
+            assert holder.current.revision >= before
+            revision = getattr(result, "revision", 0)
+            reason = getattr(result, "reason", "")
+            told.append(
+                change_history.Told(
+                    change,
+                    result.tag,
+                    revision,
+                    reason,
+                    stored,
+                    len(store.catalogs),
+                )
+            )
+        return told
+
+    groups = await asyncio.gather(*(operate(n) for n in range(10)))
+    told = [item for group in groups for item in group]
+    await store.close()
+    findings = change_history.check(store.catalogs, store.documents, told)
+    assert findings == change_history.Findings([], [], [], [], [])
+    outcomes = [item.outcome for item in told]
+    assert outcomes.count("accepted") > 80
+    assert {item.reason for item in told} <= {"", "invalid"}
+    assert outcomes.count("unknown") == 0
