--- /dev/null
+++ b/bench/changes.py
@@ -0,0 +1,263 @@
+"""Time from the sending of a change until it is in force on each host."""
+
+import asyncio
+from collections.abc import Iterable
+import statistics
+import time
+from typing import Any, ClassVar, NamedTuple
+
+import aiohttp
+
+from bench import cases
+from greengagedale import loops
+from standins import deployments
+from standins import httpcalls
+from standins import shapes
+
+NO_SERVICE = ""
+
+_CHANGES = 60
+_PAUSE_S = 0.05
+_POLL_S = 0.003
+_GIVE_UP_S = 20.0
+_MS_PER_S = 1000.0
+_WELL_TARGET_MS = 1000.0
+_FAULT_TARGET_MS = 3000.0
+
+
+class Spread(NamedTuple):
+    """How one change spread.
+
+    Attributes:
+        accept_ms: From sending until the answer.
+        in_force_ms: From sending until it was in force, by host.
+    """
+
+    accept_ms: float
+    in_force_ms: dict[str, float]
+
+
+class Client:
+    """Asks operators' interfaces of the hosts of a deployment."""
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        deployment: deployments.Deployment,
+        hosts: list[shapes.EntryHost],
+    ) -> None:
+        self._session = session
+        self._endpoints = {h.name: deployment.operator(h) for h in hosts}
+
+    async def put(self, host: str, name: str, number: int) -> dict[str, Any]:
+        """Puts a template whose content depends on a number."""
+        body = {
+            "parameters": {},
+            "workspace": {"service": "places", "timeout_ms": 1 + number},
+        }
+        url = f"http://{self._endpoints[host]}/v1/templates/{name}"
+        async with self._session.put(url, json=body) as response:
+            return await response.json()
+
+    async def revision(self, host: str) -> int:
+        """Returns the revision in force on a host; 0 if it is silent."""
+        url = f"http://{self._endpoints[host]}/v1/configuration"
+        try:
+            async with self._session.get(url) as response:
+                return (await response.json())["revision"]
+        except aiohttp.ClientError:
+            return 0
+
+    async def reached_ms(self, host: str, revision: int, since: float) -> float:
+        """Returns how long after a time a host had a revision in force."""
+        while await self.revision(host) < revision:
+            if time.monotonic() - since > _GIVE_UP_S:
+                return _GIVE_UP_S * _MS_PER_S
+            await asyncio.sleep(_POLL_S)
+        return (time.monotonic() - since) * _MS_PER_S
+
+    async def spread(self, host: str, number: int) -> Spread:
+        """Makes a change through a host and follows it to every host."""
+        since = time.monotonic()
+        answer = await self.put(host, "site", number)
+        accept_ms = (time.monotonic() - since) * _MS_PER_S
+        times = await self.everywhere(answer["revision"], since)
+        return Spread(accept_ms, times)
+
+    async def everywhere(self, revision: int, since: float) -> dict[str, float]:
+        """Returns how long after a time each host had a revision."""
+        times = await asyncio.gather(
+            *(self.reached_ms(h, revision, since) for h in self._endpoints)
+        )
+        return dict(zip(self._endpoints, times, strict=True))
+
+
+async def spreads(
+    deployment: deployments.Deployment, hosts: list[shapes.EntryHost]
+) -> list[Spread]:
+    """Makes changes through the hosts in turn."""
+    async with aiohttp.ClientSession() as session:
+        client = Client(session, deployment, hosts)
+        found = []
+        for number in range(_CHANGES):
+            host = hosts[number % len(hosts)]
+            found.append(await client.spread(host.name, number))
+            await asyncio.sleep(_PAUSE_S)
+        return found
+
+
+def platform_calls(deployment: deployments.Deployment) -> dict[str, int]:
+    """Returns the calls that the platform has counted, by operation."""
+    endpoint = deployment.shape.platform_endpoint
+    return httpcalls.get(endpoint, "/control/calls").body
+
+
+def quantile(values: list[float], share: float) -> float:
+    """Returns a quantile of a few values."""
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+class _ChangeCase(cases.Case):
+    """Changes through every host in turn, under some fault."""
+
+    target_ms: ClassVar[float]
+    shapes: ClassVar[tuple[str, ...]] = ("kodklubben",)
+
+    def run(self, context: cases.Context) -> Iterable[cases.Row]:
+        """Measures every change on every host."""
+        deployment = context.deployment()
+        try:
+            deployment.start(service=NO_SERVICE)
+            self.disturb(deployment)
+            yield self._row(context, deployment)
+        finally:
+            deployment.stop()
+
+    def disturb(self, deployment: deployments.Deployment) -> None:
+        """Brings the fault about."""
+
+    def _row(
+        self, context: cases.Context, deployment: deployments.Deployment
+    ) -> cases.Row:
+        hosts = deployment.shape.entry_hosts()
+        before = platform_calls(deployment)
+        started = time.monotonic()
+        found = loops.run(spreads(deployment, hosts))
+        took_s = time.monotonic() - started
+        after = platform_calls(deployment)
+        calls = {key: after[key] - before.get(key, 0) for key in after}
+        worst = [max(item.in_force_ms.values()) for item in found]
+        p99_ms = max(
+            quantile([item.in_force_ms[host.name] for item in found], 0.99)
+            for host in hosts
+        )
+        figures = {
+            "accept_p50_ms": statistics.median(i.accept_ms for i in found),
+            "in_force_p50_ms": statistics.median(worst),
+            "worst_host_p99_ms": p99_ms,
+            "most_ms": max(worst),
+            "writes_a_change": calls.get("put", 0) / len(found),
+            "reads_a_change": calls.get("get", 0) / len(found),
+            "watches_a_host_s": calls.get("watch", 0) / len(hosts) / took_s,
+        }
+        return cases.Row(
+            self.name,
+            deployment.shape.name,
+            "",
+            context.seed,
+            figures,
+            f"p99 at most {self.target_ms:.0f} ms on every host",
+            p99_ms <= self.target_ms,
+        )
+
+
+class ChangeAllWell(_ChangeCase):
+    """No faults."""
+
+    name = "change_all_well"
+    target_ms = _WELL_TARGET_MS
+
+
+class ChangeWatchDead(_ChangeCase):
+    """Watches of one host are never answered."""
+
+    name = "change_watch_dead"
+    target_ms = _FAULT_TARGET_MS
+
+    def disturb(self, deployment: deployments.Deployment) -> None:
+        """Silences the watches of the last host."""
+        deployment.control_platform(silent_clients=["entry-4"])
+
+
+class ChangeOutage(cases.Case):
+    """The platform goes down when one host alone has heard of a change."""
+
+    name = "change_outage"
+    shapes: ClassVar[tuple[str, ...]] = ("kodklubben",)
+
+    def run(self, context: cases.Context) -> Iterable[cases.Row]:
+        """Measures the other hosts, then a host started in the outage."""
+        deployment = context.deployment()
+        try:
+            deployment.start(service=NO_SERVICE)
+            yield self._row(context, deployment)
+        finally:
+            deployment.stop()
+
+    def _row(
+        self, context: cases.Context, deployment: deployments.Deployment
+    ) -> cases.Row:
+        hosts = deployment.shape.entry_hosts()
+        others = [host.name for host in hosts[1:]]
+        deployment.control_platform(silent_clients=others)
+        times, revision = loops.run(_outage(deployment, hosts))
+        fresh = hosts[-1]
+        deployment.kill(fresh.name)
+        started = time.monotonic()
+        deployment.start_host(fresh)
+        fresh_ms = loops.run(_reached(deployment, fresh, revision, started))
+        deployments.wait_until(
+            lambda: fresh.name in deployment.located(fresh),
+            "the fresh host to be ready",
+        )
+        figures = {
+            "most_ms": max(times.values()),
+            "fresh_host_ms": fresh_ms,
+            "fresh_host_ready_ms": (time.monotonic() - started) * _MS_PER_S,
+        }
+        return cases.Row(
+            self.name,
+            deployment.shape.name,
+            "",
+            context.seed,
+            figures,
+            "at most 3000 ms on all hosts; a fresh host learns it from others",
+            figures["most_ms"] <= _FAULT_TARGET_MS
+            and fresh_ms < _GIVE_UP_S * _MS_PER_S,
+        )
+
+
+async def _outage(
+    deployment: deployments.Deployment, hosts: list[shapes.EntryHost]
+) -> tuple[dict[str, float], int]:
+    async with aiohttp.ClientSession() as session:
+        client = Client(session, deployment, hosts)
+        since = time.monotonic()
+        answer = await client.put(hosts[0].name, "second", 1)
+        url = f"http://{deployment.shape.platform_endpoint}/control"
+        async with session.post(url, json={"down": True}) as response:
+            response.raise_for_status()
+        times = await client.everywhere(answer["revision"], since)
+        return times, answer["revision"]
+
+
+async def _reached(
+    deployment: deployments.Deployment,
+    host: shapes.EntryHost,
+    revision: int,
+    since: float,
+) -> float:
+    async with aiohttp.ClientSession() as session:
+        client = Client(session, deployment, [host])
+        return await client.reached_ms(host.name, revision, since)
--- a/greengagedale/hosts.py
+++ b/greengagedale/hosts.py
@@ -243,6 +243,10 @@
         """Returns the configuration in force on this host."""
         return self._holder.current
 
+    def configuration_age_ms(self) -> float | None:
+        """Returns how long ago the configuration was known to be current."""
+        return self._holder.age_ms()
+
     async def fleet(self) -> list[peers_base.PeerStatus]:
         """Returns the status of every host that answers."""
         await self._directory.refresh()
--- a/greengagedale/operators/base.py
+++ b/greengagedale/operators/base.py
@@ -25,6 +25,10 @@
     def current(self) -> catalogs.Configuration:
         """Returns the configuration in force on this host."""
 
+    @abc.abstractmethod
+    def configuration_age_ms(self) -> float | None:
+        """Returns how long ago the configuration was known to be current."""
+
     @abc.abstractmethod
     async def fleet(self) -> list[peers_base.PeerStatus]:
         """Returns the status of every host that answers."""
--- a/greengagedale/operators/http_server.py
+++ b/greengagedale/operators/http_server.py
@@ -45,6 +45,7 @@
             web.get("/v1/workspaces/{name}", handlers.workspace),
             web.put("/v1/workspaces/{name}", handlers.put_workspace),
             web.delete("/v1/workspaces/{name}", handlers.delete_workspace),
+            web.get("/v1/configuration", handlers.configuration),
             web.post("/v1/changes", handlers.new_change),
             web.get("/v1/changes/{change_id}", handlers.change),
             web.get("/v1/fleet", handlers.fleet),
@@ -105,6 +106,16 @@
         name = request.match_info["name"]
         return await self._change(request, delete_workspace=name)
 
+    async def configuration(self, request: web.Request) -> web.Response:
+        """Answers which revision is in force here."""
+        del request
+        return http_replies.reply(
+            wire.ConfigurationReply(
+                revision=self._service.current().revision,
+                age_ms=self._service.configuration_age_ms(),
+            )
+        )
+
     async def new_change(self, request: web.Request) -> web.Response:
         """Answers a new id for a change."""
         del request
--- a/greengagedale/operators/wire.py
+++ b/greengagedale/operators/wire.py
@@ -37,6 +37,16 @@
     revision: int
 
 
+class ConfigurationReply(TypedDict):
+    """What is in force on the host that was asked.
+
+    `age_ms` tells how long ago it was known to be current; null is never.
+    """
+
+    revision: int
+    age_ms: float | None
+
+
 class DocumentsReply(TypedDict):
     """Templates or workspaces in force on the host that was asked."""
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -29,6 +29,7 @@
         down: Every call is refused with status 503.
         delay_ms: Every call takes this much longer.
         lose_replies: This many writes take effect without a reply.
+        lose_every: Of so many writes, one takes effect without a reply.
         stale_reads: Reads give the version before the newest.
         silent_watches: Watches never answer.
         silent_clients: Watches of these clients never answer; each is the
@@ -40,6 +41,7 @@
     down: bool
     delay_ms: float
     lose_replies: int
+    lose_every: int
     stale_reads: bool
     silent_watches: bool
     silent_clients: list[str]
@@ -146,6 +148,13 @@
         del request
         return _json(self.calls)
 
+    def _loses_reply(self) -> bool:
+        if self.faults.get("lose_replies", 0) > 0:
+            self.faults["lose_replies"] -= 1
+            return True
+        every = self.faults.get("lose_every")
+        return bool(every) and self.calls["put"] % every == 0
+
     def _watchable(self, request: web.Request) -> bool:
         agent = request.headers.get("User-Agent", "")
         silent = tuple(self.faults.get("silent_clients", ()))
@@ -206,8 +215,7 @@
         )
         async with self._changed:
             self._changed.notify_all()
-        if self.faults.get("lose_replies", 0) > 0:
-            self.faults["lose_replies"] -= 1
+        if self._loses_reply():
             request.transport.abort()
         return _json(wire.WriteReply(version=version))
 
