--- /dev/null
+++ b/bench/operators.py
@@ -0,0 +1,264 @@
+"""Operators racing over the same objects while the platform misbehaves."""
+
+import asyncio
+from collections.abc import Iterable
+import random
+import time
+from typing import Any, ClassVar, NamedTuple
+
+import aiohttp
+
+from bench import cases
+from bench import changes
+from greengagedale import loops
+from greengagedale.catalog import catalogs
+from greengagedale.catalog import documents
+from greengagedale.catalog import edits
+from greengagedale.operators import wire
+from standins import change_history
+from standins import deployments
+
+_OPERATORS = 10
+_CHANGES = 1000
+_DELAY_MS = 20
+_LOSE_EVERY = 10
+_WATCH_EVERY_S = 0.01
+_FOLLOW_UP_S = 0.2
+_CLIENT_TIMEOUT_S = 30.0
+_MS_PER_S = 1000.0
+_NAMES = 6
+
+
+class _Sent(NamedTuple):
+    told: change_history.Told
+    sent_ms: float
+    answered_ms: float
+    unknown_first: bool
+
+
+class OperatorsRacing(cases.Case):
+    """Ten operators, lost replies and a slow platform."""
+
+    name = "operators"
+    shapes: ClassVar[tuple[str, ...]] = ("kodklubben",)
+    seeds: ClassVar[tuple[int, ...]] = (1,)
+
+    def run(self, context: cases.Context) -> Iterable[cases.Row]:
+        """Runs all operators, then checks the record of the platform."""
+        deployment = context.deployment()
+        try:
+            deployment.start(service=changes.NO_SERVICE)
+            deployment.control_platform(
+                delay_ms=_DELAY_MS, lose_every=_LOSE_EVERY
+            )
+            before = changes.platform_calls(deployment)
+            started = time.monotonic()
+            race = _Race(deployment, context.seed)
+            loops.run(race.run())
+            took_s = time.monotonic() - started
+            after = changes.platform_calls(deployment)
+            calls = {key: after[key] - before.get(key, 0) for key in after}
+            yield self._row(context, race, calls, took_s)
+        finally:
+            deployment.stop()
+
+    def _row(
+        self,
+        context: cases.Context,
+        race: "_Race",
+        calls: dict[str, int],
+        took_s: float,
+    ) -> cases.Row:
+        events = race.deployment.record_of("platform")
+        values, blobs = change_history.from_record(events)
+        stored_ms = [
+            item["at_ms"]
+            for item in events
+            if item["event"] == "write"
+            and item["kind"] == catalogs.KIND_CATALOG
+        ]
+        told = [_dated(item, stored_ms) for item in race.sent]
+        findings = change_history.check(values, blobs, told)
+        outcomes = [item.outcome for item in told]
+        faults = {
+            "lost": len(findings.lost),
+            "twice": len(findings.twice),
+            "reversions": race.reversions,
+            "falsely_refused": len(findings.false_refusals),
+            "invalid_accepted": len(findings.invalid) + len(findings.gaps),
+            "never_decided": outcomes.count("unknown"),
+        }
+        figures = {
+            **faults,
+            "changes": len(told),
+            "accepted": outcomes.count("accepted"),
+            "refused_invalid": _reasons(told).count("invalid"),
+            "refused_conflict": _reasons(told).count("conflict"),
+            "refused_busy": _reasons(told).count("busy"),
+            "answered_unknown": sum(i.unknown_first for i in race.sent),
+            "took_s": took_s,
+            "answer_p50_ms": changes.quantile(_latencies(race.sent), 0.5),
+            "answer_p99_ms": changes.quantile(_latencies(race.sent), 0.99),
+            "writes_a_change": calls.get("put", 0) / len(told),
+            "reads_a_change": calls.get("get", 0) / len(told),
+        }
+        return cases.Row(
+            self.name,
+            race.deployment.shape.name,
+            "",
+            context.seed,
+            figures,
+            "0 lost, 0 reversions, 0 falsely refused, 0 invalid accepted",
+            not any(faults.values()) and "busy" not in _reasons(told),
+        )
+
+
+class _Race:
+    """The operators, and a watch over the revisions that hosts show."""
+
+    def __init__(self, deployment: deployments.Deployment, seed: int) -> None:
+        self.deployment = deployment
+        self.sent: list[_Sent] = []
+        self.reversions = 0
+        self._seed = seed
+        self._hosts = deployment.shape.entry_hosts()
+
+    async def run(self) -> None:
+        """Runs until all operators have made their changes."""
+        timeout = aiohttp.ClientTimeout(total=_CLIENT_TIMEOUT_S)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            client = changes.Client(session, self.deployment, self._hosts)
+            watches = [
+                asyncio.create_task(self._watch(client, host.name))
+                for host in self._hosts
+            ]
+            operators = [
+                self._operate(session, random.Random(f"{self._seed}/{n}"))
+                for n in range(_OPERATORS)
+            ]
+            await asyncio.gather(*operators)
+            for watch in watches:
+                watch.cancel()
+            await asyncio.gather(*watches, return_exceptions=True)
+
+    async def _watch(self, client: changes.Client, host: str) -> None:
+        highest = 0
+        while True:
+            revision = await client.revision(host)
+            self.reversions += revision < highest
+            highest = max(highest, revision)
+            await asyncio.sleep(_WATCH_EVERY_S)
+
+    async def _operate(
+        self, session: aiohttp.ClientSession, rng: random.Random
+    ) -> None:
+        for _ in range(_CHANGES // _OPERATORS):
+            endpoint = self.deployment.operator(rng.choice(self._hosts))
+            root = f"http://{endpoint}/v1"
+            made = await _call(session, "POST", f"{root}/changes")
+            change = _some_change(rng, made["change_id"], made["revision"])
+            sent_ms = time.monotonic() * _MS_PER_S
+            body = await _send(session, root, change)
+            answered_ms = time.monotonic() * _MS_PER_S
+            unknown = body["outcome"] == "unknown"
+            while body["outcome"] == "unknown":
+                await asyncio.sleep(_FOLLOW_UP_S)
+                url = f"{root}/changes/{change.change_id}"
+                body = await _call(session, "GET", url)
+            told = change_history.Told(
+                change,
+                body["outcome"],
+                body.get("revision", 0),
+                body.get("reason", ""),
+            )
+            self.sent.append(_Sent(told, sent_ms, answered_ms, unknown))
+
+
+async def _call(
+    session: aiohttp.ClientSession, method: str, url: str, **extra: Any
+) -> Any:
+    async with session.request(method, url, **extra) as response:
+        return await response.json()
+
+
+async def _send(
+    session: aiohttp.ClientSession, root: str, change: edits.Change
+) -> Any:
+    headers = {
+        wire.HEADER_CHANGE_ID: change.change_id,
+        wire.HEADER_CHANGE_ATTEMPT: "1",
+    }
+    if change.expected_revision is not None:
+        headers["If-Match"] = f'"r{change.expected_revision}"'
+    [key] = edits.keys_of(change)
+    document = change.template or change.workspace
+    if document is None:
+        return await _call(session, "DELETE", f"{root}/{key}", headers=headers)
+    body = document.model_dump()
+    return await _call(
+        session, "PUT", f"{root}/{key}", headers=headers, json=body
+    )
+
+
+def _some_change(
+    rng: random.Random, change_id: str, revision: int
+) -> edits.Change:
+    """Makes a change that often clashes with those of others."""
+    used = {"timeout_ms": rng.randrange(1, 100)} if rng.random() < 0.6 else {}
+    expected = revision if rng.random() < 0.3 else None
+    name = f"w{rng.randrange(_NAMES)}"
+    kind = rng.randrange(10)
+    if kind == 0:
+        return edits.Change(change_id, delete_template="site")
+    if kind < 3:
+        return edits.Change(
+            change_id, delete_workspace=name, expected_revision=expected
+        )
+    if kind < 6:
+        template = _template(used)
+        return edits.Change(
+            change_id, template=template, expected_revision=expected
+        )
+    workspace = documents.parse_workspace(
+        {
+            "name": name,
+            "member": "member-a",
+            "template": "site",
+            "parameters": used,
+        }
+    )
+    return edits.Change(
+        change_id, workspace=workspace, expected_revision=expected
+    )
+
+
+def _template(used: dict[str, int]) -> documents.Template:
+    return documents.parse_template(
+        {
+            "name": "site",
+            "parameters": {
+                key: {"type": "integer", "default": value}
+                for key, value in used.items()
+            },
+            "workspace": {
+                "service": "places",
+                **{key: f"${{{key}}}" for key in used},
+            },
+        }
+    )
+
+
+def _dated(sent: _Sent, stored_ms: list[float]) -> change_history.Told:
+    """Adds the revisions that were stored while the change was tried."""
+    return sent.told._replace(
+        from_revision=sum(at < sent.sent_ms for at in stored_ms),
+        to_revision=sum(at <= sent.answered_ms for at in stored_ms),
+    )
+
+
+def _reasons(told: list[change_history.Told]) -> list[str]:
+    return [item.reason for item in told]
+
+
+def _latencies(sent: list[_Sent]) -> list[float]:
+    return [item.answered_ms - item.sent_ms for item in sent]
--- a/standins/httpcalls.py
+++ b/standins/httpcalls.py
@@ -21,6 +21,7 @@
     path: str,
     body: Any = None,
     timeout_s: float = 15.0,
+    headers: dict[str, str] | None = None,
 ) -> Answer:
     """Sends one request; a `bytes` body goes as it is, others as JSON.
 
@@ -34,7 +35,7 @@
     if body is not None and not isinstance(body, bytes):
         body = json.dumps(body).encode()
     try:
-        connection.request(method, path, body=body)
+        connection.request(method, path, body=body, headers=headers or {})
         response = connection.getresponse()
         text = response.read()
     finally:
