--- a/greengagedale/config/settings.py
+++ b/greengagedale/config/settings.py
@@ -60,6 +60,12 @@
     most_keys: options.Count = 50_000
 
 
+class ConfigurationSettings(Section):
+    """How changes of configuration are accepted."""
+
+    accept_timeout_ms: options.DurationMs = 10_000
+
+
 class UpstreamsSettings(Section):
     """How upstreams are used."""
 
@@ -94,6 +100,7 @@
     peers: PeersSettings = PeersSettings()
     callers: CallersSettings = CallersSettings()
     actions: ActionsSettings = ActionsSettings()
+    configuration: ConfigurationSettings = ConfigurationSettings()
     upstreams: UpstreamsSettings = UpstreamsSettings()
     shutdown: ShutdownSettings = ShutdownSettings()
     drain: DrainSettings = DrainSettings()
--- a/greengagedale/daemons.py
+++ b/greengagedale/daemons.py
@@ -9,11 +9,15 @@
 
 from aiohttp import web
 
+from greengagedale import acceptance
 from greengagedale import actions
 from greengagedale import clocks
+from greengagedale import collection
 from greengagedale import configuration
+from greengagedale import configuration_metrics
 from greengagedale import directory as directory_lib
 from greengagedale import dispatches
+from greengagedale import distribution
 from greengagedale import drain_watch
 from greengagedale import fleet_metrics
 from greengagedale import forwarding
@@ -73,7 +77,10 @@
     clock = clocks.MonotonicClock()
     metrics = metrics_lib.Metrics()
     store = platform_http.HttpStore.from_config(
-        settings.platform.endpoint, settings.platform.timeout_ms, metrics
+        settings.platform.endpoint,
+        settings.platform.timeout_ms,
+        metrics,
+        client_name=settings.host.name,
     )
     stack.push_async_callback(store.close)
     board = news.Board(clock)
@@ -90,11 +97,22 @@
     transport = observed.ObservedTransport(plain_transport, drains)
     peers = grpc_client.GrpcTransport.from_config(settings.peers.timeout_ms)
     stack.push_async_callback(peers.close)
-    holder = configuration.Holder()
-    reader = configuration.Reader(
-        store, holder, settings.platform.watch_wait_ms
+    holder = configuration.Holder(clock)
+    held_metrics = configuration_metrics.ConfigurationMetrics.from_config(
+        metrics, holder
     )
+    collector = collection.Collector(store, held_metrics)
+    stack.push_async_callback(collector.close)
     rng = random.Random()
+    writer = acceptance.Writer(
+        store,
+        holder,
+        collector,
+        settings.configuration.accept_timeout_ms,
+        clock,
+        rng,
+        held_metrics,
+    )
     directory = directory_lib.Directory.from_config(
         settings, board, peers, clock, rng
     )
@@ -113,7 +131,7 @@
     host = hosts.Host(
         settings,
         holder,
-        configuration.Writer(store, reader, holder),
+        writer,
         searches.SearchRunner(transport, policy, clock, metrics),
         action_runner,
         directory,
@@ -132,12 +150,21 @@
         lambda: [status.name for status in directory.alive.values()],
         settings.drain.poll_interval_ms,
     )
+    follower = distribution.Follower(
+        store,
+        peers,
+        holder,
+        lambda: directory.alive,
+        [seed for seed in settings.peers.seeds if seed != own],
+        settings.platform.watch_wait_ms,
+        rng,
+        held_metrics,
+    )
     background = [
         watch.follow_platform(),
         watch.poll(),
         directory.run(datagrams, host.status),
-        reader.follow_catalog(),
-        reader.follow_services(),
+        follower.run(),
         _follow_hosts(settings, store, directory),
     ]
     for work in background:
--- a/greengagedale/peers/wire.py
+++ b/greengagedale/peers/wire.py
@@ -8,6 +8,9 @@
 MEMBERS = "Members"
 EXPLAIN = "Explain"
 ACT = "Act"
+CATALOG = "Catalog"
+DOCUMENTS = "Documents"
+SERVICES = "Services"
 
 encode = msgspec.msgpack.encode
 
