Admission, fair queues and adaptive limits of upstreams

Cause: nothing bounded what ran at once: a burst opened as many attempts as it brought, and each queued in the upstreams. Change: requests are admitted by units of one sub-request against the sum of the upstreams' limits, from bounded queues in weighted fair order; what can't make its deadline is refused on arrival. Attempts take slots of upstreams from a gate, bound late to whichever replica frees first.

--- a/greengagedale/config/settings.py
+++ b/greengagedale/config/settings.py
@@ -58,6 +58,18 @@
     policy: Literal["plain"] = "plain"
 
 
+class LimitsSettings(Section):
+    """What may run at once; `none` stands for no limit.
+
+    Attributes:
+        admission: How requests are admitted.
+        concurrency: How the limit of each upstream follows what it does.
+    """
+
+    admission: Literal["fair", "none"] = "fair"
+    concurrency: Literal["gradient", "aimd", "fixed", "none"] = "aimd"
+
+
 class ShutdownSettings(Section):
     """How the host leaves."""
 
@@ -78,6 +90,7 @@
     peers: PeersSettings = PeersSettings()
     callers: CallersSettings = CallersSettings()
     upstreams: UpstreamsSettings = UpstreamsSettings()
+    limits: LimitsSettings = LimitsSettings()
     shutdown: ShutdownSettings = ShutdownSettings()
     logs: LogsSettings = LogsSettings()
 
--- a/greengagedale/daemons.py
+++ b/greengagedale/daemons.py
@@ -17,6 +17,7 @@
 from greengagedale import searches
 from greengagedale.callers import http_server as callers_http
 from greengagedale.config import settings as settings_lib
+from greengagedale.limits import assembly
 from greengagedale.operators import http_server as operators_http
 from greengagedale.peers import grpc_client
 from greengagedale.peers import grpc_server
@@ -64,10 +65,10 @@
         settings.platform.endpoint, settings.platform.timeout_ms, metrics
     )
     stack.push_async_callback(store.close)
-    transport = upstreams_http.HttpTransport.from_config(
+    plain_transport = upstreams_http.HttpTransport.from_config(
         settings.host.data_centre, settings.upstreams.connect_timeout_ms
     )
-    stack.push_async_callback(transport.close)
+    stack.push_async_callback(plain_transport.close)
     peers = grpc_client.GrpcTransport.from_config(settings.peers.timeout_ms)
     stack.push_async_callback(peers.close)
     holder = configuration.Holder()
@@ -75,6 +76,15 @@
         store, holder, settings.platform.watch_wait_ms
     )
     directory = hosts.Directory(peers)
+    limits = assembly.Limits.from_config(
+        settings.limits,
+        plain_transport,
+        holder,
+        lambda: 1 + len(directory.alive),
+        clock,
+        metrics,
+    )
+    transport = limits.transport
     policy = policies.PlainPolicy(random.Random())
     host = hosts.Host(
         settings,
@@ -82,6 +92,7 @@
         configuration.Writer(store, reader, holder),
         searches.SearchRunner(transport, policy, clock, metrics),
         actions.ActionRunner(transport, policy, clock),
+        limits.admitter,
         directory,
         peers,
         clock,
--- a/greengagedale/hosts.py
+++ b/greengagedale/hosts.py
@@ -16,7 +16,9 @@
 from greengagedale.callers import base as callers_base
 from greengagedale.catalog import catalogs
 from greengagedale.catalog import documents
+from greengagedale.catalog import services
 from greengagedale.config import settings as settings_lib
+from greengagedale.limits import admitting
 from greengagedale.operators import base as operators_base
 from greengagedale.peers import base as peers_base
 from greengagedale.query import fanout
@@ -71,6 +73,7 @@
         writer: configuration.Writer,
         search_runner: searches.SearchRunner,
         action_runner: actions.ActionRunner,
+        admitter: admitting.Admitter | None,
         directory: Directory,
         peers: peers_base.PeerTransport,
         clock: clocks.Clock,
@@ -81,6 +84,7 @@
         self._writer = writer
         self._searches = search_runner
         self._actions = action_runner
+        self._admitter = admitter
         self._directory = directory
         self._peers = peers
         self._clock = clock
@@ -152,7 +156,7 @@
         self._running += 1
         try:
             outcome = (
-                await self._searches.run(search, member, service)
+                await self._admitted_search(call, search, member, service)
                 if service is not None
                 else _not_ready()
             )
@@ -179,7 +183,7 @@
         self._running += 1
         try:
             outcome = (
-                await self._actions.run(request, service)
+                await self._admitted_action(call, request, service)
                 if service is not None
                 else _not_ready()
             )
@@ -188,6 +192,49 @@
         self._record(request_id, call.workspace, "act", started_ms, outcome)
         return callers_base.Reply(request_id, outcome)
 
+    async def _admitted_search(
+        self,
+        call: callers_base.SearchCall,
+        search: fanout.Search,
+        member: str,
+        service: services.Service,
+    ) -> outcomes.Outcome:
+        if self._admitter is None:
+            return await self._searches.run(search, member, service)
+        return await self._admitter.run_search(
+            self._asked(call.workspace, search.request_id, search.deadline_ms),
+            service,
+            lambda: self._searches.run(search, member, service),
+        )
+
+    async def _admitted_action(
+        self,
+        call: callers_base.ActionCall,
+        request: actions.ActionRequest,
+        service: services.Service,
+    ) -> outcomes.Outcome:
+        if self._admitter is None:
+            return await self._actions.run(request, service)
+        return await self._admitter.run_action(
+            self._asked(
+                call.workspace, request.request_id, request.deadline_ms
+            ),
+            service,
+            lambda: self._actions.run(request, service),
+        )
+
+    def _asked(
+        self, workspace: str, request_id: str, deadline_ms: float
+    ) -> admitting.Asked:
+        plan = self._holder.current.plans[workspace]
+        return admitting.Asked(
+            request_id,
+            workspace,
+            float(plan.weight),
+            plan.queue_length,
+            deadline_ms,
+        )
+
     async def explain_anywhere(
         self, request_id: str
     ) -> records_lib.Record | None:
--- /dev/null
+++ b/greengagedale/limits/assembly.py
@@ -0,0 +1,54 @@
+"""Puts the parts of the limits together from the settings."""
+
+from collections.abc import Callable
+import random
+from typing import NamedTuple, Self
+
+from greengagedale import clocks
+from greengagedale import configuration
+from greengagedale import metrics as metrics_lib
+from greengagedale.config import settings as settings_lib
+from greengagedale.limits import admitting
+from greengagedale.limits import concurrency
+from greengagedale.limits import gate as gate_lib
+from greengagedale.limits import gated
+from greengagedale.upstreams import base
+
+
+class Limits(NamedTuple):
+    """The limits of one host.
+
+    Attributes:
+        transport: Carries attempts to upstreams within the limits.
+        gate: Slots and limits of upstreams; None without limits.
+        admitter: Admits requests; None if all are.
+    """
+
+    transport: base.UpstreamTransport
+    gate: gate_lib.Gate | None
+    admitter: admitting.Admitter | None
+
+    @classmethod
+    def from_config(
+        cls,
+        config: settings_lib.LimitsSettings,
+        inner: base.UpstreamTransport,
+        holder: configuration.Holder,
+        live_hosts: Callable[[], int],
+        clock: clocks.Clock,
+        metrics: metrics_lib.Metrics,
+    ) -> Self:
+        """Makes the limits around a transport."""
+        if config.concurrency == "none":
+            return cls(inner, None, None)
+        gate = gate_lib.Gate(concurrency.KINDS[config.concurrency])
+        transport = gated.GatedTransport(
+            inner, gated.Placement(holder), gate, live_hosts, clock, metrics
+        )
+        if config.admission == "none":
+            return cls(transport, gate, None)
+        admitter = admitting.Admitter(
+            transport.capacity, clock, random.Random(), metrics
+        )
+        transport.on_attempt_end(admitter.on_attempt_end)
+        return cls(transport, gate, admitter)
--- /dev/null
+++ b/greengagedale/limits/gate.py
@@ -0,0 +1,180 @@
+"""Hands out the slots of upstreams to attempts.
+
+An attempt gets a slot at the upstream that routing chose, or at another
+replica of its range that has one free. With none free it waits in a queue
+that all replicas of the range serve: it is bound to whichever frees first.
+"""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from greengagedale.limits import concurrency
+from greengagedale.limits import fairness
+
+_FAILED_PAUSE_MS = 250.0
+
+
+class Want(NamedTuple):
+    """An attempt that needs a slot.
+
+    Attributes:
+        attempt_id: Identifier of the attempt.
+        request_id: Request that it belongs to.
+        member: Member on whose behalf it runs.
+        weight: Weight of the member.
+        replicas: Upstreams that can serve it, the preferred one first.
+    """
+
+    attempt_id: str
+    request_id: str
+    member: str
+    weight: float
+    replicas: tuple[str, ...]
+
+
+class Grant(NamedTuple):
+    """Decision: send this attempt to this upstream."""
+
+    attempt_id: str
+    upstream: str
+
+
+class _Slots:
+    __slots__ = ("failed_until_ms", "holders", "limit", "queues")
+
+    def __init__(self, limit: concurrency.Limit) -> None:
+        self.limit = limit
+        self.holders: dict[str, Want] = {}
+        self.queues: list[frozenset[str]] = []
+        self.failed_until_ms = 0.0
+
+    @property
+    def free(self) -> int:
+        return max(0, self.limit.value - len(self.holders))
+
+
+class Gate:
+    """The slots of all upstreams, as far as this host may use them."""
+
+    def __init__(self, limit_type: type[concurrency.Limit]) -> None:
+        self._limit_type = limit_type
+        self._slots: dict[str, _Slots] = {}
+        self._bounds: dict[str, concurrency.Bounds] = {}
+        self._queues: dict[frozenset[str], fairness.FairQueue[Want]] = {}
+
+    def set_bounds(self, upstream: str, bounds: concurrency.Bounds) -> None:
+        """Takes in the bounds of an upstream; cheap if nothing changed."""
+        if self._bounds.get(upstream) == bounds:
+            return
+        self._bounds[upstream] = bounds
+        held = self._slots.get(upstream)
+        if held is None:
+            self._slots[upstream] = _Slots(self._limit_type(bounds))
+        else:
+            held.limit.set_bounds(bounds)
+
+    def limit(self, upstream: str) -> int:
+        """Returns how many attempts may be at an upstream at once."""
+        held = self._slots.get(upstream)
+        return held.limit.value if held else 1
+
+    def in_flight(self, upstream: str) -> int:
+        """Returns how many attempts hold a slot of an upstream."""
+        held = self._slots.get(upstream)
+        return len(held.holders) if held else 0
+
+    def free_slots(self, upstream: str) -> int:
+        """Returns how many more attempts may be sent to an upstream now."""
+        held = self._slots.get(upstream)
+        return held.free if held else 1
+
+    def capacity(self, upstreams: Iterable[str]) -> int:
+        """Returns the sum of the limits of some upstreams."""
+        return sum(self.limit(name) for name in upstreams)
+
+    def latency_ms(self, upstream: str) -> float:
+        """Returns a recent latency of an upstream; 0 before any answer."""
+        held = self._slots.get(upstream)
+        return held.limit.latency_ms if held else 0.0
+
+    def ask(self, want: Want, now_ms: float) -> Grant | None:
+        """Gives an attempt a slot, or lets it wait and returns None."""
+        used = self._used_by(want)
+        usable = [
+            name
+            for name in want.replicas
+            if name not in used and self._slots[name].free
+        ]
+        sound = [
+            name
+            for name in usable
+            if name == want.replicas[0]
+            or self._slots[name].failed_until_ms <= now_ms
+        ]
+        if sound:
+            return self._grant(want, sound[0])
+        self._queue_of(want).push(
+            want.member,
+            want.weight,
+            fairness.Entry(want.attempt_id, 1.0, want),
+        )
+        return None
+
+    def stop_waiting(self, want: Want) -> bool:
+        """Drops an attempt that waits; False if it has a slot by now."""
+        return self._queue_of(want).remove(want.member, want.attempt_id)
+
+    def take_in(
+        self,
+        upstream: str,
+        end: concurrency.End,
+        latency_ms: float,
+        now_ms: float,
+    ) -> None:
+        """Takes in how an attempt at an upstream ended."""
+        slots = self._slots[upstream]
+        if end is concurrency.End.FAILED:
+            slots.failed_until_ms = now_ms + _FAILED_PAUSE_MS
+        in_flight = len(slots.holders)
+        slots.limit.on_end(end, latency_ms, in_flight, now_ms)
+
+    def release(self, upstream: str, attempt_id: str) -> list[Grant]:
+        """Frees the slot of an attempt, once, and serves who waits."""
+        slots = self._slots[upstream]
+        if slots.holders.pop(attempt_id, None) is None:
+            return []
+        grants = []
+        while slots.free and (grant := self._serve(upstream, slots)):
+            grants.append(grant)
+        return grants
+
+    def _serve(self, upstream: str, slots: _Slots) -> Grant | None:
+        for _ in range(len(slots.queues)):
+            key = slots.queues.pop(0)
+            slots.queues.append(key)
+            entry = self._queues[key].pop()
+            if entry is not None:
+                return self._grant(entry.item, upstream)
+        return None
+
+    def _grant(self, want: Want, upstream: str) -> Grant:
+        self._slots[upstream].holders[want.attempt_id] = want
+        return Grant(want.attempt_id, upstream)
+
+    def _used_by(self, want: Want) -> set[str]:
+        others = want.replicas[1:]
+        return {
+            name
+            for name in others
+            for holder in self._slots[name].holders.values()
+            if holder.request_id == want.request_id
+        }
+
+    def _queue_of(self, want: Want) -> fairness.FairQueue[Want]:
+        key = frozenset(want.replicas)
+        held = self._queues.get(key)
+        if held is None:
+            held = self._queues[key] = fairness.FairQueue()
+            for name in want.replicas:
+                self._slots[name].queues.append(key)
+        return held
--- /dev/null
+++ b/tests/limits/test_concurrency.py
@@ -0,0 +1,114 @@
+"""Adaptive limits, against a virtual upstream shared by several hosts."""
+
+import heapq
+import itertools
+import random
+
+import pytest
+
+from greengagedale.limits import concurrency
+from greengagedale.limits import owners
+
+HOSTS = 4
+WORK_MS = 20.0
+RTT_MS = 3.0
+
+
+def run(kind, slots, load_ms=1e9, cold_until_ms=0.0, queue=4, seed=1):
+    """Keeps every host at its limit; returns goodput, refusals and limits."""
+    rng = random.Random(seed)
+    bounds = concurrency.Bounds.of_upstream(slots, 40, HOSTS)
+    limits = [concurrency.KINDS[kind](bounds) for _ in range(HOSTS)]
+    flying = [0] * HOSTS
+    free_at = [0.0] * slots
+    present = []
+    events = [(float(host), host) for host in range(HOSTS)]
+    ends = []
+    done = refused = sent = 0
+    sequence = itertools.count()
+    while events or ends:
+        if ends and (not events or ends[0][0] <= events[0][0]):
+            now, _, host, end, latency = heapq.heappop(ends)
+            limits[host].on_end(end, latency, flying[host], now)
+            flying[host] -= 1
+            done += end is concurrency.End.ANSWERED and now > 1000
+        else:
+            now, host = heapq.heappop(events)
+        if now > min(load_ms, 5000.0):
+            continue
+        while flying[host] < limits[host].value:
+            flying[host] += 1
+            sent += 1
+            present = [t for t in present if t > now]
+            if len(present) >= slots * (1 + queue):
+                refused += 1
+                end, latency = concurrency.End.OVERLOADED, RTT_MS
+            else:
+                work = WORK_MS * rng.lognormvariate(0, 0.25)
+                work *= 10 if now < cold_until_ms else 1
+                start = max(now + RTT_MS / 2, min(free_at))
+                free_at[free_at.index(min(free_at))] = start + work
+                present.append(start + work)
+                end = concurrency.End.ANSWERED
+                latency = start + work + RTT_MS / 2 - now
+            item = (now + latency, next(sequence), host, end, latency)
+            heapq.heappush(ends, item)
+    share = done * WORK_MS * 1.03 / (slots * 4000.0)
+    return share, refused / sent, [limit.value for limit in limits]
+
+
+@pytest.mark.parametrize("slots", [2, 3, 5])
+def test_limits_use_the_slots_without_a_queue_at_the_upstream(slots):
+    goodput, refused, limits = run("aimd", slots)
+    assert goodput >= 0.9
+    assert refused <= 0.01
+    assert sum(limits) <= 2.5 * slots
+
+
+def test_gradient_keeps_more_at_the_upstream_than_aimd():
+    _, _, aimd = run("aimd", 5)
+    _, _, gradient = run("gradient", 5)
+    assert sum(gradient) > sum(aimd)
+
+
+@pytest.mark.parametrize("kind", ["aimd", "gradient"])
+def test_cold_start_neither_collapses_nor_overloads(kind):
+    goodput, refused, _ = run(kind, 5, cold_until_ms=1000.0)
+    assert goodput >= 0.85
+    assert refused <= 0.01
+
+
+@pytest.mark.parametrize("kind", ["aimd", "gradient"])
+def test_refusals_cut_the_limit_to_no_less_than_the_share(kind):
+    bounds = concurrency.Bounds.of_upstream(8, 40, HOSTS)
+    limit = concurrency.KINDS[kind](bounds)
+    for number in range(100):
+        limit.on_end(concurrency.End.ANSWERED, 5.0, 8, float(number))
+    before = limit.value
+    assert before > bounds.low
+    limit.on_end(concurrency.End.OVERLOADED, 5.0, before, 100.0)
+    assert limit.value < before
+    for number in range(100):
+        limit.on_end(concurrency.End.OVERLOADED, 5.0, 1, 200.0 + 10 * number)
+    assert limit.value == bounds.low == 2
+
+
+def test_bounds_follow_slots_connections_and_hosts():
+    assert concurrency.Bounds.of_upstream(5, 40, 4) == (1, 5)
+    assert concurrency.Bounds.of_upstream(2, 110, 4) == (1, 2)
+    assert concurrency.Bounds.of_upstream(5, 8, 4) == (1, 2)
+    assert concurrency.Bounds.of_upstream(5, 40, 1) == (5, 5)
+
+
+def test_owners_move_little_when_a_host_goes():
+    hosts = [f"h{n}" for n in range(40)]
+    names = [f"u{n}" for n in range(400)]
+    before = {u: owners.owners(u, hosts, 5) for u in names}
+    after = {u: owners.owners(u, hosts[1:], 5) for u in names}
+    for name in names:
+        kept = [host for host in before[name] if host != "h0"]
+        assert after[name][: len(kept)] == kept
+    owned = [sum(h in o for o in before.values()) for h in hosts]
+    assert max(owned) <= 2 * 400 * 5 / 40
+    assert owners.owners_wanted(5, 40, 4) == 4
+    assert owners.owners_wanted(5, 40, 820) == 5
