--- /dev/null
+++ b/bench/burst.py
@@ -0,0 +1,146 @@
+"""One member offers five times the capacity beside a quiet member."""
+
+from collections.abc import Iterable, Sequence
+from typing import ClassVar
+
+from bench import capacities
+from bench import cases
+from standins import load
+
+_BURST_FACTOR = 5.0
+_QUIET_SHARE = 0.15
+_QUIET_TIMEOUT_MS = 3000
+_BURST_TIMEOUT_MS = 1000
+_MOST_P99_RATIO = 1.2
+_MOST_REFUSAL_MS = 10.0
+_LEAST_GOODPUT = 0.9
+_MOST_ATTEMPT_RATIO = 1.1
+_TARGET = (
+    "other member's p99 at most 1.2 times quiet, refusals within 10 ms,"
+    " goodput at least 0.9, attempts at most 1.1 times admitted"
+)
+_PLAIN = '\n[limits]\nadmission = "none"\nconcurrency = "none"\n'
+
+
+class Burst(cases.Case):
+    """Isolation of members and goodput under overload."""
+
+    name = "burst"
+    duration_s = 10.0
+    policies: ClassVar[dict[str, str]] = {"plain": _PLAIN, "limits": ""}
+
+    def run(self, context: cases.Context) -> Iterable[cases.Row]:
+        """Measures each policy on a deployment of its own."""
+        for policy, settings in self.policies.items():
+            figures = _measure(context, policy, settings)
+            shape = context.shape.name
+            if policy == "plain":
+                yield cases.Row(self.name, shape, policy, context.seed, figures)
+                continue
+            yield cases.Row(
+                self.name,
+                shape,
+                policy,
+                context.seed,
+                figures,
+                _TARGET,
+                _meets(figures),
+            )
+
+
+class BurstLimits(Burst):
+    """The same, for each way in which limits of upstreams can follow them."""
+
+    name = "burst_limits"
+    policies = {
+        kind: f'\n[limits]\nconcurrency = "{kind}"\n'
+        for kind in ("fixed", "gradient", "aimd")
+    }
+
+
+def _meets(figures: dict[str, float]) -> bool:
+    return (
+        figures["p99_ratio"] <= _MOST_P99_RATIO
+        and figures["refusal_p99_ms"] <= _MOST_REFUSAL_MS
+        and figures["goodput"] >= _LEAST_GOODPUT
+        and figures["attempt_ratio"] <= _MOST_ATTEMPT_RATIO
+    )
+
+
+def _measure(
+    context: cases.Context, policy: str, settings: str
+) -> dict[str, float]:
+    measured = capacities.Measured.of_context(context, policy)
+    deployment = measured.deployment
+    try:
+        deployment.start(settings, service=measured.service)
+        for member in ("burst", "quiet"):
+            deployment.apply_workspace(
+                member, f"member-{member}", measured.service
+            )
+        return _figures(measured, context)
+    finally:
+        deployment.stop()
+
+
+def _figures(
+    measured: capacities.Measured, context: cases.Context
+) -> dict[str, float]:
+    quiet = load.LoadPlan(
+        measured.endpoints(),
+        "quiet",
+        _QUIET_SHARE * measured.capacity_per_s,
+        context.duration_s,
+        context.seed,
+        _QUIET_TIMEOUT_MS,
+    )
+    burst = load.LoadPlan(
+        measured.endpoints(),
+        "burst",
+        _BURST_FACTOR * measured.capacity_per_s,
+        context.duration_s,
+        context.seed + 1000,
+        _BURST_TIMEOUT_MS,
+    )
+    [alone] = load.run(quiet)
+    attempts = measured.counted("attempts")
+    refused = measured.counted("refusals", 'layer="admission"')
+    beside, burst_samples = load.run(quiet, burst)
+    attempts = measured.counted("attempts") - attempts
+    refused = measured.counted("refusals", 'layer="admission"') - refused
+    before, during = load.Summary.of(alone), load.Summary.of(beside)
+    total = load.Summary.of([*beside, *burst_samples])
+    admitted = total.requests - refused
+    full = [s for s in [*beside, *burst_samples] if s.share == 1.0]
+    in_time = sum(s.sent_ms + s.latency_ms <= _end_ms(beside) for s in full)
+    span_s = context.duration_s
+    refusals = sorted(_refusal_latencies(burst_samples))
+    return {
+        "quiet_p50_ms": before.p50_ms,
+        "quiet_p99_ms": before.p99_ms,
+        "during_p50_ms": during.p50_ms,
+        "during_p99_ms": during.p99_ms,
+        "p99_ratio": during.p99_ms / max(before.p99_ms, 1.0),
+        "quiet_full_share": during.full / max(during.requests, 1),
+        "refused": len(refusals),
+        "refusal_p50_ms": _quantile(refusals, 0.5),
+        "refusal_p99_ms": _quantile(refusals, 0.99),
+        "goodput": in_time / span_s / measured.capacity_per_s,
+        "attempt_ratio": attempts / max(1.0, admitted * measured.width),
+        "partial": total.ran - total.full,
+        "unknown": total.unknown,
+    }
+
+
+def _end_ms(samples: Sequence[load.Sample]) -> float:
+    return max(sample.sent_ms for sample in samples)
+
+
+def _refusal_latencies(samples: Iterable[load.Sample]) -> Iterable[float]:
+    return (s.latency_ms for s in samples if s.outcome == "not_run")
+
+
+def _quantile(ordered: Sequence[float], quantile: float) -> float:
+    if not ordered:
+        return 0.0
+    return ordered[min(len(ordered) - 1, int(quantile * len(ordered)))]
--- a/greengagedale/limits/admitting.py
+++ b/greengagedale/limits/admitting.py
@@ -68,6 +68,10 @@
         """Runs an action when it is its turn, or refuses it at once."""
         return await self._run(asked, service, 1, run)
 
+    def admissions(self) -> dict[str, admission.Admission]:
+        """Returns the admission of each service."""
+        return self._admissions
+
     def on_attempt_end(self, request_id: str) -> None:
         """Takes in that an attempt of a request ended."""
         service = self._running.get(request_id)
--- a/greengagedale/limits/assembly.py
+++ b/greengagedale/limits/assembly.py
@@ -12,6 +12,7 @@
 from greengagedale.limits import concurrency
 from greengagedale.limits import gate as gate_lib
 from greengagedale.limits import gated
+from greengagedale.limits import gauges
 from greengagedale.upstreams import base
 
 
@@ -45,10 +46,12 @@
         transport = gated.GatedTransport(
             inner, gated.Placement(holder), gate, live_hosts, clock, metrics
         )
+        metrics.registry.register(gauges.GateCollector(gate))
         if config.admission == "none":
             return cls(transport, gate, None)
         admitter = admitting.Admitter(
             transport.capacity, clock, random.Random(), metrics
         )
         transport.on_attempt_end(admitter.on_attempt_end)
+        metrics.registry.register(gauges.AdmissionCollector(admitter))
         return cls(transport, gate, admitter)
--- a/greengagedale/limits/gate.py
+++ b/greengagedale/limits/gate.py
@@ -73,6 +73,15 @@
         else:
             held.limit.set_bounds(bounds)
 
+    @property
+    def waiting(self) -> int:
+        """Attempts that wait for a slot."""
+        return sum(len(queue) for queue in self._queues.values())
+
+    def upstreams(self) -> list[str]:
+        """Returns the names of all upstreams with slots."""
+        return list(self._slots)
+
     def limit(self, upstream: str) -> int:
         """Returns how many attempts may be at an upstream at once."""
         held = self._slots.get(upstream)
--- a/greengagedale/upstreams/http.py
+++ b/greengagedale/upstreams/http.py
@@ -13,6 +13,7 @@
 from greengagedale.query import ranges
 from greengagedale.query import snapshots
 from greengagedale.upstreams import base
+from greengagedale.upstreams import connectors
 from greengagedale.upstreams import wire
 
 log = logging.getLogger(__name__)
@@ -63,10 +64,8 @@
         tracing.on_connection_create_end.append(_mark_connected)
         tracing.on_connection_reuseconn.append(_mark_connected)
         session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0),
-            timeout=aiohttp.ClientTimeout(
-                total=None, sock_connect=connect_timeout_ms / _MS_PER_S
-            ),
+            connector=connectors.SteadyConnector(connect_timeout_ms, limit=0),
+            timeout=aiohttp.ClientTimeout(total=None),
             headers={wire.HEADER_DATA_CENTRE: data_centre},
             trace_configs=[tracing],
         )
