--- a/greengagedale/limits/assembly.py
+++ b/greengagedale/limits/assembly.py
@@ -35,6 +35,7 @@
         config: settings_lib.LimitsSettings,
         inner: base.UpstreamTransport,
         holder: configuration.Holder,
+        is_leaving: Callable[[str], bool],
         live_hosts: Callable[[], int],
         clock: clocks.Clock,
         metrics: metrics_lib.Metrics,
@@ -44,7 +45,12 @@
             return cls(inner, None, None)
         gate = gate_lib.Gate(concurrency.KINDS[config.concurrency])
         transport = gated.GatedTransport(
-            inner, gated.Placement(holder), gate, live_hosts, clock, metrics
+            inner,
+            gated.Placement(holder, is_leaving),
+            gate,
+            live_hosts,
+            clock,
+            metrics,
         )
         metrics.registry.register(gauges.GateCollector(gate))
         if config.admission == "none":
--- a/greengagedale/limits/gate.py
+++ b/greengagedale/limits/gate.py
@@ -147,13 +147,21 @@
         in_flight = len(slots.holders)
         slots.limit.on_end(end, latency_ms, in_flight, now_ms)
 
-    def release(self, upstream: str, attempt_id: str) -> list[Grant]:
-        """Frees the slot of an attempt, once, and serves who waits."""
+    def release(
+        self, upstream: str, attempt_id: str, serve: bool = True
+    ) -> list[Grant]:
+        """Frees the slot of an attempt, once.
+
+        Args:
+            upstream: Where it had its slot.
+            attempt_id: The attempt.
+            serve: Whether the upstream may get new work.
+        """
         slots = self._slots[upstream]
         if slots.holders.pop(attempt_id, None) is None:
             return []
         grants = []
-        while slots.free and (grant := self._serve(upstream, slots)):
+        while serve and slots.free and (grant := self._serve(upstream, slots)):
             grants.append(grant)
         return grants
 
--- a/greengagedale/limits/gated.py
+++ b/greengagedale/limits/gated.py
@@ -31,8 +31,13 @@
 class Placement:
     """Finds the service and the replicas that an attempt can use."""
 
-    def __init__(self, holder: configuration.Holder) -> None:
+    def __init__(
+        self,
+        holder: configuration.Holder,
+        is_leaving: Callable[[str], bool],
+    ) -> None:
         self._holder = holder
+        self.is_leaving = is_leaving
         self._ranges: dict[
             str, tuple[services.Service, dict[_RangeKey, tuple[str, ...]]]
         ] = {}
@@ -55,7 +60,7 @@
             for name in index.get(key, ())
             if name != attempt.upstream
             and name in service.upstreams
-            and not service.upstreams[name].leaving
+            and not self.is_leaving(name)
         )
         return (attempt.upstream, *others)
 
@@ -236,7 +241,7 @@
         if self._gate.stop_waiting(want):
             return
         for name in want.replicas:
-            self._wake(self._gate.release(name, want.attempt_id))
+            self._free(name, want.attempt_id)
 
     async def _carry(
         self,
@@ -266,7 +271,11 @@
     def _release(self, attempt_id: str) -> None:
         sent = self._sent.pop(attempt_id, None)
         if sent is not None:
-            self._wake(self._gate.release(sent.name, attempt_id))
+            self._free(sent.name, attempt_id)
+
+    def _free(self, upstream: str, attempt_id: str) -> None:
+        serve = not self._placement.is_leaving(upstream)
+        self._wake(self._gate.release(upstream, attempt_id, serve))
 
     def _release_later(self, attempt_id: str) -> None:
         loop = asyncio.get_running_loop()
