--- a/greengagedale/config/settings.py
+++ b/greengagedale/config/settings.py
@@ -73,6 +73,18 @@
     policy: Literal["plain"] = "plain"
 
 
+class LimitsSettings(Section):
+    """What may run at once; `none` stands for no limit.
+
+    Attributes:
+        admission: How requests are admitted.
+        concurrency: How the limit of each upstream follows what it does.
+    """
+
+    admission: Literal["fair", "none"] = "fair"
+    concurrency: Literal["gradient", "aimd", "fixed", "none"] = "aimd"
+
+
 class ShutdownSettings(Section):
     """How the host leaves."""
 
@@ -102,6 +114,7 @@
     actions: ActionsSettings = ActionsSettings()
     configuration: ConfigurationSettings = ConfigurationSettings()
     upstreams: UpstreamsSettings = UpstreamsSettings()
+    limits: LimitsSettings = LimitsSettings()
     shutdown: ShutdownSettings = ShutdownSettings()
     drain: DrainSettings = DrainSettings()
     logs: LogsSettings = LogsSettings()
--- a/greengagedale/daemons.py
+++ b/greengagedale/daemons.py
@@ -31,6 +31,7 @@
 from greengagedale.idempotency import claims
 from greengagedale.idempotency import tables
 from greengagedale.idempotency import tickets
+from greengagedale.limits import assembly
 from greengagedale.membership import drains as drains_lib
 from greengagedale.membership import news
 from greengagedale.operators import http_server as operators_http
@@ -42,7 +43,6 @@
 from greengagedale.platform import http as platform_http
 from greengagedale.routing import leaving
 from greengagedale.routing import policies
-from greengagedale.upstreams import base as upstreams_base
 from greengagedale.upstreams import http as upstreams_http
 from greengagedale.upstreams import observed
 
@@ -94,7 +94,7 @@
         settings.host.data_centre, settings.upstreams.connect_timeout_ms
     )
     stack.push_async_callback(plain_transport.close)
-    transport = observed.ObservedTransport(plain_transport, drains)
+    observed_transport = observed.ObservedTransport(plain_transport, drains)
     peers = grpc_client.GrpcTransport.from_config(settings.peers.timeout_ms)
     stack.push_async_callback(peers.close)
     holder = configuration.Holder(clock)
@@ -121,11 +121,21 @@
             lambda: directory.counts, directory.hosts_by_state
         )
     )
+    limits = assembly.Limits.from_config(
+        settings.limits,
+        observed_transport,
+        holder,
+        drains.is_leaving,
+        lambda: 1 + len(directory.alive),
+        clock,
+        metrics,
+    )
+    transport = limits.transport
     policy = leaving.LeavingFilter(
         policies.PlainPolicy(random.Random()), drains.is_leaving
     )
     action_runner = _action_runner(
-        settings, store, holder, directory, peers, transport, policy, metrics
+        settings, store, holder, directory, peers, limits, policy, metrics
     )
     stack.push_async_callback(action_runner.finish)
     host = hosts.Host(
@@ -134,6 +144,7 @@
         writer,
         searches.SearchRunner(transport, policy, clock, metrics),
         action_runner,
+        limits.admitter,
         directory,
         peers,
         clock,
@@ -179,24 +190,26 @@
     holder: configuration.Holder,
     directory: directory_lib.Directory,
     peers: peers_base.PeerTransport,
-    transport: upstreams_base.UpstreamTransport,
+    limits: assembly.Limits,
     policy: policies.RoutingPolicy,
     metrics: metrics_lib.Metrics,
 ) -> actions.ActionRunner:
     clock = clocks.MonotonicClock()
     incarnation = secrets.token_hex(_INCARNATION_BYTES)
     issuer = tickets.Issuer(settings.host.name, incarnation)
-    limits = tables.Limits(
+    key_limits = tables.Limits(
         settings.actions.most_keys,
         settings.actions.ticket_life_ms,
         settings.actions.retention_ms,
     )
     return actions.ActionRunner(
         issuer,
-        tables.KeyTable(limits),
+        tables.KeyTable(key_limits),
         claims.PlatformClaims(store, issuer, clock),
         forwarding.PeerForwarder(directory, peers, clock),
-        dispatches.Dispatcher(holder, transport, policy, clock, metrics),
+        dispatches.Dispatcher(
+            holder, limits.transport, policy, clock, metrics, limits.admitter
+        ),
         clock,
         metrics,
     )
--- a/greengagedale/dispatches.py
+++ b/greengagedale/dispatches.py
@@ -8,6 +8,7 @@
 from greengagedale import outcomes
 from greengagedale import records
 from greengagedale.catalog import services
+from greengagedale.limits import admitting
 from greengagedale.query import snapshots
 from greengagedale.routing import policies
 from greengagedale.upstreams import base as upstreams_base
@@ -21,6 +22,7 @@
     Attributes:
         request_id: Identifier of the request.
         key: The idempotency key.
+        workspace: Workspace in which it runs.
         member: Member on whose behalf it runs.
         service: Service whose upstreams hold the document.
         target: Key of the document that it acts on.
@@ -31,6 +33,7 @@
 
     request_id: str
     key: str
+    workspace: str
     member: str
     service: str
     target: int
@@ -49,7 +52,9 @@
         policy: policies.RoutingPolicy,
         clock: clocks.Clock,
         metrics: metrics_lib.Metrics,
+        admitter: admitting.Admitter | None = None,
     ) -> None:
+        self._admitter = admitter
         self._holder = holder
         self._transport = transport
         self._policy = policy
@@ -59,11 +64,32 @@
     async def dispatch(
         self, request: ActionRequest, trace: records.Trace
     ) -> outcomes.Outcome:
-        """Sends a request; to be called once for each key.
+        """Sends a request when it is its turn; once for each key.
 
-        Another replica is tried only while no byte can have been written.
+        Admission comes after the key was looked up, so that a copy of a
+        request that ran is never refused as not run.
         """
         service = self._holder.services.get(request.service)
+        plan = self._holder.current.plans.get(request.workspace)
+        if self._admitter is None or service is None or plan is None:
+            return await self._dispatch(request, service, trace)
+        asked = admitting.Asked.from_plan(
+            plan, request.workspace, request.request_id, request.deadline_ms
+        )
+        return await self._admitter.run_action(
+            asked, service, lambda: self._dispatch(request, service, trace)
+        )
+
+    async def _dispatch(
+        self,
+        request: ActionRequest,
+        service: services.Service | None,
+        trace: records.Trace,
+    ) -> outcomes.Outcome:
+        """Sends a request to one upstream.
+
+        Another replica is tried only while no byte can have been written.
+        """
         untried = _replicas(service, request.target)
         ends: list[outcomes.AttemptEnd] = []
         reason = outcomes.Reason.NO_REPLICA
--- a/greengagedale/forwarding.py
+++ b/greengagedale/forwarding.py
@@ -56,6 +56,7 @@
         issuer.incarnation,
         request.request_id,
         request.key,
+        request.workspace,
         request.member,
         request.service,
         request.target,
--- a/greengagedale/hosts.py
+++ b/greengagedale/hosts.py
@@ -18,7 +18,9 @@
 from greengagedale.catalog import catalogs
 from greengagedale.catalog import documents
 from greengagedale.catalog import edits
+from greengagedale.catalog import services
 from greengagedale.config import settings as settings_lib
+from greengagedale.limits import admitting
 from greengagedale.membership import messages
 from greengagedale.operators import base as operators_base
 from greengagedale.peers import base as peers_base
@@ -44,6 +46,7 @@
         writer: acceptance.Writer,
         search_runner: searches.SearchRunner,
         action_runner: actions.ActionRunner,
+        admitter: admitting.Admitter | None,
         directory: directory_lib.Directory,
         peers: peers_base.PeerTransport,
         clock: clocks.Clock,
@@ -54,6 +57,7 @@
         self._writer = writer
         self._searches = search_runner
         self._actions = action_runner
+        self._admitter = admitter
         self._directory = directory
         self._peers = peers
         self._clock = clock
@@ -125,7 +129,7 @@
         self._running += 1
         try:
             outcome = (
-                await self._searches.run(search, member, service)
+                await self._admitted_search(call, search, member, service)
                 if service is not None
                 else _not_ready()
             )
@@ -144,6 +148,7 @@
         request = dispatches.ActionRequest(
             request_id,
             call.key,
+            call.workspace,
             current.workspaces[call.workspace].member,
             plan.service,
             call.target,
@@ -171,6 +176,7 @@
         request = dispatches.ActionRequest(
             forwarded.request_id,
             forwarded.key,
+            forwarded.workspace,
             forwarded.member,
             forwarded.service,
             forwarded.target,
@@ -201,6 +207,26 @@
         """Refuses all keys that are not known yet; known ones go on."""
         self._actions.stop()
 
+    async def _admitted_search(
+        self,
+        call: callers_base.SearchCall,
+        search: fanout.Search,
+        member: str,
+        service: services.Service,
+    ) -> outcomes.Outcome:
+        if self._admitter is None:
+            return await self._searches.run(search, member, service)
+        return await self._admitter.run_search(
+            admitting.Asked.from_plan(
+                self._holder.current.plans[call.workspace],
+                call.workspace,
+                search.request_id,
+                search.deadline_ms,
+            ),
+            service,
+            lambda: self._searches.run(search, member, service),
+        )
+
     async def explain_anywhere(
         self, request_id: str
     ) -> records_lib.Record | None:
