--- a/greengagedale/distribution.py
+++ b/greengagedale/distribution.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Mapping
 import logging
 import random
+from typing import Self
 
 import msgspec
 
@@ -12,6 +13,8 @@
 from greengagedale import configuration_metrics
 from greengagedale.catalog import catalogs
 from greengagedale.catalog import services
+from greengagedale.config import settings as settings_lib
+from greengagedale.membership import messages
 from greengagedale.peers import base as peers_base
 from greengagedale.platform import base as platform_base
 
@@ -26,7 +29,7 @@
 _FAILED_FETCH_DELAY_S = 0.5
 _SEEDS_ASKED = 4
 
-Alive = Callable[[], Mapping[str, peers_base.PeerStatus]]
+Alive = Callable[[], Mapping[str, messages.PeerStatus]]
 
 
 class _Backoff:
@@ -83,6 +86,29 @@
         self._platform = assembly.PlatformSource(store)
         self._platform_revision = 0
 
+    @classmethod
+    def from_config(
+        cls,
+        settings: settings_lib.Settings,
+        store: platform_base.ObjectStore,
+        peers: peers_base.PeerTransport,
+        holder: configuration.Holder,
+        alive: Alive,
+        metrics: configuration_metrics.ConfigurationMetrics,
+    ) -> Self:
+        """Makes the follower of a host."""
+        own = f"{settings.host.address}:{settings.host.peer_port}"
+        return cls(
+            store,
+            peers,
+            holder,
+            alive,
+            [seed for seed in settings.peers.seeds if seed != own],
+            settings.platform.watch_wait_ms,
+            random.Random(),
+            metrics,
+        )
+
     async def run(self) -> None:
         """Follows everything until cancelled."""
         await self._ask_seeds()
--- a/greengagedale/peers/grpc_server.py
+++ b/greengagedale/peers/grpc_server.py
@@ -22,7 +22,7 @@
 
 def _handlers(service: base.PeerService) -> grpc.GenericRpcHandler:
     methods = {
-        wire.STATUS: _unary(lambda _: service.status(), type(None)),
+        wire.MEMBERS: _unary(lambda _: service.members(), type(None)),
         wire.EXPLAIN: _unary(service.explain, str),
         wire.CATALOG: _unary(lambda _: service.catalog(), type(None)),
         wire.DOCUMENTS: _unary(service.shared_documents, list[str]),
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -15,6 +15,7 @@
 from greengagedale import metrics
 from greengagedale.catalog import catalogs
 from greengagedale.catalog import services
+from greengagedale.membership import messages
 from greengagedale.peers import base as peers_base
 
 SERVICE = b'{"upstreams": [], "maps": []}'
@@ -70,7 +71,7 @@
 
     def hear(self, revision):
         """Takes in a heartbeat of the first other host."""
-        self.heard[PEER] = peers_base.PeerStatus(
+        self.heard[PEER] = messages.PeerStatus(
             "entry-2", "dc-a", "i", "127.0.0.2:2", revision, True, False, 0
         )
 
