--- a/greengagedale/config/settings.py
+++ b/greengagedale/config/settings.py
@@ -52,6 +52,14 @@
     record_requests: options.Count = 2000
 
 
+class ActionsSettings(Section):
+    """Requests that are not safe to repeat, and their idempotency keys."""
+
+    ticket_life_ms: options.DurationMs = 30_000
+    retention_ms: options.DurationMs = 60_000
+    most_keys: options.Count = 50_000
+
+
 class ConfigurationSettings(Section):
     """How changes of configuration are accepted."""
 
@@ -91,6 +99,7 @@
     platform: PlatformSettings
     peers: PeersSettings = PeersSettings()
     callers: CallersSettings = CallersSettings()
+    actions: ActionsSettings = ActionsSettings()
     configuration: ConfigurationSettings = ConfigurationSettings()
     upstreams: UpstreamsSettings = UpstreamsSettings()
     shutdown: ShutdownSettings = ShutdownSettings()
--- a/greengagedale/distribution.py
+++ b/greengagedale/distribution.py
@@ -1,7 +1,7 @@
 """Keeps this host's configuration current, from the platform and hosts."""
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 import logging
 import random
 from typing import Self
@@ -28,6 +28,7 @@
 _PEER_CHECK_S = 0.1
 _FAILED_FETCH_DELAY_S = 0.5
 _SEEDS_ASKED = 4
+_NOTHING_KNOWN = -1
 
 Alive = Callable[[], Mapping[str, messages.PeerStatus]]
 
@@ -113,9 +114,19 @@
         """Follows everything until cancelled."""
         await self._ask_seeds()
         async with asyncio.TaskGroup() as group:
-            group.create_task(self._follow_catalog())
-            group.create_task(self._follow_services())
-            group.create_task(self._follow_peers())
+            group.create_task(self._keep_up(self._follow_catalog))
+            group.create_task(self._keep_up(self._follow_services))
+            group.create_task(self._keep_up(self._follow_peers))
+
+    async def _keep_up(self, follow: Callable[[], Awaitable[None]]) -> None:
+        """Starts work anew after an unexpected error, so that none ends it."""
+        while True:
+            try:
+                await follow()
+            except Exception:
+                self._metrics.rejected.labels("internal").inc()
+                log.exception("following failed; it starts again")
+                await asyncio.sleep(_LONGEST_DELAY_S)
 
     async def _ask_seeds(self) -> None:
         """Takes over what other hosts have before the platform is asked.
@@ -224,11 +235,18 @@
             await asyncio.sleep(_FAILED_FETCH_DELAY_S)
 
     async def _take_from_peer(self, endpoint: str) -> None:
-        shared = await self._peers.catalog(endpoint)
+        known_revision = (
+            self._holder.current.revision
+            if self._holder.configuration_known
+            else _NOTHING_KNOWN
+        )
+        shared = await self._peers.catalog(endpoint, known_revision)
         if shared is None:
             return
         source = assembly.PeerSource(self._peers, endpoint)
-        if not await self._take(shared.value, FROM_PEER, source):
+        if shared.value and not await self._take(
+            shared.value, FROM_PEER, source
+        ):
             return
         same = shared.revision == self._holder.current.revision
         if same and shared.age_ms is not None:
--- a/greengagedale/hosts.py
+++ b/greengagedale/hosts.py
@@ -1,8 +1,8 @@
 """One entry host: everything that it knows and does, behind its adapters."""
 
+import asyncio
 import itertools
 import logging
-import secrets
 from typing import Any
 
 from greengagedale import acceptance
@@ -10,6 +10,7 @@
 from greengagedale import clocks
 from greengagedale import configuration
 from greengagedale import directory as directory_lib
+from greengagedale import dispatches
 from greengagedale import metrics as metrics_lib
 from greengagedale import outcomes
 from greengagedale import records as records_lib
@@ -22,11 +23,11 @@
 from greengagedale.membership import messages
 from greengagedale.operators import base as operators_base
 from greengagedale.peers import base as peers_base
+from greengagedale.peers import results
 from greengagedale.query import fanout
 
 log = logging.getLogger(__name__)
 
-_INCARNATION_BYTES = 6
 _NOT_READY_RETRY_MS = 1000
 
 
@@ -60,7 +61,7 @@
         self._metrics = metrics
         self._records = records_lib.Records(settings.callers.record_requests)
         self._sequence = itertools.count(1)
-        self._incarnation = secrets.token_hex(_INCARNATION_BYTES)
+        self._incarnation = action_runner.issuer.incarnation
         self._running = 0
         self.leaving = False
 
@@ -99,6 +100,7 @@
                 for item in ranked
             ],
             ttl_ms=self._settings.callers.locate_ttl_ms,
+            ticket="" if self.leaving else self._actions.ticket(),
             revision=self._holder.current.revision,
         )
 
@@ -137,28 +139,68 @@
         """Runs a request that is not safe to repeat."""
         started_ms = self._clock.now_ms()
         request_id = self._new_request_id()
+        trace = self._new_trace()
         current = self._holder.current
         plan = current.plans[call.workspace]
-        request = actions.ActionRequest(
+        request = dispatches.ActionRequest(
             request_id,
             call.key,
             current.workspaces[call.workspace].member,
+            plan.service,
             call.target,
             call.body,
             started_ms + self._timeout_ms(call.timeout_ms, plan),
+            call.first_send,
         )
-        service = self._holder.services.get(plan.service)
+        outcome = await self._act(request, trace)
+        self._record(
+            request_id,
+            call.workspace,
+            "act",
+            started_ms,
+            outcome,
+            trace,
+            call.key,
+        )
+        return callers_base.Reply(request_id, outcome)
+
+    async def act_forwarded(
+        self, forwarded: peers_base.ForwardedAction
+    ) -> peers_base.ForwardedResult:
+        """Runs a request that only this host may run."""
+        trace = self._new_trace()
+        request = dispatches.ActionRequest(
+            forwarded.request_id,
+            forwarded.key,
+            forwarded.member,
+            forwarded.service,
+            forwarded.target,
+            forwarded.body,
+            self._clock.now_ms() + forwarded.left_ms,
+            first_send=False,
+        )
+        outcome = await self._act(request, trace, forwarded.incarnation)
+        return results.result_of(outcome, trace.events)
+
+    async def _act(
+        self,
+        request: dispatches.ActionRequest,
+        trace: records_lib.Trace,
+        incarnation: str | None = None,
+    ) -> outcomes.Outcome:
         self._running += 1
         try:
-            outcome = (
-                await self._actions.run(request, service)
-                if service is not None
-                else _not_ready()
+            if incarnation is None:
+                return await self._actions.run(request, trace)
+            return await self._actions.run_forwarded(
+                incarnation, request, trace
             )
         finally:
             self._running -= 1
-        self._record(request_id, call.workspace, "act", started_ms, outcome)
-        return callers_base.Reply(request_id, outcome)
+
+    def refuse_new_actions(self) -> None:
+        """Refuses all keys that are not known yet; known ones go on."""
+        self._actions.stop()
 
     async def explain_anywhere(
         self, request_id: str
@@ -188,13 +230,16 @@
         """Finds out what became of a change."""
         return await self._writer.follow_up(change_id)
 
-    def catalog(self) -> peers_base.SharedCatalog | None:
+    def catalog(self, known_revision: int) -> peers_base.SharedCatalog | None:
         """Returns the catalog in force, None if nothing is known."""
         if not self._holder.configuration_known:
             return None
         current = self._holder.current
+        unknown = current.revision != known_revision
         return peers_base.SharedCatalog(
-            current.revision, current.encoded.catalog, self._holder.age_ms()
+            current.revision,
+            current.encoded.catalog if unknown else b"",
+            self._holder.age_ms(),
         )
 
     def shared_documents(self, names: list[str]) -> dict[str, bytes]:
@@ -221,10 +266,26 @@
         """Returns the status of every host that answers probes."""
         return [self.status(), *self._directory.alive.values()]
 
+    async def configuration_ages(self) -> dict[str, float | None]:
+        """Returns how long ago each host knew that it was current, by name."""
+        alive = self._directory.alive
+        known_revision = self._holder.current.revision
+        shared = await asyncio.gather(
+            *(self._peers.catalog(e, known_revision) for e in alive)
+        )
+        others = {
+            status.name: found and found.age_ms
+            for status, found in zip(alive.values(), shared, strict=True)
+        }
+        return {self.status().name: self._holder.age_ms(), **others}
+
     def _new_request_id(self) -> str:
         name = self._settings.host.name
         return f"{name}.{self._incarnation}.{next(self._sequence):x}"
 
+    def _new_trace(self) -> records_lib.Trace:
+        return records_lib.Trace(self._settings.host.name, self._clock)
+
     def _timeout_ms(
         self, asked_ms: int | None, plan: documents.WorkspacePlan
     ) -> int:
@@ -239,6 +300,8 @@
         kind: str,
         started_ms: float,
         outcome: outcomes.Outcome,
+        trace: records_lib.Trace | None = None,
+        key: str = "",
     ) -> None:
         took_ms = self._clock.now_ms() - started_ms
         self._metrics.requests.labels(workspace, outcome.tag).inc()
@@ -256,6 +319,9 @@
                 outcome=outcome.tag,
                 took_ms=round(took_ms, 3),
                 detail=_detail(outcome),
+                key=key,
+                events=trace.events if trace else [],
+                events_left_out=trace.events_left_out if trace else 0,
             )
         )
 
--- a/greengagedale/operators/base.py
+++ b/greengagedale/operators/base.py
@@ -29,6 +29,10 @@
     def configuration_age_ms(self) -> float | None:
         """Returns how long ago the configuration was known to be current."""
 
+    @abc.abstractmethod
+    async def configuration_ages(self) -> dict[str, float | None]:
+        """Returns how long ago each host knew that it was current, by name."""
+
     @abc.abstractmethod
     async def fleet(self) -> list[peers_base.PeerStatus]:
         """Returns the status of every host that answers."""
--- a/greengagedale/operators/http_server.py
+++ b/greengagedale/operators/http_server.py
@@ -144,8 +144,13 @@
         """Answers the status of every host."""
         del request
         hosts = await self._service.fleet()
+        ages_ms = await self._service.configuration_ages()
         # NamedTuples encode as arrays; operators get names.
-        return http_replies.reply({"hosts": [h._asdict() for h in hosts]})
+        listed = [
+            {**h._asdict(), "configuration_age_ms": ages_ms.get(h.name)}
+            for h in hosts
+        ]
+        return http_replies.reply({"hosts": listed})
 
     async def _change(self, request: web.Request, **parts: Any) -> web.Response:
         sent_id = request.headers.get(wire.HEADER_CHANGE_ID)
--- a/greengagedale/peers/grpc_client.py
+++ b/greengagedale/peers/grpc_client.py
@@ -41,10 +41,24 @@
             endpoint, wire.EXPLAIN, request_id, records.Record | None
         )
 
-    async def catalog(self, endpoint: str) -> base.SharedCatalog | None:
-        """Asks a host for its catalog."""
+    async def act(
+        self, endpoint: str, request: base.ForwardedAction
+    ) -> base.ForwardedResult | None:
+        """Forwards a request; without an answer it may have run."""
         return await self._ask(
-            endpoint, wire.CATALOG, None, base.SharedCatalog | None
+            endpoint,
+            wire.ACT,
+            request,
+            base.ForwardedResult,
+            request.left_ms / _MS_PER_S,
+        )
+
+    async def catalog(
+        self, endpoint: str, known_revision: int
+    ) -> base.SharedCatalog | None:
+        """Asks a host for its catalog, without the content if it is known."""
+        return await self._ask(
+            endpoint, wire.CATALOG, known_revision, base.SharedCatalog | None
         )
 
     async def documents(
@@ -73,7 +87,12 @@
         self._channels.clear()
 
     async def _ask(
-        self, endpoint: str, method: str, request: Any, reply_type: Any
+        self,
+        endpoint: str,
+        method: str,
+        request: Any,
+        reply_type: Any,
+        timeout_s: float | None = None,
     ) -> Any:
         channel = self._channels.get(endpoint)
         if channel is None:
@@ -81,7 +100,9 @@
             self._channels[endpoint] = channel
         call = channel.unary_unary(wire.path_of(method))
         try:
-            encoded = await call(wire.encode(request), timeout=self._timeout_s)
+            encoded = await call(
+                wire.encode(request), timeout=timeout_s or self._timeout_s
+            )
             return wire.decode(encoded, reply_type)
         except (grpc.RpcError, msgspec.DecodeError):
             return None
--- a/greengagedale/peers/wire.py
+++ b/greengagedale/peers/wire.py
@@ -7,6 +7,7 @@
 SERVICE = "greengagedale.Peers"
 MEMBERS = "Members"
 EXPLAIN = "Explain"
+ACT = "Act"
 CATALOG = "Catalog"
 DOCUMENTS = "Documents"
 SERVICES = "Services"
