--- a/greengagedale/acceptance.py
+++ b/greengagedale/acceptance.py
@@ -4,6 +4,7 @@
 import dataclasses
 import logging
 import random
+from typing import Self
 
 from greengagedale import assembly
 from greengagedale import clocks
@@ -13,6 +14,7 @@
 from greengagedale.catalog import catalogs
 from greengagedale.catalog import edits
 from greengagedale.catalog import settlements
+from greengagedale.config import settings as settings_lib
 from greengagedale.platform import base as platform_base
 
 log = logging.getLogger(__name__)
@@ -82,6 +84,26 @@
         self._source = assembly.PlatformSource(store)
         self._lock = asyncio.Lock()
 
+    @classmethod
+    def from_config(
+        cls,
+        settings: settings_lib.Settings,
+        store: platform_base.ObjectStore,
+        holder: configuration.Holder,
+        collector: collection.Collector,
+        metrics: configuration_metrics.ConfigurationMetrics,
+    ) -> Self:
+        """Makes the writer of a host."""
+        return cls(
+            store,
+            holder,
+            collector,
+            settings.configuration.accept_timeout_ms,
+            clocks.MonotonicClock(),
+            random.Random(),
+            metrics,
+        )
+
     async def accept(
         self, change: edits.Change, first_attempt: bool
     ) -> configuration.ChangeResult:
--- a/greengagedale/commands/status.py
+++ b/greengagedale/commands/status.py
@@ -13,6 +13,7 @@
     "data_centre",
     "caller_endpoint",
     "revision",
+    "configuration_age_ms",
     "ready",
     "leaving",
     "running",
--- a/greengagedale/daemons.py
+++ b/greengagedale/daemons.py
@@ -103,18 +103,11 @@
     )
     collector = collection.Collector(store, held_metrics)
     stack.push_async_callback(collector.close)
-    rng = random.Random()
-    writer = acceptance.Writer(
-        store,
-        holder,
-        collector,
-        settings.configuration.accept_timeout_ms,
-        clock,
-        rng,
-        held_metrics,
+    writer = acceptance.Writer.from_config(
+        settings, store, holder, collector, held_metrics
     )
     directory = directory_lib.Directory.from_config(
-        settings, board, peers, clock, rng
+        settings, board, peers, clock, random.Random()
     )
     metrics.registry.register(
         fleet_metrics.MembershipCollector(
@@ -161,15 +154,8 @@
         lambda: [status.name for status in directory.alive.values()],
         settings.drain.poll_interval_ms,
     )
-    follower = distribution.Follower(
-        store,
-        peers,
-        holder,
-        lambda: directory.alive,
-        [seed for seed in settings.peers.seeds if seed != own],
-        settings.platform.watch_wait_ms,
-        rng,
-        held_metrics,
+    follower = distribution.Follower.from_config(
+        settings, store, peers, holder, lambda: directory.alive, held_metrics
     )
     background = [
         watch.follow_platform(),
--- a/greengagedale/distribution.py
+++ b/greengagedale/distribution.py
@@ -1,9 +1,10 @@
 """Keeps this host's configuration current, from the platform and hosts."""
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 import logging
 import random
+from typing import Self
 
 import msgspec
 
@@ -12,6 +13,8 @@
 from greengagedale import configuration_metrics
 from greengagedale.catalog import catalogs
 from greengagedale.catalog import services
+from greengagedale.config import settings as settings_lib
+from greengagedale.membership import messages
 from greengagedale.peers import base as peers_base
 from greengagedale.platform import base as platform_base
 
@@ -25,8 +28,9 @@
 _PEER_CHECK_S = 0.1
 _FAILED_FETCH_DELAY_S = 0.5
 _SEEDS_ASKED = 4
+_NOTHING_KNOWN = -1
 
-Alive = Callable[[], Mapping[str, peers_base.PeerStatus]]
+Alive = Callable[[], Mapping[str, messages.PeerStatus]]
 
 
 class _Backoff:
@@ -83,13 +87,46 @@
         self._platform = assembly.PlatformSource(store)
         self._platform_revision = 0
 
+    @classmethod
+    def from_config(
+        cls,
+        settings: settings_lib.Settings,
+        store: platform_base.ObjectStore,
+        peers: peers_base.PeerTransport,
+        holder: configuration.Holder,
+        alive: Alive,
+        metrics: configuration_metrics.ConfigurationMetrics,
+    ) -> Self:
+        """Makes the follower of a host."""
+        own = f"{settings.host.address}:{settings.host.peer_port}"
+        return cls(
+            store,
+            peers,
+            holder,
+            alive,
+            [seed for seed in settings.peers.seeds if seed != own],
+            settings.platform.watch_wait_ms,
+            random.Random(),
+            metrics,
+        )
+
     async def run(self) -> None:
         """Follows everything until cancelled."""
         await self._ask_seeds()
         async with asyncio.TaskGroup() as group:
-            group.create_task(self._follow_catalog())
-            group.create_task(self._follow_services())
-            group.create_task(self._follow_peers())
+            group.create_task(self._keep_up(self._follow_catalog))
+            group.create_task(self._keep_up(self._follow_services))
+            group.create_task(self._keep_up(self._follow_peers))
+
+    async def _keep_up(self, follow: Callable[[], Awaitable[None]]) -> None:
+        """Starts work anew after an unexpected error, so that none ends it."""
+        while True:
+            try:
+                await follow()
+            except Exception:
+                self._metrics.rejected.labels("internal").inc()
+                log.exception("following failed; it starts again")
+                await asyncio.sleep(_LONGEST_DELAY_S)
 
     async def _ask_seeds(self) -> None:
         """Takes over what other hosts have before the platform is asked.
@@ -198,11 +235,18 @@
             await asyncio.sleep(_FAILED_FETCH_DELAY_S)
 
     async def _take_from_peer(self, endpoint: str) -> None:
-        shared = await self._peers.catalog(endpoint)
+        known_revision = (
+            self._holder.current.revision
+            if self._holder.configuration_known
+            else _NOTHING_KNOWN
+        )
+        shared = await self._peers.catalog(endpoint, known_revision)
         if shared is None:
             return
         source = assembly.PeerSource(self._peers, endpoint)
-        if not await self._take(shared.value, FROM_PEER, source):
+        if shared.value and not await self._take(
+            shared.value, FROM_PEER, source
+        ):
             return
         same = shared.revision == self._holder.current.revision
         if same and shared.age_ms is not None:
--- a/greengagedale/hosts.py
+++ b/greengagedale/hosts.py
@@ -1,5 +1,6 @@
 """One entry host: everything that it knows and does, behind its adapters."""
 
+import asyncio
 import itertools
 import logging
 from typing import Any
@@ -255,13 +256,16 @@
         """Finds out what became of a change."""
         return await self._writer.follow_up(change_id)
 
-    def catalog(self) -> peers_base.SharedCatalog | None:
+    def catalog(self, known_revision: int) -> peers_base.SharedCatalog | None:
         """Returns the catalog in force, None if nothing is known."""
         if not self._holder.configuration_known:
             return None
         current = self._holder.current
+        unknown = current.revision != known_revision
         return peers_base.SharedCatalog(
-            current.revision, current.encoded.catalog, self._holder.age_ms()
+            current.revision,
+            current.encoded.catalog if unknown else b"",
+            self._holder.age_ms(),
         )
 
     def shared_documents(self, names: list[str]) -> dict[str, bytes]:
@@ -288,6 +292,19 @@
         """Returns the status of every host that answers probes."""
         return [self.status(), *self._directory.alive.values()]
 
+    async def configuration_ages(self) -> dict[str, float | None]:
+        """Returns how long ago each host knew that it was current, by name."""
+        alive = self._directory.alive
+        known_revision = self._holder.current.revision
+        shared = await asyncio.gather(
+            *(self._peers.catalog(e, known_revision) for e in alive)
+        )
+        others = {
+            status.name: found and found.age_ms
+            for status, found in zip(alive.values(), shared, strict=True)
+        }
+        return {self.status().name: self._holder.age_ms(), **others}
+
     def _new_request_id(self) -> str:
         name = self._settings.host.name
         return f"{name}.{self._incarnation}.{next(self._sequence):x}"
--- a/greengagedale/peers/base.py
+++ b/greengagedale/peers/base.py
@@ -60,7 +60,8 @@
 
     Attributes:
         revision: Its revision.
-        value: The catalog as the platform keeps it.
+        value: The catalog as the platform keeps it; empty if the asking host
+            knows this revision.
         age_ms: How long ago the host knew that it was current, if ever.
     """
 
@@ -85,7 +86,7 @@
         """Runs a request that only this host may run."""
 
     @abc.abstractmethod
-    def catalog(self) -> SharedCatalog | None:
+    def catalog(self, known_revision: int) -> SharedCatalog | None:
         """Returns the catalog in force, None if nothing is known."""
 
     @abc.abstractmethod
@@ -119,8 +120,10 @@
         """Forwards a request; without an answer it may have run."""
 
     @abc.abstractmethod
-    async def catalog(self, endpoint: str) -> SharedCatalog | None:
-        """Asks a host for its catalog."""
+    async def catalog(
+        self, endpoint: str, known_revision: int
+    ) -> SharedCatalog | None:
+        """Asks a host for its catalog, without the content if it is known."""
 
     @abc.abstractmethod
     async def documents(
--- a/greengagedale/peers/grpc_client.py
+++ b/greengagedale/peers/grpc_client.py
@@ -53,10 +53,12 @@
             request.left_ms / _MS_PER_S,
         )
 
-    async def catalog(self, endpoint: str) -> base.SharedCatalog | None:
-        """Asks a host for its catalog."""
+    async def catalog(
+        self, endpoint: str, known_revision: int
+    ) -> base.SharedCatalog | None:
+        """Asks a host for its catalog, without the content if it is known."""
         return await self._ask(
-            endpoint, wire.CATALOG, None, base.SharedCatalog | None
+            endpoint, wire.CATALOG, known_revision, base.SharedCatalog | None
         )
 
     async def documents(
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -15,6 +15,7 @@
 from greengagedale import metrics
 from greengagedale.catalog import catalogs
 from greengagedale.catalog import services
+from greengagedale.membership import messages
 from greengagedale.peers import base as peers_base
 
 SERVICE = b'{"upstreams": [], "maps": []}'
@@ -52,13 +53,16 @@
             task.cancel()
             await asyncio.gather(task, return_exceptions=True)
 
-    async def catalog(self, endpoint):
+    async def catalog(self, endpoint, known_revision):
         holder = self.others[endpoint].holder
         current = holder.current
         if not holder.configuration_known:
             return None
+        unknown = current.revision != known_revision
         return peers_base.SharedCatalog(
-            current.revision, current.encoded.catalog, holder.age_ms()
+            current.revision,
+            current.encoded.catalog if unknown else b"",
+            holder.age_ms(),
         )
 
     async def documents(self, endpoint, names):
@@ -70,7 +74,7 @@
 
     def hear(self, revision):
         """Takes in a heartbeat of the first other host."""
-        self.heard[PEER] = peers_base.PeerStatus(
+        self.heard[PEER] = messages.PeerStatus(
             "entry-2", "dc-a", "i", "127.0.0.2:2", revision, True, False, 0
         )
 
@@ -229,3 +233,22 @@
         await until(lambda: store.calls.count("watch") > 4)
         seen.append(fresh.holder.current.revision)
     assert seen == [3, 3]
+
+
+async def test_unexpected_error_does_not_end_the_following(
+    store, states, monkeypatch
+):
+    monkeypatch.setattr(distribution, "_LONGEST_DELAY_S", 0.01)
+    watch = store.watch
+
+    async def fail_once(*arguments):
+        monkeypatch.setattr(store, "watch", watch)
+        raise RuntimeError("broken")
+
+    monkeypatch.setattr(store, "watch", fail_once)
+    publish(store, states[1])
+    host = Host(store)
+    async with host.following():
+        await until(lambda: host.holder.loaded)
+    assert host.holder.current.revision == 2
+    assert host.metrics.rejected.labels("internal")._value.get() == 1
