--- a/greengagedale/config/settings.py
+++ b/greengagedale/config/settings.py
@@ -60,6 +60,12 @@
     most_keys: options.Count = 50_000
 
 
+class ConfigurationSettings(Section):
+    """How changes of configuration are accepted."""
+
+    accept_timeout_ms: options.DurationMs = 10_000
+
+
 class UpstreamsSettings(Section):
     """How upstreams are used."""
 
@@ -67,6 +73,18 @@
     policy: Literal["plain"] = "plain"
 
 
+class LimitsSettings(Section):
+    """What may run at once; `none` stands for no limit.
+
+    Attributes:
+        admission: How requests are admitted.
+        concurrency: How the limit of each upstream follows what it does.
+    """
+
+    admission: Literal["fair", "none"] = "fair"
+    concurrency: Literal["gradient", "aimd", "fixed", "none"] = "aimd"
+
+
 class ShutdownSettings(Section):
     """How the host leaves."""
 
@@ -94,7 +112,9 @@
     peers: PeersSettings = PeersSettings()
     callers: CallersSettings = CallersSettings()
     actions: ActionsSettings = ActionsSettings()
+    configuration: ConfigurationSettings = ConfigurationSettings()
     upstreams: UpstreamsSettings = UpstreamsSettings()
+    limits: LimitsSettings = LimitsSettings()
     shutdown: ShutdownSettings = ShutdownSettings()
     drain: DrainSettings = DrainSettings()
     logs: LogsSettings = LogsSettings()
--- a/greengagedale/daemons.py
+++ b/greengagedale/daemons.py
@@ -9,11 +9,15 @@
 
 from aiohttp import web
 
+from greengagedale import acceptance
 from greengagedale import actions
 from greengagedale import clocks
+from greengagedale import collection
 from greengagedale import configuration
+from greengagedale import configuration_metrics
 from greengagedale import directory as directory_lib
 from greengagedale import dispatches
+from greengagedale import distribution
 from greengagedale import drain_watch
 from greengagedale import fleet_metrics
 from greengagedale import forwarding
@@ -27,6 +31,7 @@
 from greengagedale.idempotency import claims
 from greengagedale.idempotency import tables
 from greengagedale.idempotency import tickets
+from greengagedale.limits import assembly
 from greengagedale.membership import drains as drains_lib
 from greengagedale.membership import news
 from greengagedale.operators import http_server as operators_http
@@ -38,7 +43,6 @@
 from greengagedale.platform import http as platform_http
 from greengagedale.routing import leaving
 from greengagedale.routing import policies
-from greengagedale.upstreams import base as upstreams_base
 from greengagedale.upstreams import http as upstreams_http
 from greengagedale.upstreams import observed
 
@@ -73,7 +77,10 @@
     clock = clocks.MonotonicClock()
     metrics = metrics_lib.Metrics()
     store = platform_http.HttpStore.from_config(
-        settings.platform.endpoint, settings.platform.timeout_ms, metrics
+        settings.platform.endpoint,
+        settings.platform.timeout_ms,
+        metrics,
+        client_name=settings.host.name,
     )
     stack.push_async_callback(store.close)
     board = news.Board(clock)
@@ -87,35 +94,50 @@
         settings.host.data_centre, settings.upstreams.connect_timeout_ms
     )
     stack.push_async_callback(plain_transport.close)
-    transport = observed.ObservedTransport(plain_transport, drains)
+    observed_transport = observed.ObservedTransport(plain_transport, drains)
     peers = grpc_client.GrpcTransport.from_config(settings.peers.timeout_ms)
     stack.push_async_callback(peers.close)
-    holder = configuration.Holder()
-    reader = configuration.Reader(
-        store, holder, settings.platform.watch_wait_ms
+    holder = configuration.Holder(clock)
+    held_metrics = configuration_metrics.ConfigurationMetrics.from_config(
+        metrics, holder
+    )
+    collector = collection.Collector(store, held_metrics)
+    stack.push_async_callback(collector.close)
+    writer = acceptance.Writer.from_config(
+        settings, store, holder, collector, held_metrics
     )
-    rng = random.Random()
     directory = directory_lib.Directory.from_config(
-        settings, board, peers, clock, rng
+        settings, board, peers, clock, random.Random()
     )
     metrics.registry.register(
         fleet_metrics.MembershipCollector(
             lambda: directory.counts, directory.hosts_by_state
         )
     )
+    limits = assembly.Limits.from_config(
+        settings.limits,
+        observed_transport,
+        holder,
+        drains.is_leaving,
+        lambda: 1 + len(directory.alive),
+        clock,
+        metrics,
+    )
+    transport = limits.transport
     policy = leaving.LeavingFilter(
         policies.PlainPolicy(random.Random()), drains.is_leaving
     )
     action_runner = _action_runner(
-        settings, store, holder, directory, peers, transport, policy, metrics
+        settings, store, holder, directory, peers, limits, policy, metrics
     )
     stack.push_async_callback(action_runner.finish)
     host = hosts.Host(
         settings,
         holder,
-        configuration.Writer(store, reader, holder),
+        writer,
         searches.SearchRunner(transport, policy, clock, metrics),
         action_runner,
+        limits.admitter,
         directory,
         peers,
         clock,
@@ -132,12 +154,14 @@
         lambda: [status.name for status in directory.alive.values()],
         settings.drain.poll_interval_ms,
     )
+    follower = distribution.Follower.from_config(
+        settings, store, peers, holder, lambda: directory.alive, held_metrics
+    )
     background = [
         watch.follow_platform(),
         watch.poll(),
         directory.run(datagrams, host.status),
-        reader.follow_catalog(),
-        reader.follow_services(),
+        follower.run(),
         _follow_hosts(settings, store, directory),
     ]
     for work in background:
@@ -152,24 +176,26 @@
     holder: configuration.Holder,
     directory: directory_lib.Directory,
     peers: peers_base.PeerTransport,
-    transport: upstreams_base.UpstreamTransport,
+    limits: assembly.Limits,
     policy: policies.RoutingPolicy,
     metrics: metrics_lib.Metrics,
 ) -> actions.ActionRunner:
     clock = clocks.MonotonicClock()
     incarnation = secrets.token_hex(_INCARNATION_BYTES)
     issuer = tickets.Issuer(settings.host.name, incarnation)
-    limits = tables.Limits(
+    key_limits = tables.Limits(
         settings.actions.most_keys,
         settings.actions.ticket_life_ms,
         settings.actions.retention_ms,
     )
     return actions.ActionRunner(
         issuer,
-        tables.KeyTable(limits),
+        tables.KeyTable(key_limits),
         claims.PlatformClaims(store, issuer, clock),
         forwarding.PeerForwarder(directory, peers, clock),
-        dispatches.Dispatcher(holder, transport, policy, clock, metrics),
+        dispatches.Dispatcher(
+            holder, limits.transport, policy, clock, metrics, limits.admitter
+        ),
         clock,
         metrics,
     )
--- a/greengagedale/forwarding.py
+++ b/greengagedale/forwarding.py
@@ -66,6 +66,7 @@
         issuer.incarnation,
         request.request_id,
         request.key,
+        request.workspace,
         request.member,
         request.service,
         request.target,
--- a/greengagedale/hosts.py
+++ b/greengagedale/hosts.py
@@ -1,9 +1,11 @@
 """One entry host: everything that it knows and does, behind its adapters."""
 
+import asyncio
 import itertools
 import logging
 from typing import Any
 
+from greengagedale import acceptance
 from greengagedale import actions
 from greengagedale import clocks
 from greengagedale import configuration
@@ -16,7 +18,10 @@
 from greengagedale.callers import base as callers_base
 from greengagedale.catalog import catalogs
 from greengagedale.catalog import documents
+from greengagedale.catalog import edits
+from greengagedale.catalog import services
 from greengagedale.config import settings as settings_lib
+from greengagedale.limits import admitting
 from greengagedale.membership import messages
 from greengagedale.operators import base as operators_base
 from greengagedale.peers import base as peers_base
@@ -39,9 +44,10 @@
         self,
         settings: settings_lib.Settings,
         holder: configuration.Holder,
-        writer: configuration.Writer,
+        writer: acceptance.Writer,
         search_runner: searches.SearchRunner,
         action_runner: actions.ActionRunner,
+        admitter: admitting.Admitter | None,
         directory: directory_lib.Directory,
         peers: peers_base.PeerTransport,
         clock: clocks.Clock,
@@ -52,6 +58,7 @@
         self._writer = writer
         self._searches = search_runner
         self._actions = action_runner
+        self._admitter = admitter
         self._directory = directory
         self._peers = peers
         self._clock = clock
@@ -123,7 +130,7 @@
         self._running += 1
         try:
             outcome = (
-                await self._searches.run(search, member, service)
+                await self._admitted_search(call, search, member, service)
                 if service is not None
                 else _not_ready()
             )
@@ -142,6 +149,7 @@
         request = dispatches.ActionRequest(
             request_id,
             call.key,
+            call.workspace,
             current.workspaces[call.workspace].member,
             plan.service,
             call.target,
@@ -169,6 +177,7 @@
         request = dispatches.ActionRequest(
             forwarded.request_id,
             forwarded.key,
+            forwarded.workspace,
             forwarded.member,
             forwarded.service,
             forwarded.target,
@@ -199,6 +208,26 @@
         """Refuses all keys that are not known yet; known ones go on."""
         self._actions.stop()
 
+    async def _admitted_search(
+        self,
+        call: callers_base.SearchCall,
+        search: fanout.Search,
+        member: str,
+        service: services.Service,
+    ) -> outcomes.Outcome:
+        if self._admitter is None:
+            return await self._searches.run(search, member, service)
+        return await self._admitter.run_search(
+            admitting.Asked.from_plan(
+                self._holder.current.plans[call.workspace],
+                call.workspace,
+                search.request_id,
+                search.deadline_ms,
+            ),
+            service,
+            lambda: self._searches.run(search, member, service),
+        )
+
     async def explain_anywhere(
         self, request_id: str
     ) -> records_lib.Record | None:
@@ -218,19 +247,64 @@
         return self._metrics.exposition()
 
     async def change(
-        self, change: catalogs.Change
+        self, change: edits.Change, first_attempt: bool
     ) -> configuration.ChangeResult:
         """Gets a change accepted, or says why not."""
-        return await self._writer.accept(change)
+        return await self._writer.accept(change, first_attempt)
+
+    async def follow_up(self, change_id: str) -> configuration.FollowUp:
+        """Finds out what became of a change."""
+        return await self._writer.follow_up(change_id)
+
+    def catalog(self, known_revision: int) -> peers_base.SharedCatalog | None:
+        """Returns the catalog in force, None if nothing is known."""
+        if not self._holder.configuration_known:
+            return None
+        current = self._holder.current
+        unknown = current.revision != known_revision
+        return peers_base.SharedCatalog(
+            current.revision,
+            current.encoded.catalog if unknown else b"",
+            self._holder.age_ms(),
+        )
+
+    def shared_documents(self, names: list[str]) -> dict[str, bytes]:
+        """Returns the first of the named documents, as fit in one message."""
+        return self._holder.some_documents(names)
+
+    def newer_services(
+        self, known: dict[str, int]
+    ) -> list[configuration.StoredService] | None:
+        """Returns services of higher versions, None if nothing is known."""
+        if not self._holder.services_known:
+            return None
+        return self._holder.newer_services(known)
 
     def current(self) -> catalogs.Configuration:
         """Returns the configuration in force on this host."""
         return self._holder.current
 
+    def configuration_age_ms(self) -> float | None:
+        """Returns how long ago the configuration was known to be current."""
+        return self._holder.age_ms()
+
     async def fleet(self) -> list[peers_base.PeerStatus]:
         """Returns the status of every host that answers probes."""
         return [self.status(), *self._directory.alive.values()]
 
+    async def configuration_ages(self) -> dict[str, float | None]:
+        """Returns how long ago each host knew that it was current, by name."""
+        alive = self._directory.alive
+        known_revision = self._holder.current.revision
+        shared = await asyncio.gather(
+            *(self._peers.catalog(e, known_revision) for e in alive)
+        )
+        others = {
+            status.name: found and found.age_ms
+            for status, found in zip(alive.values(), shared, strict=True)
+        }
+        return {self.status().name: self._holder.age_ms(), **others}
+
     def _new_request_id(self) -> str:
         name = self._settings.host.name
         return f"{name}.{self._incarnation}.{next(self._sequence):x}"
--- a/greengagedale/peers/base.py
+++ b/greengagedale/peers/base.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
+from greengagedale import configuration
 from greengagedale import records
 from greengagedale.membership import messages
 
@@ -17,6 +18,7 @@
         incarnation: The incarnation that may run it.
         request_id: Identifier of the request.
         key: The idempotency key.
+        workspace: Workspace in which it runs.
         member: Member on whose behalf it runs.
         service: Service whose upstreams hold the document.
         target: Key of the document that it acts on.
@@ -27,6 +29,7 @@
     incarnation: str
     request_id: str
     key: str
+    workspace: str
     member: str
     service: str
     target: int
@@ -52,6 +55,21 @@
     events: list[records.Event]
 
 
+class SharedCatalog(NamedTuple):
+    """A catalog in force on a host, for another to take over.
+
+    Attributes:
+        revision: Its revision.
+        value: The catalog as the platform keeps it; empty if the asking host
+            knows this revision.
+        age_ms: How long ago the host knew that it was current, if ever.
+    """
+
+    revision: int
+    value: bytes
+    age_ms: float | None
+
+
 class PeerService(abc.ABC):
     """What a host answers to other hosts."""
 
@@ -67,6 +85,20 @@
     async def act_forwarded(self, request: ForwardedAction) -> ForwardedResult:
         """Runs a request that only this host may run."""
 
+    @abc.abstractmethod
+    def catalog(self, known_revision: int) -> SharedCatalog | None:
+        """Returns the catalog in force, None if nothing is known."""
+
+    @abc.abstractmethod
+    def shared_documents(self, names: list[str]) -> dict[str, bytes]:
+        """Returns the first of the named documents, as fit in one message."""
+
+    @abc.abstractmethod
+    def newer_services(
+        self, known: dict[str, int]
+    ) -> list[configuration.StoredService] | None:
+        """Returns services of higher versions, None if nothing is known."""
+
 
 class PeerTransport(abc.ABC):
     """Asks other hosts; None stands for no answer."""
@@ -87,6 +119,24 @@
     ) -> ForwardedResult | None:
         """Forwards a request; without an answer it may have run."""
 
+    @abc.abstractmethod
+    async def catalog(
+        self, endpoint: str, known_revision: int
+    ) -> SharedCatalog | None:
+        """Asks a host for its catalog, without the content if it is known."""
+
+    @abc.abstractmethod
+    async def documents(
+        self, endpoint: str, names: list[str]
+    ) -> dict[str, bytes] | None:
+        """Asks a host for documents; it may send only some of them."""
+
+    @abc.abstractmethod
+    async def services(
+        self, endpoint: str, known: dict[str, int]
+    ) -> list[configuration.StoredService] | None:
+        """Asks a host for services of higher versions than the known."""
+
     @abc.abstractmethod
     async def close(self) -> None:
         """Closes all connections."""
--- a/greengagedale/peers/grpc_server.py
+++ b/greengagedale/peers/grpc_server.py
@@ -26,6 +26,9 @@
         wire.MEMBERS: _unary(lambda _: service.members(), type(None)),
         wire.EXPLAIN: _unary(service.explain, str),
         wire.ACT: _unary(service.act_forwarded, base.ForwardedAction),
+        wire.CATALOG: _unary(service.catalog, int),
+        wire.DOCUMENTS: _unary(service.shared_documents, list[str]),
+        wire.SERVICES: _unary(service.newer_services, dict[str, int]),
     }
     return grpc.method_handlers_generic_handler(wire.SERVICE, methods)
 
