--- a/greengagedale/__main__.py
+++ b/greengagedale/__main__.py
@@ -61,7 +61,7 @@
 def main() -> None:
     """Runs the command line; errors end it with one friendly message."""
     try:
-        app()
+        app(prog_name="greengagedale")
     except exceptions.GreengagedaleError as error:
         typer.echo(f"Error: {error}", err=True)
         sys.exit(EXIT_ERROR)
--- a/greengagedale/callers/http_server.py
+++ b/greengagedale/callers/http_server.py
@@ -97,7 +97,10 @@
         record = await self._service.explain_anywhere(request_id)
         if record is None:
             return http_replies.error(
-                404, "unknown_request", f"no record of {request_id!r}"
+                404,
+                "unknown_request",
+                f"no record of {request_id!r}; the host that served it keeps "
+                "its last requests, and only while its process lives",
             )
         return http_replies.reply(record)
 
--- a/greengagedale/commands/act.py
+++ b/greengagedale/commands/act.py
@@ -23,7 +23,9 @@
     first_send: Annotated[
         bool, typer.Option(help="The key was never sent before.")
     ] = False,
-    timeout_ms: Annotated[int | None, typer.Option(help="Deadline.")] = None,
+    timeout_ms: Annotated[
+        int | None, typer.Option(min=1, help="Time until the answer is due.")
+    ] = None,
 ) -> None:
     """Run one booking or the like, at most once, and print the answer."""
     try:
--- a/greengagedale/commands/explain.py
+++ b/greengagedale/commands/explain.py
@@ -1,15 +1,67 @@
 """`greengagedale explain`: shows what was done for a request."""
 
-from typing import Annotated
+from typing import Annotated, Any
 
+import rich.box
+import rich.console
+import rich.table
 import typer
 
 from greengagedale.commands import remote
 
+_WIDTH = 100
+
 
 def explain(
     host: remote.CallerEndpoint,
     request_id: Annotated[str, typer.Argument(help="From the answer.")],
+    as_json: Annotated[
+        bool, typer.Option("--json", help="One JSON line, no table.")
+    ] = False,
 ) -> None:
     """Show what was done for a recent request, and why."""
-    remote.show(remote.run(remote.fetch(host, f"/v1/explain/{request_id}")))
+    record = remote.run(remote.fetch(host, f"/v1/explain/{request_id}"))
+    if as_json:
+        remote.show(record)
+        return
+    console = rich.console.Console(width=_WIDTH, highlight=False)
+    for line in summary(record):
+        console.print(line, markup=False, soft_wrap=True)
+    if record["events"]:
+        console.print(timeline(record))
+
+
+def summary(record: dict[str, Any]) -> list[str]:
+    """Returns the lines that go before the timeline."""
+    took_ms = record["took_ms"]
+    lines = [
+        f"request    {record['request_id']} ({record['kind']})",
+        f"workspace  {record['workspace']} of {record['member'] or '?'}",
+        f"outcome    {record['outcome']} after {took_ms:.1f} ms",
+    ]
+    if record["key"]:
+        lines.append(f"key        {record['key']}")
+    lines += [
+        f"{name:<10} {_text(value)}" for name, value in record["detail"].items()
+    ]
+    return lines
+
+
+def timeline(record: dict[str, Any]) -> rich.table.Table:
+    """Returns the events of a record, in order, as a table."""
+    table = rich.table.Table(box=rich.box.SIMPLE)
+    table.add_column("at ms", justify="right")
+    for column in ("host", "what", "about", "why"):
+        table.add_column(column)
+    for at_ms, host, what, subject, reason in record["events"]:
+        table.add_row(f"{at_ms:.1f}", host, what, subject, reason)
+    if record["events_left_out"]:
+        left_out = f"{record['events_left_out']} more, not kept"
+        table.add_row("", "", left_out, "", "")
+    return table
+
+
+def _text(value: Any) -> str:
+    if isinstance(value, list):
+        return ", ".join(map(str, value))
+    return str(value)
--- a/greengagedale/commands/query.py
+++ b/greengagedale/commands/query.py
@@ -16,8 +16,10 @@
     host: remote.CallerEndpoint,
     workspace: Annotated[str, typer.Argument(help="Workspace to search.")],
     text: Annotated[str, typer.Argument(help="What to search for.")],
-    limit: Annotated[int | None, typer.Option(help="Most hits.")] = None,
-    timeout_ms: Annotated[int | None, typer.Option(help="Deadline.")] = None,
+    limit: Annotated[int | None, typer.Option(min=1, help="Most hits.")] = None,
+    timeout_ms: Annotated[
+        int | None, typer.Option(min=1, help="Time until the answer is due.")
+    ] = None,
 ) -> None:
     """Run one search and print the answer as a JSON line."""
     outcome = remote.run(_query(host, workspace, text, limit, timeout_ms))
--- a/greengagedale/commands/remote.py
+++ b/greengagedale/commands/remote.py
@@ -5,18 +5,33 @@
 
 import aiohttp
 import msgspec
+import pydantic
 import typer
 
 from greengagedale import exceptions
 from greengagedale import loops
+from greengagedale.config import options
 
 _TIMEOUT_S = 30.0
 _STATUS_OK = 200
 
+
+def _checked_endpoint(endpoint: str) -> str:
+    try:
+        return _ENDPOINT.validate_python(endpoint)
+    except pydantic.ValidationError:
+        raise typer.BadParameter(
+            f"{endpoint!r} is not an IP number and a port, as in 192.0.2.7:80"
+        ) from None
+
+
+_ENDPOINT = pydantic.TypeAdapter(options.Endpoint)
+
 OperatorEndpoint = Annotated[
     str,
     typer.Option(
         "--host",
+        callback=_checked_endpoint,
         envvar="GREENGAGEDALE_OPERATOR",
         help="Operator address of any entry host, as IP:PORT.",
     ),
@@ -25,6 +40,7 @@
     str,
     typer.Option(
         "--host",
+        callback=_checked_endpoint,
         envvar="GREENGAGEDALE_CALLER",
         help="Caller address of any entry host, as IP:PORT.",
     ),
@@ -80,10 +96,19 @@
             return Reply(
                 response.status, decoded, version and version.strip('"')
             )
+    except aiohttp.ClientConnectorError as error:
+        raise exceptions.RemoteError(
+            f"can't connect to {endpoint}; check --host and that the host runs"
+        ) from error
+    except TimeoutError as error:
+        raise exceptions.RemoteError(
+            f"{endpoint} did not answer within {_TIMEOUT_S:.0f} s; "
+            "try another host"
+        ) from error
     except (aiohttp.ClientError, OSError, msgspec.DecodeError) as error:
         raise exceptions.RemoteError(
-            f"{endpoint} does not answer as an entry host: {error}; "
-            "check --host and that the host runs"
+            f"{endpoint} does not answer as an entry host; check that --host "
+            "names its port for callers or operators, as the command needs"
         ) from error
 
 
--- a/tests/integration/test_actions.py
+++ b/tests/integration/test_actions.py
@@ -174,3 +174,19 @@
         if event["event"] == "act"
     ]
     assert len(runs) == 1
+
+
+def test_explain_tells_which_host_ran_a_forwarded_action(shared_deployment):
+    hosts = callers(shared_deployment)
+    key = ticketed_key(hosts[0], "x1")
+    answer = send(hosts[1], key)
+    path = f"/v1/explain/{answer['request_id']}"
+    record = httpcalls.get(hosts[3], path).body
+    assert record["key"] == key
+    steps = [(host, what) for _, host, what, _, _ in record["events"]]
+    assert steps[:3] == [
+        ("entry-2", "forward"),
+        ("entry-1", "start"),
+        ("entry-1", "attempt"),
+    ]
+    assert record["events_left_out"] == 0
