--- a/greengagedale/config/settings.py
+++ b/greengagedale/config/settings.py
@@ -55,7 +55,14 @@
     """How upstreams are used."""
 
     connect_timeout_ms: options.DurationMs = 200
-    policy: Literal["plain"] = "plain"
+    spare_connections: options.Count = 2
+
+
+class RoutingSettings(Section):
+    """How attempts are sent; `plain` is the baseline of measurements."""
+
+    policy: Literal["adaptive", "plain"] = "adaptive"
+    retry_share: options.Share = 0.1
 
 
 class ShutdownSettings(Section):
@@ -78,6 +85,7 @@
     peers: PeersSettings = PeersSettings()
     callers: CallersSettings = CallersSettings()
     upstreams: UpstreamsSettings = UpstreamsSettings()
+    routing: RoutingSettings = RoutingSettings()
     shutdown: ShutdownSettings = ShutdownSettings()
     logs: LogsSettings = LogsSettings()
 
--- a/greengagedale/daemons.py
+++ b/greengagedale/daemons.py
@@ -22,7 +22,8 @@
 from greengagedale.peers import grpc_server
 from greengagedale.platform import base as platform_base
 from greengagedale.platform import http as platform_http
-from greengagedale.routing import policies
+from greengagedale.routing import loads as loads_lib
+from greengagedale.routing import tacticians
 from greengagedale.upstreams import http as upstreams_http
 
 log = logging.getLogger(__name__)
@@ -65,7 +66,9 @@
     )
     stack.push_async_callback(store.close)
     transport = upstreams_http.HttpTransport.from_config(
-        settings.host.data_centre, settings.upstreams.connect_timeout_ms
+        settings.host.data_centre,
+        settings.upstreams.connect_timeout_ms,
+        settings.upstreams.spare_connections,
     )
     stack.push_async_callback(transport.close)
     peers = grpc_client.GrpcTransport.from_config(settings.peers.timeout_ms)
@@ -75,13 +78,18 @@
         store, holder, settings.platform.watch_wait_ms
     )
     directory = hosts.Directory(peers)
-    policy = policies.PlainPolicy(random.Random())
+    loads = loads_lib.LoadTracker(clock)
+    tactician = tacticians.Tactician.from_config(
+        settings.routing, loads, random.Random()
+    )
     host = hosts.Host(
         settings,
         holder,
         configuration.Writer(store, reader, holder),
-        searches.SearchRunner(transport, policy, clock, metrics),
-        actions.ActionRunner(transport, policy, clock),
+        searches.SearchRunner(
+            transport, tactician, loads, holder.services.get, clock, metrics
+        ),
+        actions.ActionRunner(transport, tactician.policy, clock),
         directory,
         peers,
         clock,
--- a/greengagedale/hosts.py
+++ b/greengagedale/hosts.py
@@ -147,6 +147,9 @@
             call.text,
             min(call.limit or plan.hits_limit, plan.hits_limit),
             started_ms + self._timeout_ms(call.timeout_ms, plan),
+            call.workspace,
+            plan.prefer,
+            plan.extra_load_share,
         )
         service = self._holder.services.get(plan.service)
         self._running += 1
--- a/greengagedale/metrics.py
+++ b/greengagedale/metrics.py
@@ -63,6 +63,8 @@
         retries: Attempts beyond the first by reason.
         attempts: Attempts sent to upstreams by service.
         drops: Answers of upstreams that were not used, by reason.
+        search_events: What searches did beyond first attempts, by service,
+            event and reason.
         platform_calls: Calls to the platform by operation and result.
         request_latency: Latency of requests by workspace.
         attempt_latency: Latency of attempts by service.
@@ -85,6 +87,13 @@
         self.drops = self._counter(
             "dropped_answers", "Answers not used.", "reason"
         )
+        self.search_events = self._counter(
+            "search_events",
+            "What searches did beyond first attempts.",
+            "service",
+            "event",
+            "reason",
+        )
         self.platform_calls = self._counter(
             "platform_calls", "Calls to the platform.", "operation", "result"
         )
--- /dev/null
+++ b/greengagedale/query/events.py
@@ -0,0 +1,63 @@
+"""What a search did beyond its first attempts, and why."""
+
+import collections
+import enum
+from typing import NamedTuple
+
+from greengagedale.query import ranges
+
+_MOST_EVENTS = 64
+
+
+class What(enum.StrEnum):
+    """The kinds of events."""
+
+    DROP = "drop"
+    FAILURE = "failure"
+    HEDGE = "hedge"
+    HEDGE_DENIED = "hedge_denied"
+    RETRY = "retry"
+    RETRY_DENIED = "retry_denied"
+    NO_PROGRESS = "no_progress"
+    RESTART = "restart"
+    EARLY_STOP = "early_stop"
+    DEADLINE = "deadline"
+
+
+class Event(NamedTuple):
+    """One event of a search.
+
+    Attributes:
+        at_ms: When it was, from the start of the search.
+        what: The kind of event.
+        key_range: The range it was about, or None.
+        upstream: The upstream it was about; empty if none.
+        reason: Why, in one word.
+    """
+
+    at_ms: float
+    what: What
+    key_range: ranges.KeyRange | None
+    upstream: str
+    reason: str
+
+
+class Kind(NamedTuple):
+    """What events are counted by."""
+
+    what: What
+    reason: str
+
+
+class Trace:
+    """The first events of a search, and counts of all of them."""
+
+    def __init__(self) -> None:
+        self.events: list[Event] = []
+        self.counts: collections.Counter[Kind] = collections.Counter()
+
+    def add(self, event: Event) -> None:
+        """Counts an event and keeps it while there is room."""
+        self.counts[Kind(event.what, event.reason)] += 1
+        if len(self.events) < _MOST_EVENTS:
+            self.events.append(event)
--- a/greengagedale/query/fanout.py
+++ b/greengagedale/query/fanout.py
@@ -1,22 +1,29 @@
 """The state of one search over all ranges of its pinned map.
 
 A `FanOut` is told what happened and answers with the commands to carry out.
-It does no input or output and reads no clock.
+It does no input or output and reads no clock: `next_timer_ms` says when it
+wants `on_timer` to be called.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Sequence
 import itertools
-from typing import NamedTuple
+from typing import Literal, NamedTuple
 
 from greengagedale import outcomes
 from greengagedale.query import attempts
 from greengagedale.query import coverage
+from greengagedale.query import events
 from greengagedale.query import hits
-from greengagedale.query import ranges
+from greengagedale.query import parts
 from greengagedale.query import snapshots
-from greengagedale.routing import policies
+from greengagedale.query import tactics as tactics_lib
+from greengagedale.query import timers
 
 RETRY_AFTER_MS = 200
+_MOST_ROUNDS = 4
+_ROUND_DELAY_MS = 10.0
+_MOST_RESTARTS = 3
+_MOST_LEFT_OUT = 0.1
 
 
 class Search(NamedTuple):
@@ -28,6 +35,9 @@
         text: The query.
         limit: How many hits are wanted.
         deadline_ms: When the answer is due, by the clock of the process.
+        workspace: Workspace that it came through.
+        prefer: Whether stragglers are left out or waited for.
+        extra_load_share: Most attempts for speed alone, as a share.
     """
 
     request_id: str
@@ -35,6 +45,9 @@
     text: str
     limit: int
     deadline_ms: float
+    workspace: str = ""
+    prefer: Literal["early", "complete"] = "complete"
+    extra_load_share: float = 0.0
 
 
 class SearchAnswer(NamedTuple):
@@ -65,6 +78,8 @@
 
 Command = Send | Cancel | Finish
 
+MapsSource = Callable[[], Sequence[snapshots.PinnedMap]]
+
 
 class FanOut:
     """One search in progress."""
@@ -73,87 +88,415 @@
         self,
         search: Search,
         pinned: snapshots.PinnedMap,
-        policy: policies.RoutingPolicy,
+        tactics: tactics_lib.Tactics,
+        maps: MapsSource = tuple,
+        trace: events.Trace | None = None,
     ) -> None:
+        """Makes the state of a search that has not begun.
+
+        Args:
+            search: What is asked for.
+            pinned: The map to begin with.
+            tactics: What the searches of the workspace share.
+            maps: Returns the maps that a restart may choose among.
+            trace: Takes the events of the search.
+        """
         self._search = search
         self._pinned = pinned
-        self._policy = policy
+        self._tactics = tactics
+        self._maps = maps
+        self._trace = trace if trace is not None else events.Trace()
+        self._timings = tactics.timings()
+        self._timers = timers.Timers()
         self._sequence = itertools.count()
-        self._open: dict[str, attempts.Attempt] = {}
-        self._merged: dict[ranges.KeyRange, list[hits.Hit]] = {}
-        self._reasons: dict[ranges.KeyRange, outcomes.Reason] = {}
+        self._parts: list[parts.Part] = []
+        self._by_attempt: dict[str, parts.Part] = {}
+        self._unsettled = 0
+        self._given_up: set[snapshots.Snapshot] = set()
         self._ends: list[outcomes.AttemptEnd] = []
+        self._began_ms = 0.0
         self._finished = False
 
     def start(self, now_ms: float) -> list[Command]:
         """Begins with one attempt for each range."""
-        commands: list[Command] = [
-            command
-            for entry in self._pinned.ranges
-            for command in self._send(entry, now_ms)
-        ]
-        return commands + self._finish_if_done()
+        self._began_ms = now_ms
+        return self._begin(now_ms)
 
     def on_result(
         self, attempt_id: str, result: attempts.AttemptResult, now_ms: float
     ) -> list[Command]:
         """Takes in how an attempt ended; late ends change nothing."""
-        attempt = self._open.pop(attempt_id, None)
-        if attempt is None or self._finished:
+        part = self._by_attempt.pop(attempt_id, None)
+        if part is None or self._finished:
             return []
+        attempt = part.open.pop(attempt_id)
         if isinstance(result, attempts.Answered):
-            self._merged.setdefault(attempt.key_range, result.hits)
+            commands = self._answered(part, attempt, result, now_ms)
         else:
-            end = attempts.end_of(result)
-            self._ends.append(end)
-            self._reasons[attempt.key_range] = end.reason
-        return self._finish_if_done()
+            commands = self._failed(part, attempt, result, now_ms)
+        return commands + self._finish_if_done(now_ms)
 
-    def on_deadline(self) -> list[Command]:
+    def next_timer_ms(self) -> float:
+        """Returns when `on_timer` is to be called next."""
+        return min(self._search.deadline_ms, self._timers.next_ms())
+
+    def on_timer(self, now_ms: float) -> list[Command]:
+        """Does what is due."""
+        if self._finished:
+            return []
+        if now_ms >= self._search.deadline_ms:
+            return self.on_deadline(now_ms)
+        commands: list[Command] = []
+        while not self._finished and (due := self._timers.pop_due(now_ms)):
+            commands += self._on_due(due, now_ms)
+        if self._finished:
+            return commands
+        return commands + self._finish_if_done(now_ms)
+
+    def on_deadline(self, now_ms: float) -> list[Command]:
         """Ends the search with what has been merged."""
         if self._finished:
             return []
-        return self._finish()
+        self._note(now_ms, events.What.DEADLINE, None, "", "deadline")
+        return self._finish(now_ms)
+
+    def abandon(self, now_ms: float) -> list[Command]:
+        """Ends the search because nobody waits for its answer."""
+        self._finished = True
+        return self._cancel_all(now_ms)
 
-    def _send(
-        self, entry: snapshots.RangeReplicas, now_ms: float
-    ) -> Iterable[Command]:
-        upstream = self._policy.choose(entry.upstreams)
+    def _begin(self, now_ms: float) -> list[Command]:
+        tactics = self._tactics
+        gone = tactics.holdings.refusing(self._pinned.snapshot, now_ms)
+        self._parts = [
+            parts.Part(entry, gone & frozenset(entry.upstreams))
+            for entry in self._pinned.ranges
+        ]
+        self._unsettled = len(self._parts)
+        tactics.hedge_budget.earn(len(self._parts))
+        tactics.retry_budget.earn(len(self._parts))
+        if tactics.adaptive and self._search.prefer == "early":
+            due_ms = self._began_ms + self._timings.early_ms
+            self._timers.add(due_ms, timers.Kind.EARLY)
+        pinned = self._pinned
+        commands: list[Command] = []
+        for part in self._parts:
+            sent = self._send(part, now_ms)
+            commands += sent
+            if not sent:
+                part.reason = outcomes.Reason.NO_REPLICA
+                commands += self._without_replica(part, now_ms)
+            if self._pinned is not pinned:
+                return commands
+        return commands + self._finish_if_done(now_ms)
+
+    def _send(self, part: parts.Part, now_ms: float) -> list[Command]:
+        upstream = self._tactics.policy.choose(part.entry.upstreams, part.avoid)
         if upstream is None:
-            self._reasons[entry.key_range] = outcomes.Reason.NO_REPLICA
             return []
         attempt = attempts.Attempt(
             f"{self._search.request_id}.{next(self._sequence)}",
             upstream,
-            entry.key_range,
+            part.entry.key_range,
             self._pinned.snapshot,
             now_ms,
         )
-        self._open[attempt.attempt_id] = attempt
+        part.open[attempt.attempt_id] = attempt
+        part.tried.add(upstream)
+        self._by_attempt[attempt.attempt_id] = part
+        if self._tactics.adaptive:
+            self._watch(part, attempt, now_ms)
         return [Send(attempt)]
 
-    def _finish_if_done(self) -> list[Command]:
-        return [] if self._open else self._finish()
+    def _watch(
+        self, part: parts.Part, attempt: attempts.Attempt, now_ms: float
+    ) -> None:
+        hedge_ms = self._timings.hedge_ms
+        if hedge_ms < self._timings.progress_ms:
+            due_ms = now_ms + hedge_ms
+            self._timers.add(due_ms, timers.Kind.HEDGE, part, attempt)
+        else:
+            due_ms = now_ms + self._timings.progress_ms
+            self._timers.add(due_ms, timers.Kind.PROGRESS, part, attempt)
+
+    def _answered(
+        self,
+        part: parts.Part,
+        attempt: attempts.Attempt,
+        result: attempts.Answered,
+        now_ms: float,
+    ) -> list[Command]:
+        part.hits = result.hits
+        self._unsettled -= 1
+        self._tactics.latencies.record(now_ms - attempt.sent_ms)
+        return self._cancel_part(part, now_ms)
+
+    def _failed(
+        self,
+        part: parts.Part,
+        attempt: attempts.Attempt,
+        result: attempts.Dropped | outcomes.AttemptEnd,
+        now_ms: float,
+    ) -> list[Command]:
+        end = attempts.end_of(result)
+        self._ends.append(end)
+        part.reason = end.reason
+        dropped = isinstance(result, attempts.Dropped)
+        self._note(
+            now_ms,
+            events.What.DROP if dropped else events.What.FAILURE,
+            part,
+            attempt.upstream,
+            result.field if dropped else end.reason,
+        )
+        if end.reason is outcomes.Reason.SNAPSHOT_GONE:
+            part.gone |= {attempt.upstream}
+            self._tactics.holdings.refuse(
+                attempt.snapshot, attempt.upstream, now_ms
+            )
+        if part.open:
+            return []
+        return self._retry(part, end.reason, end.retry_after_ms, now_ms)
+
+    def _retry(
+        self,
+        part: parts.Part,
+        reason: str,
+        retry_after_ms: float,
+        now_ms: float,
+    ) -> list[Command]:
+        if part.is_gone:
+            return self._without_replica(part, now_ms)
+        if not self._tactics.adaptive:
+            return self._settle(part)
+        if not self._has_untried(part):
+            return self._wait_round(part, retry_after_ms, now_ms)
+        if not self._tactics.retry_budget.spend(now_ms):
+            self._note(now_ms, events.What.RETRY_DENIED, part, "", reason)
+            return self._wait_round(part, retry_after_ms, now_ms)
+        sent = self._send(part, now_ms)
+        if not sent:
+            return self._wait_round(part, retry_after_ms, now_ms)
+        self._note_sent(now_ms, events.What.RETRY, part, sent, reason)
+        return sent
+
+    def _has_untried(self, part: parts.Part) -> bool:
+        return not part.avoid.issuperset(part.entry.upstreams)
+
+    def _wait_round(
+        self, part: parts.Part, retry_after_ms: float, now_ms: float
+    ) -> list[Command]:
+        """Tries all replicas again after a while, or gives the range up."""
+        delay_ms = max(retry_after_ms, _ROUND_DELAY_MS * (1 << part.rounds))
+        part.rounds += 1
+        due_ms = now_ms + delay_ms
+        if part.rounds >= _MOST_ROUNDS or due_ms >= self._search.deadline_ms:
+            return self._settle(part)
+        part.waiting = True
+        part.tried.clear()
+        self._timers.add(due_ms, timers.Kind.ROUND, part)
+        return []
+
+    def _without_replica(
+        self, part: parts.Part, now_ms: float
+    ) -> list[Command]:
+        """Restarts if no replica has the snapshot; gives up otherwise."""
+        if part.is_gone:
+            part.reason = outcomes.Reason.SNAPSHOT_GONE
+            pinned = self._restart_map(now_ms)
+            if pinned is not None:
+                return self._restart(pinned, part, now_ms)
+        return self._settle(part)
+
+    def _settle(self, part: parts.Part) -> list[Command]:
+        self._unsettled -= 1
+        return []
+
+    def _restart_map(self, now_ms: float) -> snapshots.PinnedMap | None:
+        if not self._tactics.adaptive:
+            return None
+        self._given_up.add(self._pinned.snapshot)
+        left_ms = self._search.deadline_ms - now_ms
+        needed_ms = min(self._timings.hedge_ms, self._timings.progress_ms)
+        if left_ms < needed_ms or len(self._given_up) > _MOST_RESTARTS:
+            return None
+        return self._tactics.holdings.choose(
+            self._maps(), now_ms, self._given_up
+        )
+
+    def _restart(
+        self, pinned: snapshots.PinnedMap, part: parts.Part, now_ms: float
+    ) -> list[Command]:
+        self._note(
+            now_ms, events.What.RESTART, part, "", outcomes.Reason.SNAPSHOT_GONE
+        )
+        cancels = self._cancel_all(now_ms)
+        self._timers.clear()
+        self._pinned = pinned
+        return cancels + self._begin(now_ms)
+
+    def _on_due(self, due: timers.Timer, now_ms: float) -> list[Command]:
+        match due:
+            case timers.Timer(kind=timers.Kind.EARLY):
+                return self._stop_early(now_ms)
+            case timers.Timer(kind=timers.Kind.ROUND, part=parts.Part() as p):
+                p.waiting = False
+                return self._retry(p, "next_round", 0.0, now_ms)
+            case timers.Timer(
+                kind=timers.Kind.HEDGE,
+                part=parts.Part() as p,
+                attempt=attempts.Attempt() as a,
+            ):
+                return self._hedge(p, a, now_ms)
+            case timers.Timer(
+                part=parts.Part() as p, attempt=attempts.Attempt() as a
+            ):
+                return self._without_progress(p, a, now_ms)
+        return []
+
+    def _hedge(
+        self, part: parts.Part, attempt: attempts.Attempt, now_ms: float
+    ) -> list[Command]:
+        progress_ms = attempt.sent_ms + self._timings.progress_ms
+        if not self._has_untried(part):
+            self._timers.add(progress_ms, timers.Kind.PROGRESS, part, attempt)
+            return []
+        if not self._tactics.hedge_budget.spend(now_ms):
+            self._note(now_ms, events.What.HEDGE_DENIED, part, "", "budget")
+            again_ms = now_ms + self._timings.hedge_ms / 2
+            kind = timers.Kind.HEDGE
+            if again_ms >= progress_ms:
+                again_ms, kind = progress_ms, timers.Kind.PROGRESS
+            self._timers.add(again_ms, kind, part, attempt)
+            return []
+        self._timers.add(progress_ms, timers.Kind.PROGRESS, part, attempt)
+        sent = self._send(part, now_ms)
+        self._note_sent(now_ms, events.What.HEDGE, part, sent, "quantile")
+        return sent
+
+    def _without_progress(
+        self, part: parts.Part, attempt: attempts.Attempt, now_ms: float
+    ) -> list[Command]:
+        """Gives up an attempt that another one can stand in for."""
+        others: list[Command] = []
+        if len(part.open) == 1:
+            others = self._replace(part, attempt, now_ms)
+            if not others:
+                again_ms = now_ms + self._timings.progress_ms
+                kind = timers.Kind.PROGRESS
+                self._timers.add(again_ms, kind, part, attempt)
+                return []
+        self._note(
+            now_ms, events.What.NO_PROGRESS, part, attempt.upstream, "silent"
+        )
+        del part.open[attempt.attempt_id]
+        return [*others, self._cancel(attempt)]
+
+    def _replace(
+        self, part: parts.Part, attempt: attempts.Attempt, now_ms: float
+    ) -> list[Command]:
+        """Sends another attempt, if need be to the same upstream."""
+        if not self._has_untried(part):
+            part.tried = {attempt.upstream}
+        if not self._has_untried(part):
+            part.tried.clear()
+        if not self._tactics.retry_budget.spend(now_ms):
+            reason = outcomes.Reason.NO_PROGRESS
+            self._note(now_ms, events.What.RETRY_DENIED, part, "", reason)
+            return []
+        sent = self._send(part, now_ms)
+        if sent:
+            reason = outcomes.Reason.NO_PROGRESS
+            self._note_sent(now_ms, events.What.RETRY, part, sent, reason)
+        return sent
+
+    def _stop_early(self, now_ms: float) -> list[Command]:
+        if not self._may_leave_out():
+            due_ms = now_ms + self._timings.hedge_ms
+            self._timers.add(due_ms, timers.Kind.EARLY)
+            return []
+        for part in self._parts:
+            if not part.is_settled:
+                part.reason = outcomes.Reason.EARLY_STOP
+                self._note(now_ms, events.What.EARLY_STOP, part, "", "bound")
+        return self._finish(now_ms)
+
+    def _may_leave_out(self) -> bool:
+        return self._unsettled <= max(
+            1, len(self._parts) * _MOST_LEFT_OUT
+        ) and (self._unsettled < len(self._parts))
+
+    def _cancel_part(self, part: parts.Part, now_ms: float) -> list[Command]:
+        cancels: list[Command] = []
+        for attempt in part.open.values():
+            self._tactics.latencies.record(now_ms - attempt.sent_ms)
+            cancels.append(self._cancel(attempt))
+        part.open.clear()
+        return cancels
+
+    def _cancel_all(self, now_ms: float) -> list[Command]:
+        return [
+            command
+            for part in self._parts
+            for command in self._cancel_part(part, now_ms)
+        ]
+
+    def _cancel(self, attempt: attempts.Attempt) -> Cancel:
+        self._by_attempt.pop(attempt.attempt_id, None)
+        self._ends.append(
+            outcomes.AttemptEnd(outcomes.Reason.DEADLINE, True, False)
+        )
+        return Cancel(attempt)
+
+    def _finish_if_done(self, now_ms: float) -> list[Command]:
+        if self._unsettled or self._finished:
+            return []
+        return self._finish(now_ms)
 
-    def _finish(self) -> list[Command]:
+    def _finish(self, now_ms: float) -> list[Command]:
         self._finished = True
-        cancels: list[Command] = [Cancel(a) for a in self._open.values()]
+        cancels = self._cancel_all(now_ms)
         return [*cancels, Finish(self._outcome())]
 
     def _outcome(self) -> outcomes.Outcome:
-        covered = coverage.of_map(self._pinned, self._merged, self._reasons)
-        if not self._merged:
+        merged = {
+            part.entry.key_range: part.hits
+            for part in self._parts
+            if part.hits is not None
+        }
+        reasons = {part.entry.key_range: part.reason for part in self._parts}
+        covered = coverage.of_map(self._pinned, merged, reasons)
+        if not merged:
             return self._without_answer(covered)
-        merged = hits.merge(self._merged.values(), self._search.limit)
-        return outcomes.Ran(
-            SearchAnswer(self._pinned.snapshot, covered, merged)
-        )
+        best = hits.merge(merged.values(), self._search.limit)
+        return outcomes.Ran(SearchAnswer(self._pinned.snapshot, covered, best))
 
     def _without_answer(self, covered: coverage.Coverage) -> outcomes.Outcome:
-        lost = [
-            outcomes.AttemptEnd(outcomes.Reason.DEADLINE, True, False)
-            for _ in self._open
-        ]
         reasons = [item.reason for item in covered.missing]
         reason = reasons[0] if reasons else outcomes.Reason.NO_REPLICA
-        return outcomes.of_attempts(self._ends + lost, reason, RETRY_AFTER_MS)
+        return outcomes.of_attempts(self._ends, reason, RETRY_AFTER_MS)
+
+    def _note_sent(
+        self,
+        now_ms: float,
+        what: events.What,
+        part: parts.Part,
+        sent: Sequence[Command],
+        reason: str,
+    ) -> None:
+        for command in sent:
+            if isinstance(command, Send):
+                upstream = command.attempt.upstream
+                self._note(now_ms, what, part, upstream, reason)
+
+    def _note(
+        self,
+        now_ms: float,
+        what: events.What,
+        part: parts.Part | None,
+        upstream: str,
+        reason: str,
+    ) -> None:
+        key_range = part.entry.key_range if part is not None else None
+        at_ms = now_ms - self._began_ms
+        self._trace.add(events.Event(at_ms, what, key_range, upstream, reason))
--- /dev/null
+++ b/greengagedale/query/parts.py
@@ -0,0 +1,59 @@
+"""One range of a search: its attempts and its answer."""
+
+from greengagedale import outcomes
+from greengagedale.query import attempts
+from greengagedale.query import hits
+from greengagedale.query import snapshots
+
+
+class Part:
+    """The state of one range of a search.
+
+    Attributes:
+        entry: The range and its replicas.
+        open: Attempts that have not ended, by id.
+        tried: Replicas that were tried in this round.
+        gone: Replicas that don't hold the range at the snapshot.
+        hits: The answer, or None.
+        reason: Why there is no answer, as far as is known.
+        rounds: How often all replicas have been tried.
+        waiting: Whether a next round is due later.
+    """
+
+    __slots__ = (
+        "entry",
+        "gone",
+        "hits",
+        "open",
+        "reason",
+        "rounds",
+        "tried",
+        "waiting",
+    )
+
+    def __init__(
+        self, entry: snapshots.RangeReplicas, gone: frozenset[str]
+    ) -> None:
+        self.entry = entry
+        self.open: dict[str, attempts.Attempt] = {}
+        self.tried: set[str] = set()
+        self.gone = gone
+        self.hits: list[hits.Hit] | None = None
+        self.reason = outcomes.Reason.DEADLINE
+        self.rounds = 0
+        self.waiting = False
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether the range has its answer or nothing more will be tried."""
+        return self.hits is not None or not (self.open or self.waiting)
+
+    @property
+    def is_gone(self) -> bool:
+        """Whether no replica holds the range at the snapshot any more."""
+        return self.gone.issuperset(self.entry.upstreams)
+
+    @property
+    def avoid(self) -> set[str]:
+        """Replicas that an attempt must not go to now."""
+        return self.tried | self.gone
--- /dev/null
+++ b/greengagedale/query/tactics.py
@@ -0,0 +1,78 @@
+"""How a search goes after its answer beyond first attempts."""
+
+from typing import NamedTuple, Self
+
+from greengagedale.query import holdings as holdings_lib
+from greengagedale.retry import budgets
+from greengagedale.routing import latencies as latencies_lib
+from greengagedale.routing import policies
+
+_COLD_PROGRESS_MS = 250.0
+_LEAST_PROGRESS_MS = 40.0
+_PROGRESS_QUANTILES = 4.0
+_EARLY_QUANTILES = 6.0
+_NEVER_MS = float("inf")
+
+
+class Timings(NamedTuple):
+    """How long a search waits before it acts, in milliseconds.
+
+    Attributes:
+        hedge_ms: Age of an attempt at which a hedge is due.
+        progress_ms: Age at which an attempt's connection is suspect.
+        early_ms: Age of a search at which stragglers may be left out.
+    """
+
+    hedge_ms: float
+    progress_ms: float
+    early_ms: float
+
+    @classmethod
+    def from_quantile(cls, quantile_ms: float | None) -> Self:
+        """Derives all times from the running quantile of latencies."""
+        if quantile_ms is None:
+            return cls(_NEVER_MS, _COLD_PROGRESS_MS, _NEVER_MS)
+        progress_ms = max(_LEAST_PROGRESS_MS, _PROGRESS_QUANTILES * quantile_ms)
+        early_ms = max(_LEAST_PROGRESS_MS, _EARLY_QUANTILES * quantile_ms)
+        return cls(quantile_ms, progress_ms, early_ms)
+
+
+NEVER = Timings(_NEVER_MS, _NEVER_MS, _NEVER_MS)
+
+
+class Tactics(NamedTuple):
+    """What the searches of one workspace share.
+
+    Attributes:
+        policy: Chooses replicas.
+        latencies: Recent latencies of the service's attempts.
+        holdings: Which snapshots upstreams have refused.
+        hedge_budget: Pays for hedges.
+        retry_budget: Pays for retries.
+        adaptive: False for one attempt a range and nothing else.
+    """
+
+    policy: policies.RoutingPolicy
+    latencies: latencies_lib.LatencyWindow
+    holdings: holdings_lib.Holdings
+    hedge_budget: budgets.TokenBudget
+    retry_budget: budgets.TokenBudget
+    adaptive: bool = True
+
+    @classmethod
+    def plain(cls, policy: policies.RoutingPolicy) -> Self:
+        """Makes the baseline: no hedges, no retries, no limits."""
+        return cls(
+            policy,
+            latencies_lib.LatencyWindow(1.0),
+            holdings_lib.Holdings(),
+            budgets.TokenBudget(0.0, 0.0),
+            budgets.TokenBudget(0.0, 0.0),
+            adaptive=False,
+        )
+
+    def timings(self) -> Timings:
+        """Returns the times for a search that begins now."""
+        if not self.adaptive:
+            return NEVER
+        return Timings.from_quantile(self.latencies.quantile_ms())
--- /dev/null
+++ b/greengagedale/retry/budgets.py
@@ -0,0 +1,49 @@
+"""Token budgets that bound attempts beyond the first."""
+
+
+class TokenBudget:
+    """A token bucket that first attempts fill and further attempts empty.
+
+    Over any time, tokens spent never exceed the start, plus the share of
+    first attempts, plus what the floor gave.
+    """
+
+    def __init__(
+        self,
+        share: float,
+        most_tokens: float,
+        start_tokens: float = 0.0,
+        floor_per_s: float = 0.0,
+    ) -> None:
+        """Makes a budget.
+
+        Args:
+            share: Tokens earned by each first attempt.
+            most_tokens: Tokens that can be saved up.
+            start_tokens: Tokens held at first.
+            floor_per_s: Tokens earned each second without any attempt.
+        """
+        self._share = share
+        self._most_tokens = most_tokens
+        self._tokens = start_tokens
+        self._floor_per_ms = floor_per_s / 1000.0
+        self._filled_ms: float | None = None
+
+    def earn(self, first_attempts: int = 1) -> None:
+        """Adds the share of this many first attempts."""
+        earned = self._tokens + self._share * first_attempts
+        self._tokens = min(self._most_tokens, earned)
+
+    def spend(self, now_ms: float) -> bool:
+        """Takes one token if there is one."""
+        self._fill(now_ms)
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+    def _fill(self, now_ms: float) -> None:
+        if self._filled_ms is not None:
+            by_floor = (now_ms - self._filled_ms) * self._floor_per_ms
+            self._tokens = min(self._most_tokens, self._tokens + by_floor)
+        self._filled_ms = now_ms
--- a/greengagedale/routing/policies.py
+++ b/greengagedale/routing/policies.py
@@ -1,16 +1,27 @@
 """Policies that choose among the replicas of a range."""
 
 import abc
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 import random
 
+from greengagedale.routing import views
+
+_UNKNOWN_LATENCY_MS = 1.0
+
 
 class RoutingPolicy(abc.ABC):
     """Chooses replicas for attempts."""
 
     @abc.abstractmethod
-    def choose(self, replicas: Sequence[str]) -> str | None:
-        """Returns the upstream to use, or None if there is none."""
+    def choose(
+        self, replicas: Sequence[str], avoid: Collection[str] = ()
+    ) -> str | None:
+        """Returns the upstream to use, or None if there is none.
+
+        Args:
+            replicas: All replicas of the range.
+            avoid: Replicas that must not be returned.
+        """
 
 
 class PlainPolicy(RoutingPolicy):
@@ -19,6 +30,39 @@
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
 
-    def choose(self, replicas: Sequence[str]) -> str | None:
+    def choose(
+        self, replicas: Sequence[str], avoid: Collection[str] = ()
+    ) -> str | None:
         """Returns a random replica, or None if there is none."""
-        return self._rng.choice(replicas) if replicas else None
+        usable = [name for name in replicas if name not in avoid]
+        return self._rng.choice(usable) if usable else None
+
+
+class TwoChoicePolicy(RoutingPolicy):
+    """The better of two random replicas by load and recent latency."""
+
+    def __init__(self, view: views.UpstreamView, rng: random.Random) -> None:
+        self._view = view
+        self._rng = rng
+
+    def choose(
+        self, replicas: Sequence[str], avoid: Collection[str] = ()
+    ) -> str | None:
+        """Returns the better of two replicas that may get new work."""
+        view = self._view
+        usable = [
+            name
+            for name in replicas
+            if name not in avoid
+            and not view.is_leaving(name)
+            and view.free_slots(name) > 0
+        ]
+        if len(usable) < 2:
+            return usable[0] if usable else None
+        return min(self._rng.sample(usable, 2), key=self._cost)
+
+    def _cost(self, name: str) -> float:
+        latency_ms = self._view.latency_ms(name)
+        if latency_ms is None:
+            latency_ms = _UNKNOWN_LATENCY_MS
+        return (self._view.in_flight(name) + 1) * latency_ms
--- /dev/null
+++ b/greengagedale/routing/tacticians.py
@@ -0,0 +1,89 @@
+"""Hands out tactics, so that budgets and latencies are shared rightly."""
+
+import random
+from typing import Self
+
+from greengagedale.config import settings as settings_lib
+from greengagedale.query import fanout
+from greengagedale.query import holdings as holdings_lib
+from greengagedale.query import tactics as tactics_lib
+from greengagedale.retry import budgets
+from greengagedale.routing import latencies as latencies_lib
+from greengagedale.routing import policies
+from greengagedale.routing import views
+
+_LEAST_QUANTILE = 0.9
+_MOST_QUANTILE = 0.995
+_SPENT_BY_QUANTILE = 0.9
+_HEDGE_TOKENS = 20.0
+_RETRY_TOKENS = 200.0
+_RETRIES_PER_S = 20.0
+
+
+class Tactician:
+    """Keeps what the searches of each workspace and service share."""
+
+    def __init__(
+        self,
+        policy: policies.RoutingPolicy,
+        retry_share: float,
+        adaptive: bool,
+    ) -> None:
+        self._policy = policy
+        self._retry_share = retry_share
+        self._adaptive = adaptive
+        self._plain = tactics_lib.Tactics.plain(policy)
+        self._known: dict[tuple[str, str, float], tactics_lib.Tactics] = {}
+        self._holdings: dict[str, holdings_lib.Holdings] = {}
+        self._retries: dict[str, budgets.TokenBudget] = {}
+
+    @classmethod
+    def from_config(
+        cls,
+        settings: settings_lib.RoutingSettings,
+        view: views.UpstreamView,
+        rng: random.Random,
+    ) -> Self:
+        """Makes the tactician that the settings name."""
+        adaptive = settings.policy == "adaptive"
+        policy = (
+            policies.TwoChoicePolicy(view, rng)
+            if adaptive
+            else policies.PlainPolicy(rng)
+        )
+        return cls(policy, settings.retry_share, adaptive)
+
+    @property
+    def policy(self) -> policies.RoutingPolicy:
+        """The policy that chooses replicas."""
+        return self._policy
+
+    def tactics(self, search: fanout.Search) -> tactics_lib.Tactics:
+        """Returns the tactics for a search."""
+        if not self._adaptive:
+            return self._plain
+        key = (search.workspace, search.service, search.extra_load_share)
+        known = self._known.get(key)
+        if known is None:
+            known = self._known[key] = self._make(search)
+        return known
+
+    def _make(self, search: fanout.Search) -> tactics_lib.Tactics:
+        share = search.extra_load_share
+        quantile = 1.0 - _SPENT_BY_QUANTILE * share
+        bounded = min(_MOST_QUANTILE, max(_LEAST_QUANTILE, quantile))
+        return tactics_lib.Tactics(
+            self._policy,
+            latencies_lib.LatencyWindow(bounded),
+            self._holdings.setdefault(search.service, holdings_lib.Holdings()),
+            budgets.TokenBudget(share, _HEDGE_TOKENS),
+            self._retries.setdefault(search.workspace, self._retry_budget()),
+        )
+
+    def _retry_budget(self) -> budgets.TokenBudget:
+        return budgets.TokenBudget(
+            self._retry_share,
+            _RETRY_TOKENS,
+            start_tokens=_RETRIES_PER_S,
+            floor_per_s=_RETRIES_PER_S,
+        )
--- a/greengagedale/searches.py
+++ b/greengagedale/searches.py
@@ -1,20 +1,25 @@
 """Carries searches out: the pure fan-out, joined to upstreams and timers."""
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from greengagedale import clocks
 from greengagedale import metrics as metrics_lib
 from greengagedale import outcomes
 from greengagedale.catalog import services
 from greengagedale.query import attempts
+from greengagedale.query import events
 from greengagedale.query import fanout
 from greengagedale.query import snapshots
-from greengagedale.routing import policies
+from greengagedale.query import tactics as tactics_lib
+from greengagedale.routing import loads as loads_lib
+from greengagedale.routing import tacticians
 from greengagedale.upstreams import base as upstreams_base
 
 _MS_PER_S = 1000.0
 
+ServiceSource = Callable[[str], services.Service | None]
+
 
 class SearchRunner:
     """Runs searches on this host."""
@@ -22,60 +27,121 @@
     def __init__(
         self,
         transport: upstreams_base.UpstreamTransport,
-        policy: policies.RoutingPolicy,
+        tactician: tacticians.Tactician,
+        loads: loads_lib.LoadTracker,
+        find_service: ServiceSource,
         clock: clocks.Clock,
         metrics: metrics_lib.Metrics,
     ) -> None:
         self._transport = transport
-        self._policy = policy
+        self._tactician = tactician
+        self._loads = loads
+        self._find_service = find_service
         self._clock = clock
         self._metrics = metrics
+        self._prepared: dict[str, int] = {}
+        self._background: set[asyncio.Task[None]] = set()
 
     async def run(
-        self, search: fanout.Search, member: str, service: services.Service
+        self,
+        search: fanout.Search,
+        member: str,
+        service: services.Service,
+        trace: events.Trace | None = None,
     ) -> outcomes.Outcome:
-        """Runs one search to its outcome."""
-        pinned = snapshots.choose(service.maps)
+        """Runs one search to its outcome.
+
+        Args:
+            search: What is asked for.
+            member: Member on whose behalf it runs.
+            service: The service as it is known now.
+            trace: Takes what the search did beyond its first attempts.
+        """
+        trace = trace if trace is not None else events.Trace()
+        self.prepare(service)
+        tactics = self._tactician.tactics(search)
+        pinned = tactics.holdings.choose(service.maps, self._clock.now_ms())
         if pinned is None:
             return outcomes.NotRun(
                 outcomes.Reason.NO_REPLICA, fanout.RETRY_AFTER_MS
             )
-        running = _Running(self, search, member, service, pinned)
-        return await running.finish()
+        running = _Running(
+            self, search, member, service, pinned, tactics, trace
+        )
+        try:
+            return await running.finish()
+        finally:
+            self._count(service.name, trace)
 
     @property
     def clock(self) -> clocks.Clock:
         """The clock that deadlines are given by."""
         return self._clock
 
+    def prepare(self, service: services.Service) -> None:
+        """Opens connections to upstreams that are new, in the background."""
+        if self._prepared.get(service.name) == service.version:
+            return
+        self._prepared[service.name] = service.version
+        for upstream in service.upstreams.values():
+            self.in_background(self._transport.prewarm(upstream))
+
+    def newest(self, name: str) -> services.Service | None:
+        """Returns a service as it is known now."""
+        return self._find_service(name)
+
     async def send(
         self,
         upstream: upstreams_base.Upstream,
         request: upstreams_base.SubSearch,
         service: str,
     ) -> attempts.AttemptResult:
-        """Sends one attempt and counts it."""
+        """Sends one attempt and counts it.
+
+        A cancelled call stays counted as load until `cancel` is through.
+        """
         self._metrics.attempts.labels(service).inc()
+        loads = self._loads
+        loads.began(upstream.name)
         result = await self._transport.search(upstream, request)
         took_ms = self._clock.now_ms() - request.attempt.sent_ms
-        self._metrics.attempt_latency.record(service, took_ms)
-        if isinstance(result, attempts.Dropped):
-            self._metrics.drops.labels(result.field).inc()
+        loads.ended(upstream.name)
+        if isinstance(result, attempts.Answered):
+            loads.took(upstream.name, took_ms)
+            loads.answered(upstream.name)
+            self._metrics.attempt_latency.record(service, took_ms)
         elif isinstance(result, outcomes.AttemptEnd):
             self._metrics.refusals.labels("upstream", result.reason).inc()
+            if not result.refused:
+                loads.failed(upstream.name)
         return result
 
     async def cancel(
-        self, upstream: upstreams_base.Upstream, attempt_id: str
+        self,
+        upstream: upstreams_base.Upstream,
+        attempt: attempts.Attempt,
     ) -> None:
-        """Asks an upstream to stop an attempt."""
-        await self._transport.cancel(upstream, attempt_id)
-
-    def fan_out(
-        self, search: fanout.Search, pinned: snapshots.PinnedMap
-    ) -> fanout.FanOut:
-        """Makes the state of a search."""
-        return fanout.FanOut(search, pinned, self._policy)
+        """Asks an upstream to stop an attempt that is no longer wanted."""
+        name = upstream.name
+        self._loads.took(name, self._clock.now_ms() - attempt.sent_ms)
+        await self._transport.cancel(upstream, attempt.attempt_id)
+        self._loads.ended(name)
+
+    def in_background(self, work: "asyncio._CoroutineLike[None]") -> None:
+        """Runs something that no search waits for."""
+        task = asyncio.get_running_loop().create_task(work)
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
+    def _count(self, service: str, trace: events.Trace) -> None:
+        for kind, count in trace.counts.items():
+            if kind.what is events.What.RETRY:
+                self._metrics.retries.labels(kind.reason).inc(count)
+            elif kind.what is events.What.DROP:
+                self._metrics.drops.labels(kind.reason).inc(count)
+            self._metrics.search_events.labels(
+                service, kind.what, kind.reason
+            ).inc(count)
 
 
 class _Running:
@@ -88,34 +154,45 @@
         member: str,
         service: services.Service,
         pinned: snapshots.PinnedMap,
+        tactics: tactics_lib.Tactics,
+        trace: events.Trace,
     ) -> None:
         self._runner = runner
         self._search = search
         self._member = member
         self._service = service
-        self._state = runner.fan_out(search, pinned)
+        self._state = fanout.FanOut(search, pinned, tactics, self._maps, trace)
         self._loop = asyncio.get_running_loop()
         self._done: asyncio.Future[outcomes.Outcome] = (
             self._loop.create_future()
         )
         self._tasks: dict[str, asyncio.Task[None]] = {}
-        self._cancels: set[asyncio.Task[None]] = set()
+        self._timer: asyncio.TimerHandle | None = None
+        self._timer_ms = float("inf")
 
     async def finish(self) -> outcomes.Outcome:
         """Runs the search and returns its outcome."""
-        now_ms = self._runner.clock.now_ms()
-        left_s = (self._search.deadline_ms - now_ms) / _MS_PER_S
-        timer = self._loop.call_later(max(left_s, 0), self._on_deadline)
         try:
-            self._carry_out(self._state.start(now_ms))
+            self._carry_out(self._state.start(self._now_ms()))
             return await self._done
         finally:
-            timer.cancel()
-            for task in self._tasks.values():
-                task.cancel()
+            if not self._done.done() or self._done.cancelled():
+                self._carry_out(self._state.abandon(self._now_ms()))
+            if self._timer is not None:
+                self._timer.cancel()
 
-    def _on_deadline(self) -> None:
-        self._carry_out(self._state.on_deadline())
+    def _now_ms(self) -> float:
+        return self._runner.clock.now_ms()
+
+    def _maps(self) -> Sequence[snapshots.PinnedMap]:
+        newest = self._runner.newest(self._service.name)
+        if newest is not None:
+            self._service = newest
+        return self._service.maps
+
+    def _on_timer(self) -> None:
+        self._timer_ms = float("inf")
+        self._carry_out(self._state.on_timer(self._now_ms()))
 
     def _carry_out(self, commands: Sequence[fanout.Command]) -> None:
         for command in commands:
@@ -127,6 +204,19 @@
                 case fanout.Finish(outcome):
                     if not self._done.done():
                         self._done.set_result(outcome)
+        if not self._done.done():
+            self._set_timer()
+
+    def _set_timer(self) -> None:
+        """Moves the timer only if something is due before it."""
+        due_ms = self._state.next_timer_ms()
+        if due_ms >= self._timer_ms:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer_ms = due_ms
+        delay_s = max(0.0, due_ms - self._now_ms()) / _MS_PER_S
+        self._timer = self._loop.call_later(delay_s, self._on_timer)
 
     def _send(self, attempt: attempts.Attempt) -> None:
         task = self._loop.create_task(self._attempt(attempt))
@@ -143,18 +233,16 @@
         upstream = self._service.upstreams[attempt.upstream]
         result = await self._runner.send(upstream, request, self._service.name)
         del self._tasks[attempt.attempt_id]
-        now_ms = self._runner.clock.now_ms()
         self._carry_out(
-            self._state.on_result(attempt.attempt_id, result, now_ms)
+            self._state.on_result(attempt.attempt_id, result, self._now_ms())
         )
 
     def _cancel(self, attempt: attempts.Attempt) -> None:
+        """Drops the connection of an attempt and tells its upstream."""
         task = self._tasks.pop(attempt.attempt_id, None)
-        if task is not None:
-            task.cancel()
-        upstream = self._service.upstreams[attempt.upstream]
-        cancel = self._loop.create_task(
-            self._runner.cancel(upstream, attempt.attempt_id)
-        )
-        self._cancels.add(cancel)
-        cancel.add_done_callback(self._cancels.discard)
+        if task is None:
+            return
+        task.cancel()
+        upstream = self._service.upstreams.get(attempt.upstream)
+        if upstream is not None:
+            self._runner.in_background(self._runner.cancel(upstream, attempt))
--- a/greengagedale/upstreams/base.py
+++ b/greengagedale/upstreams/base.py
@@ -110,6 +110,12 @@
     async def health(self, upstream: Upstream) -> Health | None:
         """Asks an upstream about itself; None if it does not say."""
 
+    async def prewarm(self, upstream: Upstream) -> None:  # noqa: B027
+        """Opens connections ahead of need, where that makes sense."""
+
+    async def check_idle(self) -> None:  # noqa: B027
+        """Finds connections that went silent while idle."""
+
     @abc.abstractmethod
     async def close(self) -> None:
         """Closes all connections."""
--- /dev/null
+++ b/greengagedale/upstreams/channels.py
@@ -0,0 +1,135 @@
+"""Connections to one upstream, each owned by one request at a time.
+
+The client library's own pool does not let a caller say which connection is
+suspect, so each channel is a session with one connection. A channel whose
+request was cancelled or failed is closed and never used again.
+"""
+
+import asyncio
+from collections.abc import Callable
+import contextlib
+from typing import NamedTuple, Self
+
+import aiohttp
+
+_MS_PER_S = 1000.0
+_KEEP_ALIVE_S = 3600.0
+_MOST_IDLE = 16
+_PROBE_TIMEOUT_S = 0.25
+_STATUS_OK = 200
+
+
+class ChannelOptions(NamedTuple):
+    """How channels are made.
+
+    Attributes:
+        headers: Sent with every request.
+        connect_timeout_ms: How long a connection may take to open.
+        spare: Idle channels that are kept open for an upstream.
+    """
+
+    headers: dict[str, str]
+    connect_timeout_ms: int
+    spare: int
+
+
+class Channel:
+    """One connection, opened by its first request."""
+
+    __slots__ = ("session",)
+
+    def __init__(self, session: aiohttp.ClientSession) -> None:
+        self.session = session
+
+    @classmethod
+    def from_config(cls, options: ChannelOptions) -> Self:
+        """Makes a channel; must be called on a running loop."""
+        connect_s = options.connect_timeout_ms / _MS_PER_S
+        return cls(
+            aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(
+                    limit=1, keepalive_timeout=_KEEP_ALIVE_S
+                ),
+                cookie_jar=aiohttp.DummyCookieJar(),
+                timeout=aiohttp.ClientTimeout(
+                    total=None, sock_connect=connect_s
+                ),
+                headers=options.headers,
+            )
+        )
+
+
+class ChannelPool:
+    """The channels to one upstream."""
+
+    def __init__(
+        self,
+        probe_url: str,
+        options: ChannelOptions,
+        in_background: Callable[["asyncio._CoroutineLike[None]"], None],
+    ) -> None:
+        self._probe_url = probe_url
+        self._options = options
+        self._in_background = in_background
+        self._idle: list[Channel] = []
+        self._is_warming = False
+
+    def take(self) -> Channel:
+        """Returns the channel that was used last, or a new one."""
+        channel = self._idle.pop() if self._idle else self._new()
+        self._warm_if_short()
+        return channel
+
+    def give_back(self, channel: Channel) -> None:
+        """Takes back a channel whose request has its whole answer."""
+        if len(self._idle) < _MOST_IDLE:
+            self._idle.append(channel)
+        else:
+            self.discard(channel)
+
+    def discard(self, channel: Channel) -> None:
+        """Closes a channel for good."""
+        self._in_background(channel.session.close())
+        self._warm_if_short()
+
+    async def warm(self) -> None:
+        """Opens channels until there are enough that proved to work."""
+        if self._is_warming:
+            return
+        self._is_warming = True
+        try:
+            for _ in range(2 * self._options.spare):
+                if len(self._idle) >= self._options.spare:
+                    break
+                await self._probe(self._new())
+        finally:
+            self._is_warming = False
+
+    async def check_oldest(self) -> None:
+        """Probes the channel that has been idle longest."""
+        if self._idle:
+            await self._probe(self._idle.pop(0))
+
+    async def close(self) -> None:
+        """Closes all idle channels."""
+        idle, self._idle = self._idle, []
+        for channel in idle:
+            await channel.session.close()
+
+    def _new(self) -> Channel:
+        return Channel.from_config(self._options)
+
+    def _warm_if_short(self) -> None:
+        if len(self._idle) < self._options.spare and not self._is_warming:
+            self._in_background(self.warm())
+
+    async def _probe(self, channel: Channel) -> None:
+        """Makes a channel idle if a request on it is answered in time."""
+        with contextlib.suppress(aiohttp.ClientError, OSError):
+            async with asyncio.timeout(_PROBE_TIMEOUT_S):
+                async with channel.session.get(self._probe_url) as response:
+                    await response.read()
+            if response.status == _STATUS_OK:
+                self._idle.insert(0, channel)
+                return
+        await channel.session.close()
--- a/greengagedale/upstreams/http.py
+++ b/greengagedale/upstreams/http.py
@@ -13,6 +13,7 @@
 from greengagedale.query import ranges
 from greengagedale.query import snapshots
 from greengagedale.upstreams import base
+from greengagedale.upstreams import channels
 from greengagedale.upstreams import wire
 
 log = logging.getLogger(__name__)
@@ -20,6 +21,7 @@
 _STATUS_OK = 200
 _MS_PER_S = 1000.0
 _HEALTH_TIMEOUT_S = 1.0
+_SPARE_CONNECTIONS = 2
 _REFUSALS = {
     "draining": outcomes.Reason.DRAINING,
     "not_held": outcomes.Reason.SNAPSHOT_GONE,
@@ -34,43 +36,34 @@
     body: bytes
 
 
-class _Progress:
-    """How far a call came, told by the client library's tracing."""
-
-    __slots__ = ("connected",)
-
-    def __init__(self) -> None:
-        self.connected = False
-
-
 class HttpTransport(base.UpstreamTransport):
     """Carries attempts to upstreams over HTTP."""
 
-    def __init__(self, session: aiohttp.ClientSession) -> None:
-        self._session = session
+    def __init__(self, options: channels.ChannelOptions) -> None:
+        self._options = options
+        self._pools: dict[str, channels.ChannelPool] = {}
+        self._background: set[asyncio.Task[None]] = set()
 
     @classmethod
-    def from_config(cls, data_centre: str, connect_timeout_ms: int) -> Self:
+    def from_config(
+        cls,
+        data_centre: str,
+        connect_timeout_ms: int,
+        spare_connections: int = _SPARE_CONNECTIONS,
+    ) -> Self:
         """Makes a transport; must be called on a running loop.
 
         Args:
             data_centre: Data centre of this host, told to upstreams.
             connect_timeout_ms: How long a connection may take to open.
+            spare_connections: Idle connections kept for each upstream.
         """
-        tracing = aiohttp.TraceConfig(
-            trace_config_ctx_factory=_context_of_request
+        headers = {wire.HEADER_DATA_CENTRE: data_centre}
+        return cls(
+            channels.ChannelOptions(
+                headers, connect_timeout_ms, spare_connections
+            )
         )
-        tracing.on_connection_create_end.append(_mark_connected)
-        tracing.on_connection_reuseconn.append(_mark_connected)
-        session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0),
-            timeout=aiohttp.ClientTimeout(
-                total=None, sock_connect=connect_timeout_ms / _MS_PER_S
-            ),
-            headers={wire.HEADER_DATA_CENTRE: data_centre},
-            trace_configs=[tracing],
-        )
-        return cls(session)
 
     async def search(
         self, upstream: base.Upstream, request: base.SubSearch
@@ -130,19 +123,33 @@
 
     async def health(self, upstream: base.Upstream) -> base.Health | None:
         """Asks an upstream about itself; None if it does not say."""
-        timeout = aiohttp.ClientTimeout(total=_HEALTH_TIMEOUT_S)
-        url = f"http://{upstream.endpoint}/v1/health"
+        got = await self._call(
+            upstream, "GET", "/v1/health", None, _HEALTH_TIMEOUT_S
+        )
+        if isinstance(got, outcomes.AttemptEnd):
+            return None
         try:
-            async with self._session.get(url, timeout=timeout) as response:
-                body = await response.read()
-            reply = wire.health_decoder.decode(body)
-        except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError):
+            reply = wire.health_decoder.decode(got.body)
+        except msgspec.DecodeError:
             return None
         return base.Health(reply["state"], reply["load"])
 
+    async def prewarm(self, upstream: base.Upstream) -> None:
+        """Opens the spare connections to an upstream."""
+        await self._pool(upstream).warm()
+
+    async def check_idle(self) -> None:
+        """Probes the longest idle connection to each upstream."""
+        pools = list(self._pools.values())
+        await asyncio.gather(*(pool.check_oldest() for pool in pools))
+
     async def close(self) -> None:
         """Closes all connections."""
-        await self._session.close()
+        for task in self._background:
+            task.cancel()
+        pools, self._pools = self._pools, {}
+        for pool in pools.values():
+            await pool.close()
 
     async def _post(
         self,
@@ -151,42 +158,71 @@
         body: Any,
         timeout_s: float | None = None,
     ) -> _Reply | outcomes.AttemptEnd:
-        progress = _Progress()
+        return await self._call(
+            upstream, "POST", path, wire.encode(body), timeout_s
+        )
+
+    async def _call(
+        self,
+        upstream: base.Upstream,
+        method: str,
+        path: str,
+        data: bytes | None,
+        timeout_s: float | None,
+    ) -> _Reply | outcomes.AttemptEnd:
+        """Makes one call on a channel of its own.
+
+        The channel is used again only if the whole answer has come.
+        """
+        pool = self._pool(upstream)
+        channel = pool.take()
+        url = f"http://{upstream.endpoint}{path}"
+        reply: _Reply | None = None
         try:
             async with asyncio.timeout(timeout_s):
-                async with self._session.post(
-                    f"http://{upstream.endpoint}{path}",
-                    data=wire.encode(body),
-                    trace_request_ctx=progress,
+                async with channel.session.request(
+                    method, url, data=data
                 ) as response:
-                    return _Reply(response.status, await response.read())
+                    reply = _Reply(response.status, await response.read())
+            return reply
         except (aiohttp.ClientError, OSError) as error:
             log.debug("attempt at %s failed: %r", upstream.name, error)
-            return _end_of_failure(progress)
-
-
-def _context_of_request(trace_request_ctx: _Progress | None) -> Any:
-    return trace_request_ctx
-
-
-async def _mark_connected(
-    session: aiohttp.ClientSession, progress: Any, params: Any
-) -> None:
-    del session, params
-    if progress is not None:
-        progress.connected = True
+            return _end_of_failure(error)
+        finally:
+            if reply is None:
+                pool.discard(channel)
+            else:
+                pool.give_back(channel)
+
+    def _pool(self, upstream: base.Upstream) -> channels.ChannelPool:
+        pool = self._pools.get(upstream.endpoint)
+        if pool is None:
+            url = f"http://{upstream.endpoint}/v1/health"
+            pool = channels.ChannelPool(url, self._options, self._in_background)
+            self._pools[upstream.endpoint] = pool
+        return pool
+
+    def _in_background(self, work: "asyncio._CoroutineLike[None]") -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
 
 
 def _written(reason: outcomes.Reason) -> outcomes.AttemptEnd:
     return outcomes.AttemptEnd(reason, written=True, refused=False)
 
 
-def _end_of_failure(progress: _Progress) -> outcomes.AttemptEnd:
-    if progress.connected:
-        return _written(outcomes.Reason.REPLY_LOST)
-    return outcomes.AttemptEnd(
-        outcomes.Reason.CONNECT_FAILED, written=False, refused=False
-    )
+def _end_of_failure(error: Exception) -> outcomes.AttemptEnd:
+    """Only a connection that never opened proves that nothing was written."""
+    if isinstance(
+        error, aiohttp.ClientConnectorError | aiohttp.ConnectionTimeoutError
+    ):
+        return outcomes.AttemptEnd(
+            outcomes.Reason.CONNECT_FAILED, written=False, refused=False
+        )
+    if isinstance(error, TimeoutError):
+        return _written(outcomes.Reason.DEADLINE)
+    return _written(outcomes.Reason.REPLY_LOST)
 
 
 def _end_of_refusal(got: _Reply) -> outcomes.AttemptEnd:
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -49,6 +49,8 @@
         straggler_factor: How much longer those take, from and to.
         lie_load: Load that it reports instead of the true one.
         silent_share: Share of connections that go silent when made.
+        silent_after: Requests after which such connections go silent; 0 at
+            once.
         wrong_echo: Answers carry the snapshot of another version.
         poison_crashes: Whether `CRASH_TEXT` in a request ends the process.
     """
@@ -60,10 +62,21 @@
     straggler_factor: tuple[float, float]
     lie_load: int
     silent_share: float
+    silent_after: int
     wrong_echo: bool
     poison_crashes: bool
 
 
+class _Connection:
+    """A connection that was accepted."""
+
+    __slots__ = ("goes_silent", "requests")
+
+    def __init__(self, goes_silent: bool) -> None:
+        self.goes_silent = goes_silent
+        self.requests = 0
+
+
 class Upstream:
     """One upstream: slots, a bounded queue, faults and a record."""
 
@@ -85,7 +98,7 @@
         self._most_waiting = placed.upstream.slots * _QUEUE_PER_SLOT
         self._present = 0
         self._tasks: dict[str, asyncio.Task[Any]] = {}
-        self._connections: dict[Any, bool] = {}
+        self._connections: dict[asyncio.Transport, _Connection] = {}
         self._control: Control = {"holdings": holdings}
 
     async def search(self, request: web.Request) -> web.Response:
@@ -132,6 +145,7 @@
     async def cancel(self, request: web.Request) -> web.Response:
         """Stops an attempt."""
         body = msgspec.json.decode(await request.read(), type=wire.CancelBody)
+        await self._arrive(request)
         task = self._tasks.pop(body["attempt_id"], None)
         if task is not None:
             task.cancel()
@@ -142,7 +156,7 @@
 
     async def health(self, request: web.Request) -> web.Response:
         """Answers the state and the load, true or not."""
-        del request
+        await self._arrive(request)
         load = self._control.get("lie_load", len(self._tasks))
         return _json(wire.HealthReply(state=self._state(), load=load))
 
@@ -170,15 +184,29 @@
         delay_ms = 0.0
         if request.headers.get(wire.HEADER_DATA_CENTRE) != self._data_centre:
             delay_ms += 2 * self._between_ms
-        if request.transport not in self._connections:
-            silent = self._rng.random() < self._control.get("silent_share", 0)
-            self._connections[request.transport] = silent
+        connection = self._connections.get(request.transport)
+        if connection is None:
+            connection = self._accept(request.transport)
             delay_ms += self._shape.connect_ms
-        if self._connections[request.transport]:
+        connection.requests += 1
+        if connection.goes_silent and (
+            connection.requests > self._control.get("silent_after", 0)
+        ):
             await asyncio.Event().wait()
         if delay_ms:
             await asyncio.sleep(delay_ms / _MS_PER_S)
 
+    def _accept(self, transport: asyncio.Transport) -> _Connection:
+        self._connections = {
+            known: connection
+            for known, connection in self._connections.items()
+            if not known.is_closing()
+        }
+        made = self._connections[transport] = _Connection(
+            self._rng.random() < self._control.get("silent_share", 0)
+        )
+        return made
+
     async def _enter(self, attempt_id: str, timeout_ms: float) -> str | None:
         if self._control.get("draining"):
             return "draining"
--- a/tests/query/test_fanout.py
+++ b/tests/query/test_fanout.py
@@ -10,6 +10,7 @@
 from greengagedale.query import hits
 from greengagedale.query import ranges
 from greengagedale.query import snapshots
+from greengagedale.query import tactics
 from greengagedale.routing import policies
 
 SNAPSHOT = snapshots.Snapshot(1, 1)
@@ -28,7 +29,7 @@
 def state(pinned):
     search = fanout.Search("r", "places", "text", 10, 1000.0)
     policy = policies.PlainPolicy(random.Random(1))
-    return fanout.FanOut(search, pinned, policy)
+    return fanout.FanOut(search, pinned, tactics.Tactics.plain(policy))
 
 
 def finish_of(commands):
@@ -58,7 +59,7 @@
     first, second = state.start(0.0)
     answer = attempts.Answered([hits.Hit(1, 0.5, "v1")])
     state.on_result(first.attempt.attempt_id, answer, 1.0)
-    commands = state.on_deadline()
+    commands = state.on_deadline(1000.0)
     assert fanout.Cancel(second.attempt) in commands
     covered = finish_of(commands).value.coverage
     assert (covered.covered, covered.total) == (50, 100)
@@ -67,6 +68,6 @@
 
 def test_late_answers_change_nothing(state):
     first, _ = state.start(0.0)
-    state.on_deadline()
+    state.on_deadline(1000.0)
     late = attempts.Answered([])
     assert state.on_result(first.attempt.attempt_id, late, 5.0) == []
