Connector whose cancelled requests harm no other connection

Cause: the daemon died with SIGABRT, or failed with "File descriptor 73 is used by transport", once hedges cancelled attempts that were connecting. The client library's connector hands a socket object to uvloop; cancelled at that moment, uvloop closes the descriptor while the socket object still owns its number and later closes whichever connection has it since. The platform's client uses it too.

--- a/greengagedale/platform/http.py
+++ b/greengagedale/platform/http.py
@@ -6,6 +6,7 @@
 import aiohttp
 import msgspec
 
+from greengagedale import connectors
 from greengagedale import metrics as metrics_lib
 from greengagedale.platform import base
 from greengagedale.platform import wire
@@ -46,7 +47,9 @@
         cls, endpoint: str, timeout_ms: int, metrics: metrics_lib.Metrics
     ) -> Self:
         """Makes a store; must be called on a running loop."""
-        session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+        session = aiohttp.ClientSession(
+            connector=connectors.DirectConnector(limit=0)
+        )
         return cls(session, endpoint, timeout_ms, metrics)
 
     async def get(
--- a/greengagedale/upstreams/channels.py
+++ b/greengagedale/upstreams/channels.py
@@ -12,6 +12,8 @@
 
 import aiohttp
 
+from greengagedale import connectors
+
 _MS_PER_S = 1000.0
 _KEEP_ALIVE_S = 3600.0
 _MOST_IDLE = 16
@@ -47,7 +49,7 @@
         connect_s = options.connect_timeout_ms / _MS_PER_S
         return cls(
             aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(
+                connector=connectors.DirectConnector(
                     limit=1, keepalive_timeout=_KEEP_ALIVE_S
                 ),
                 cookie_jar=aiohttp.DummyCookieJar(),
--- /dev/null
+++ b/tests/routing/test_routing.py
@@ -0,0 +1,70 @@
+"""Choice of replicas, from load, latency and failures."""
+
+import random
+
+import pytest
+
+from greengagedale import clocks
+from greengagedale.routing import latencies
+from greengagedale.routing import loads as loads_lib
+from greengagedale.routing import policies
+
+REPLICAS = ("u1", "u2", "u3")
+
+
+@pytest.fixture
+def clock():
+    return clocks.ManualClock()
+
+
+@pytest.fixture
+def loads(clock):
+    tracker = loads_lib.LoadTracker(clock)
+    for name in REPLICAS:
+        tracker.began(name)
+        tracker.took(name, 10.0)
+        tracker.ended(name)
+    return tracker
+
+
+@pytest.fixture
+def policy(loads):
+    return policies.TwoChoicePolicy(loads, random.Random(1))
+
+
+def shares(policy, rounds=300):
+    chosen = [policy.choose(REPLICAS) for _ in range(rounds)]
+    return {name: chosen.count(name) / rounds for name in REPLICAS}
+
+
+def test_equal_replicas_share_the_work(policy):
+    assert all(0.23 < share < 0.43 for share in shares(policy).values())
+
+
+def test_busier_replica_gets_less(policy, loads):
+    loads.began("u1")
+    assert shares(policy)["u1"] == 0.0
+
+
+def test_failed_replica_rests_and_then_is_tried_again(policy, loads, clock):
+    loads.began("u1")
+    loads.failed("u1")
+    loads.ended("u1")
+    assert shares(policy)["u1"] == 0.0
+    assert policy.choose(REPLICAS, avoid={"u2", "u3"}) == "u1"
+    clock.advance(100.0)
+    assert shares(policy)["u1"] > 0.0
+    loads.failed("u1")
+    clock.advance(100.0)
+    assert shares(policy)["u1"] == 0.0
+
+
+def test_quantile_is_not_driven_up_by_more_slow_than_it_leaves_room_for():
+    window = latencies.LatencyWindow(0.98)
+    rng = random.Random(1)
+    for _ in range(20):
+        for _ in range(1024):
+            slow = rng.random() < 0.1
+            age_ms = 1.5 * (window.quantile_ms() or 10.0)
+            window.record(age_ms if slow else 10.0)
+    assert window.quantile_ms() <= 40.0
--- /dev/null
+++ b/tests/test_connectors.py
@@ -0,0 +1,58 @@
+"""Connections of requests that are cancelled at any moment."""
+
+import asyncio
+import gc
+
+import aiohttp
+from aiohttp import web
+
+from greengagedale import connectors
+from greengagedale import loops
+from standins import deployments
+
+PORT = deployments.BASE_PORT + 900
+URL = f"http://127.0.0.1:{PORT}/"
+
+
+async def answer(request):
+    await asyncio.sleep(0.0005)
+    return web.Response(text="ok")
+
+
+async def fetch(session):
+    async with session.get(URL) as response:
+        return await response.text()
+
+
+async def cancel_while_opening(session, turns):
+    """Returns the cancelled task, whose traceback keeps its frames alive."""
+    task = asyncio.create_task(fetch(session))
+    for _ in range(turns):
+        await asyncio.sleep(0)
+    task.cancel()
+    await asyncio.wait([task])
+    return task
+
+
+async def cancel_many_then_fetch():
+    app = web.Application()
+    app.add_routes([web.get("/", answer)])
+    runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", PORT, backlog=1024).start()
+    connector = connectors.DirectConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        for _ in range(4):
+            cancelled = await asyncio.gather(
+                *(cancel_while_opening(session, n % 20) for n in range(200))
+            )
+            running = [asyncio.create_task(fetch(session)) for _ in range(50)]
+            await asyncio.sleep(0.001)
+            cancelled.clear()
+            gc.collect()
+            assert await asyncio.gather(*running) == ["ok"] * 50
+    await runner.cleanup()
+
+
+def test_cancelled_connects_do_not_harm_other_connections():
+    loops.run(cancel_many_then_fetch())
