--- a/greengagedale/metrics.py
+++ b/greengagedale/metrics.py
@@ -65,6 +65,7 @@
         drops: Answers of upstreams that were not used, by reason.
         search_events: What searches did beyond first attempts, by service,
             event and reason.
+        drain_signals: First signals that an upstream leaves, by source.
         platform_calls: Calls to the platform by operation and result.
         request_latency: Latency of requests by workspace.
         attempt_latency: Latency of attempts by service.
@@ -94,6 +95,9 @@
             "event",
             "reason",
         )
+        self.drain_signals = self._counter(
+            "drain_signals", "Upstreams found leaving.", "source"
+        )
         self.platform_calls = self._counter(
             "platform_calls", "Calls to the platform.", "operation", "result"
         )
--- a/greengagedale/peers/grpc_server.py
+++ b/greengagedale/peers/grpc_server.py
@@ -22,7 +22,7 @@
 
 def _handlers(service: base.PeerService) -> grpc.GenericRpcHandler:
     methods = {
-        wire.STATUS: _unary(lambda _: service.status(), type(None)),
+        wire.MEMBERS: _unary(lambda _: service.members(), type(None)),
         wire.EXPLAIN: _unary(service.explain, str),
     }
     return grpc.method_handlers_generic_handler(wire.SERVICE, methods)
--- a/greengagedale/routing/policies.py
+++ b/greengagedale/routing/policies.py
@@ -4,6 +4,7 @@
 from collections.abc import Collection, Sequence
 import random
 
+from greengagedale.config import settings as settings_lib
 from greengagedale.routing import views
 
 _UNKNOWN_LATENCY_MS = 1.0
@@ -66,3 +67,14 @@
         if latency_ms is None:
             latency_ms = _UNKNOWN_LATENCY_MS
         return (self._view.in_flight(name) + 1) * latency_ms
+
+
+def from_config(
+    settings: settings_lib.RoutingSettings,
+    view: views.UpstreamView,
+    rng: random.Random,
+) -> RoutingPolicy:
+    """Makes the policy that the settings name."""
+    if settings.policy == "plain":
+        return PlainPolicy(rng)
+    return TwoChoicePolicy(view, rng)
--- a/greengagedale/routing/tacticians.py
+++ b/greengagedale/routing/tacticians.py
@@ -1,6 +1,5 @@
 """Hands out tactics, so that budgets and latencies are shared rightly."""
 
-import random
 from typing import Self
 
 from greengagedale.config import settings as settings_lib
@@ -10,7 +9,6 @@
 from greengagedale.retry import budgets
 from greengagedale.routing import latencies as latencies_lib
 from greengagedale.routing import policies
-from greengagedale.routing import views
 
 _LEAST_QUANTILE = 0.9
 _MOST_QUANTILE = 0.995
@@ -41,23 +39,12 @@
     def from_config(
         cls,
         settings: settings_lib.RoutingSettings,
-        view: views.UpstreamView,
-        rng: random.Random,
+        policy: policies.RoutingPolicy,
     ) -> Self:
         """Makes the tactician that the settings name."""
         adaptive = settings.policy == "adaptive"
-        policy = (
-            policies.TwoChoicePolicy(view, rng)
-            if adaptive
-            else policies.PlainPolicy(rng)
-        )
         return cls(policy, settings.retry_share, adaptive)
 
-    @property
-    def policy(self) -> policies.RoutingPolicy:
-        """The policy that chooses replicas."""
-        return self._policy
-
     def tactics(self, search: fanout.Search) -> tactics_lib.Tactics:
         """Returns the tactics for a search."""
         if not self._adaptive:
