--- a/greengagedale/query/fanout.py
+++ b/greengagedale/query/fanout.py
@@ -271,13 +271,20 @@
             return self._settle(part)
         if not self._has_untried(part):
             return self._wait_round(part, retry_after_ms, now_ms)
-        if not self._tactics.retry_budget.spend(now_ms):
+        sent = self._send_retry(part, reason, now_ms)
+        return sent or self._wait_round(part, retry_after_ms, now_ms)
+
+    def _send_retry(
+        self, part: parts.Part, reason: str, now_ms: float
+    ) -> list[Command]:
+        budget = self._tactics.retry_budget
+        if not budget.has_token(now_ms):
             self._note(now_ms, events.What.RETRY_DENIED, part, "", reason)
-            return self._wait_round(part, retry_after_ms, now_ms)
+            return []
         sent = self._send(part, now_ms)
-        if not sent:
-            return self._wait_round(part, retry_after_ms, now_ms)
-        self._note_sent(now_ms, events.What.RETRY, part, sent, reason)
+        if sent:
+            budget.spend()
+            self._note_sent(now_ms, events.What.RETRY, part, sent, reason)
         return sent
 
     def _has_untried(self, part: parts.Part) -> bool:
@@ -361,7 +368,8 @@
         if not self._has_untried(part):
             self._timers.add(progress_ms, timers.Kind.PROGRESS, part, attempt)
             return []
-        if not self._tactics.hedge_budget.spend(now_ms):
+        budget = self._tactics.hedge_budget
+        if not budget.has_token(now_ms):
             self._note(now_ms, events.What.HEDGE_DENIED, part, "", "budget")
             again_ms = now_ms + self._timings.hedge_ms / 2
             kind = timers.Kind.HEDGE
@@ -371,7 +379,9 @@
             return []
         self._timers.add(progress_ms, timers.Kind.PROGRESS, part, attempt)
         sent = self._send(part, now_ms)
-        self._note_sent(now_ms, events.What.HEDGE, part, sent, "quantile")
+        if sent:
+            budget.spend()
+            self._note_sent(now_ms, events.What.HEDGE, part, sent, "quantile")
         return sent
 
     def _without_progress(
@@ -400,15 +410,7 @@
             part.tried = {attempt.upstream}
         if not self._has_untried(part):
             part.tried.clear()
-        if not self._tactics.retry_budget.spend(now_ms):
-            reason = outcomes.Reason.NO_PROGRESS
-            self._note(now_ms, events.What.RETRY_DENIED, part, "", reason)
-            return []
-        sent = self._send(part, now_ms)
-        if sent:
-            reason = outcomes.Reason.NO_PROGRESS
-            self._note_sent(now_ms, events.What.RETRY, part, sent, reason)
-        return sent
+        return self._send_retry(part, outcomes.Reason.NO_PROGRESS, now_ms)
 
     def _stop_early(self, now_ms: float) -> list[Command]:
         if not self._may_leave_out():
--- a/greengagedale/retry/budgets.py
+++ b/greengagedale/retry/budgets.py
@@ -34,13 +34,14 @@
         earned = self._tokens + self._share * first_attempts
         self._tokens = min(self._most_tokens, earned)
 
-    def spend(self, now_ms: float) -> bool:
-        """Takes one token if there is one."""
+    def has_token(self, now_ms: float) -> bool:
+        """Tells whether a further attempt may be made."""
         self._fill(now_ms)
-        if self._tokens < 1.0:
-            return False
+        return self._tokens >= 1.0
+
+    def spend(self) -> None:
+        """Takes the token of an attempt that was made."""
         self._tokens -= 1.0
-        return True
 
     def _fill(self, now_ms: float) -> None:
         if self._filled_ms is not None:
