--- a/greengagedale/daemons.py
+++ b/greengagedale/daemons.py
@@ -4,6 +4,7 @@
 import contextlib
 import logging
 import random
+import secrets
 import time
 
 from aiohttp import web
@@ -12,8 +13,10 @@
 from greengagedale import clocks
 from greengagedale import configuration
 from greengagedale import directory as directory_lib
+from greengagedale import dispatches
 from greengagedale import drain_watch
 from greengagedale import fleet_metrics
+from greengagedale import forwarding
 from greengagedale import hosts
 from greengagedale import loops
 from greengagedale import metrics as metrics_lib
@@ -21,9 +24,13 @@
 from greengagedale import shutdowns
 from greengagedale.callers import http_server as callers_http
 from greengagedale.config import settings as settings_lib
+from greengagedale.idempotency import claims
+from greengagedale.idempotency import tables
+from greengagedale.idempotency import tickets
 from greengagedale.membership import drains as drains_lib
 from greengagedale.membership import news
 from greengagedale.operators import http_server as operators_http
+from greengagedale.peers import base as peers_base
 from greengagedale.peers import grpc_client
 from greengagedale.peers import grpc_server
 from greengagedale.peers import udp
@@ -33,6 +40,7 @@
 from greengagedale.routing import loads as loads_lib
 from greengagedale.routing import policies
 from greengagedale.routing import tacticians
+from greengagedale.upstreams import base as upstreams_base
 from greengagedale.upstreams import http as upstreams_http
 from greengagedale.upstreams import observed
 
@@ -40,6 +48,7 @@
 
 _HOST_LIST_S = 1.0
 _MS_PER_S = 1000.0
+_INCARNATION_BYTES = 6
 
 
 async def serve(settings: settings_lib.Settings) -> None:
@@ -54,6 +63,7 @@
         host.leaving = True
         log.info("leaving")
         await shutdown.wait_for_callers()
+        host.refuse_new_actions()
     log.info("stopped")
 
 
@@ -102,6 +112,10 @@
         policies.from_config(settings.routing, loads, rng), drains.is_leaving
     )
     tactician = tacticians.Tactician.from_config(settings.routing, policy)
+    action_runner = _action_runner(
+        settings, store, holder, directory, peers, transport, policy, metrics
+    )
+    stack.push_async_callback(action_runner.finish)
     host = hosts.Host(
         settings,
         holder,
@@ -109,7 +123,7 @@
         searches.SearchRunner(
             transport, tactician, loads, holder.services.get, clock, metrics
         ),
-        actions.ActionRunner(transport, policy, clock),
+        action_runner,
         directory,
         peers,
         clock,
@@ -140,6 +154,35 @@
     return host
 
 
+def _action_runner(
+    settings: settings_lib.Settings,
+    store: platform_base.ObjectStore,
+    holder: configuration.Holder,
+    directory: directory_lib.Directory,
+    peers: peers_base.PeerTransport,
+    transport: upstreams_base.UpstreamTransport,
+    policy: policies.RoutingPolicy,
+    metrics: metrics_lib.Metrics,
+) -> actions.ActionRunner:
+    clock = clocks.MonotonicClock()
+    incarnation = secrets.token_hex(_INCARNATION_BYTES)
+    issuer = tickets.Issuer(settings.host.name, incarnation)
+    limits = tables.Limits(
+        settings.actions.most_keys,
+        settings.actions.ticket_life_ms,
+        settings.actions.retention_ms,
+    )
+    return actions.ActionRunner(
+        issuer,
+        tables.KeyTable(limits),
+        claims.PlatformClaims(store, issuer, clock),
+        forwarding.PeerForwarder(directory, peers, clock),
+        dispatches.Dispatcher(holder, transport, policy, clock, metrics),
+        clock,
+        metrics,
+    )
+
+
 async def _listen(
     settings: settings_lib.Settings,
     host: hosts.Host,
--- a/greengagedale/upstreams/http.py
+++ b/greengagedale/upstreams/http.py
@@ -181,7 +181,7 @@
         try:
             async with asyncio.timeout(timeout_s):
                 async with channel.session.request(
-                    method, url, data=data
+                    method, url, data=data, allow_redirects=False
                 ) as response:
                     reply = _Reply(response.status, await response.read())
             return reply
