--- a/greengagedale/config/settings.py
+++ b/greengagedale/config/settings.py
@@ -70,7 +70,14 @@
     """How upstreams are used."""
 
     connect_timeout_ms: options.DurationMs = 200
-    policy: Literal["plain"] = "plain"
+    spare_connections: options.Count = 2
+
+
+class RoutingSettings(Section):
+    """How attempts are sent; `plain` is the baseline of measurements."""
+
+    policy: Literal["adaptive", "plain"] = "adaptive"
+    retry_share: options.Share = 0.1
 
 
 class LimitsSettings(Section):
@@ -115,6 +122,7 @@
     configuration: ConfigurationSettings = ConfigurationSettings()
     upstreams: UpstreamsSettings = UpstreamsSettings()
     limits: LimitsSettings = LimitsSettings()
+    routing: RoutingSettings = RoutingSettings()
     shutdown: ShutdownSettings = ShutdownSettings()
     drain: DrainSettings = DrainSettings()
     logs: LogsSettings = LogsSettings()
--- a/greengagedale/daemons.py
+++ b/greengagedale/daemons.py
@@ -42,7 +42,9 @@
 from greengagedale.platform import base as platform_base
 from greengagedale.platform import http as platform_http
 from greengagedale.routing import leaving
+from greengagedale.routing import loads as loads_lib
 from greengagedale.routing import policies
+from greengagedale.routing import tacticians
 from greengagedale.upstreams import http as upstreams_http
 from greengagedale.upstreams import observed
 
@@ -91,7 +93,9 @@
         lambda source: metrics.drain_signals.labels(source).inc(),
     )
     plain_transport = upstreams_http.HttpTransport.from_config(
-        settings.host.data_centre, settings.upstreams.connect_timeout_ms
+        settings.host.data_centre,
+        settings.upstreams.connect_timeout_ms,
+        settings.upstreams.spare_connections,
     )
     stack.push_async_callback(plain_transport.close)
     observed_transport = observed.ObservedTransport(plain_transport, drains)
@@ -124,9 +128,12 @@
         metrics,
     )
     transport = limits.transport
+    loads = loads_lib.LoadTracker(clock)
     policy = leaving.LeavingFilter(
-        policies.PlainPolicy(random.Random()), drains.is_leaving
+        policies.from_config(settings.routing, loads, random.Random()),
+        drains.is_leaving,
     )
+    tactician = tacticians.Tactician.from_config(settings.routing, policy)
     action_runner = _action_runner(
         settings, store, holder, directory, peers, limits, policy, metrics
     )
@@ -135,7 +142,9 @@
         settings,
         holder,
         writer,
-        searches.SearchRunner(transport, policy, clock, metrics),
+        searches.SearchRunner(
+            transport, tactician, loads, holder.services.get, clock, metrics
+        ),
         action_runner,
         limits.admitter,
         directory,
--- a/greengagedale/metrics.py
+++ b/greengagedale/metrics.py
@@ -64,6 +64,8 @@
         action_steps: What was done for requests that are not safe to repeat.
         attempts: Attempts sent to upstreams by service.
         drops: Answers of upstreams that were not used, by reason.
+        search_events: What searches did beyond first attempts, by service,
+            event and reason.
         drain_signals: First signals that an upstream leaves, by source.
         platform_calls: Calls to the platform by operation and result.
         request_latency: Latency of requests by workspace.
@@ -90,6 +92,13 @@
         self.drops = self._counter(
             "dropped_answers", "Answers not used.", "reason"
         )
+        self.search_events = self._counter(
+            "search_events",
+            "What searches did beyond first attempts.",
+            "service",
+            "event",
+            "reason",
+        )
         self.drain_signals = self._counter(
             "drain_signals", "Upstreams found leaving.", "source"
         )
--- a/greengagedale/platform/http.py
+++ b/greengagedale/platform/http.py
@@ -6,6 +6,7 @@
 import aiohttp
 import msgspec
 
+from greengagedale import connectors
 from greengagedale import metrics as metrics_lib
 from greengagedale.platform import base
 from greengagedale.platform import wire
@@ -58,7 +59,7 @@
             client_name: Told to the platform as part of the user agent.
         """
         session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0),
+            connector=connectors.DirectConnector(limit=0),
             headers={"User-Agent": f"greengagedale/{client_name}"},
         )
         return cls(session, endpoint, timeout_ms, metrics)
--- a/greengagedale/routing/leaving.py
+++ b/greengagedale/routing/leaving.py
@@ -1,6 +1,6 @@
 """Keeps new work from upstreams that are leaving."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 
 from greengagedale.routing import policies
 
@@ -16,7 +16,9 @@
         self._inner = inner
         self._is_leaving = is_leaving
 
-    def choose(self, replicas: Sequence[str]) -> str | None:
+    def choose(
+        self, replicas: Sequence[str], avoid: Collection[str] = ()
+    ) -> str | None:
         """Returns the upstream to use, or None if all are leaving."""
         staying = [name for name in replicas if not self._is_leaving(name)]
-        return self._inner.choose(staying)
+        return self._inner.choose(staying, avoid)
