Records of searches tell of retries, hedges, drops and restarts

The events that a search collects, each bounded and counted, become part of its record; what is not kept is counted. A test with a killed replica finds the retry and its reason by explain.

--- a/greengagedale/hosts.py
+++ b/greengagedale/hosts.py
@@ -26,6 +26,7 @@
 from greengagedale.operators import base as operators_base
 from greengagedale.peers import base as peers_base
 from greengagedale.peers import results
+from greengagedale.query import events
 from greengagedale.query import fanout
 
 log = logging.getLogger(__name__)
@@ -130,16 +131,21 @@
             plan.extra_load_share,
         )
         service = self._holder.services.get(plan.service)
+        trace = self._new_trace()
         self._running += 1
         try:
             outcome = (
-                await self._admitted_search(call, search, member, service)
+                await self._admitted_search(
+                    call, search, member, service, trace
+                )
                 if service is not None
                 else _not_ready()
             )
         finally:
             self._running -= 1
-        self._record(request_id, call.workspace, "search", started_ms, outcome)
+        self._record(
+            request_id, call.workspace, "search", started_ms, outcome, trace
+        )
         return callers_base.Reply(request_id, outcome)
 
     async def act(self, call: callers_base.ActionCall) -> callers_base.Reply:
@@ -217,9 +223,10 @@
         search: fanout.Search,
         member: str,
         service: services.Service,
+        trace: records_lib.Trace,
     ) -> outcomes.Outcome:
         if self._admitter is None:
-            return await self._searches.run(search, member, service)
+            return await self._run_search(search, member, service, trace)
         return await self._admitter.run_search(
             admitting.Asked.from_plan(
                 self._holder.current.plans[call.workspace],
@@ -228,9 +235,24 @@
                 search.deadline_ms,
             ),
             service,
-            lambda: self._searches.run(search, member, service),
+            lambda: self._run_search(search, member, service, trace),
         )
 
+    async def _run_search(
+        self,
+        search: fanout.Search,
+        member: str,
+        service: services.Service,
+        trace: records_lib.Trace,
+    ) -> outcomes.Outcome:
+        trace.add("start")
+        started_ms = trace.elapsed_ms()
+        steps = events.Trace()
+        try:
+            return await self._searches.run(search, member, service, steps)
+        finally:
+            trace.add_search(steps, started_ms)
+
     async def explain_anywhere(
         self, request_id: str
     ) -> records_lib.Record | None:
@@ -329,7 +351,7 @@
         kind: str,
         started_ms: float,
         outcome: outcomes.Outcome,
-        trace: records_lib.Trace | None = None,
+        trace: records_lib.Trace,
         key: str = "",
     ) -> None:
         took_ms = self._clock.now_ms() - started_ms
@@ -349,8 +371,8 @@
                 took_ms=round(took_ms, 3),
                 detail=_detail(outcome),
                 key=key,
-                events=trace.events if trace else [],
-                events_left_out=trace.events_left_out if trace else 0,
+                events=trace.events,
+                events_left_out=trace.events_left_out,
             )
         )
 
--- a/greengagedale/records.py
+++ b/greengagedale/records.py
@@ -4,6 +4,7 @@
 from typing import Any, NamedTuple, TypedDict
 
 from greengagedale import clocks
+from greengagedale.query import events
 
 MOST_EVENTS = 64
 
@@ -41,17 +42,30 @@
         at_ms = round(self.elapsed_ms(), 3)
         self._keep(Event(at_ms, self._host, what, subject, reason))
 
-    def add_remote(self, events: list[Event], from_ms: float) -> None:
+    def add_remote(self, told: list[Event], from_ms: float) -> None:
         """Adds the events of another host.
 
         Args:
-            events: Its events.
+            told: Its events.
             from_ms: When this host asked it, from the start of the request.
         """
-        for event in events:
+        for event in told:
             at_ms = round(from_ms + event.at_ms, 3)
             self._keep(event._replace(at_ms=at_ms))
 
+    def add_search(self, steps: events.Trace, from_ms: float) -> None:
+        """Adds what a search did beyond its first attempts.
+
+        Args:
+            steps: The events of the search, and counts of all of them.
+            from_ms: When it began, from the start of the request.
+        """
+        for step in steps.events:
+            at_ms = round(from_ms + step.at_ms, 3)
+            about = _subject_of(step)
+            self._keep(Event(at_ms, self._host, step.what, about, step.reason))
+        self.events_left_out += steps.counts.total() - len(steps.events)
+
     def elapsed_ms(self) -> float:
         """Returns the time since the start of the request."""
         return self._clock.now_ms() - self._started_ms
@@ -63,6 +77,13 @@
             self.events_left_out += 1
 
 
+def _subject_of(step: events.Event) -> str:
+    if step.key_range is None:
+        return step.upstream
+    low, high = step.key_range
+    return f"{step.upstream} {low:x}-{high:x}".strip()
+
+
 class Record(TypedDict):
     """What became of one request."""
 
--- a/tests/integration/test_actions.py
+++ b/tests/integration/test_actions.py
@@ -39,6 +39,14 @@
     ).body
 
 
+def search_steps(endpoint):
+    """Runs a search and returns what its record tells, with reasons."""
+    path = "/v1/workspaces/search-a/search"
+    answer = httpcalls.call("POST", endpoint, path, {"text": "x"}).body
+    record = httpcalls.get(endpoint, f"/v1/explain/{answer['request_id']}").body
+    return [(what, reason) for _, _, what, _, reason in record["events"]]
+
+
 @pytest.fixture
 def deployment(own_deployment):
     own_deployment.start()
@@ -150,6 +158,10 @@
         if event["event"] == "act"
     ]
     assert sorted(runs) == sorted(keys)
+    deployments.wait_until(
+        lambda: ("retry", "connect_failed") in search_steps(hosts[1]),
+        "a search whose record tells of a retry",
+    )
 
 
 async def test_client_fails_over_and_tells_the_truth(deployment):
