--- a/greengagedale/daemons.py
+++ b/greengagedale/daemons.py
@@ -127,7 +127,9 @@
         _follow_hosts(settings, store, directory),
     ]
     for work in background:
-        stack.push_async_callback(_stop_task, asyncio.create_task(work))
+        task = asyncio.create_task(work)
+        task.add_done_callback(_log_failure)
+        stack.push_async_callback(_stop_task, task)
     await _listen(settings, host, shutdown, stack)
     return host
 
@@ -179,6 +181,11 @@
     return int(time.time() * _MS_PER_S)
 
 
+def _log_failure(task: asyncio.Task[None]) -> None:
+    if not task.cancelled() and task.exception() is not None:
+        log.error("background work ended", exc_info=task.exception())
+
+
 async def _stop_task(task: asyncio.Task[None]) -> None:
     task.cancel()
     with contextlib.suppress(asyncio.CancelledError):
--- a/greengagedale/drain_watch.py
+++ b/greengagedale/drain_watch.py
@@ -8,10 +8,9 @@
 import itertools
 import logging
 
-import xxhash
-
 from greengagedale.catalog import services as services_lib
 from greengagedale.membership import drains as drains_lib
+from greengagedale.membership import rings
 from greengagedale.upstreams import base as upstreams_base
 
 log = logging.getLogger(__name__)
@@ -38,6 +37,8 @@
         self._own_name = own_name
         self._others = others
         self._poll_interval_s = poll_interval_ms / _MS_PER_S
+        self._ring_hosts = frozenset([own_name])
+        self._ring = rings.Ring(self._ring_hosts)
 
     async def follow_platform(self) -> None:
         """Reads which upstreams the platform says leave, until cancelled."""
@@ -51,11 +52,11 @@
         """Asks the upstreams that this host owns, until cancelled."""
         async with asyncio.TaskGroup() as group:
             while True:
-                hosts = [self._own_name, *self._others()]
+                ring = self._current_ring()
                 owned = [
                     item
                     for item in self._upstreams()
-                    if owner_of(item.name, hosts) == self._own_name
+                    if ring.owner_of(item.name) == self._own_name
                 ]
                 # Spread over the interval, so that none is late in a burst.
                 pause_s = self._poll_interval_s / max(1, len(owned))
@@ -65,6 +66,13 @@
                 if not owned:
                     await asyncio.sleep(self._poll_interval_s)
 
+    def _current_ring(self) -> rings.Ring:
+        hosts = frozenset([self._own_name, *self._others()])
+        if hosts != self._ring_hosts:
+            self._ring_hosts = hosts
+            self._ring = rings.Ring(hosts)
+        return self._ring
+
     async def _ask(self, upstream: upstreams_base.Upstream) -> None:
         health = await self._transport.health(upstream)
         if health is not None:
@@ -74,8 +82,3 @@
         return itertools.chain.from_iterable(
             service.upstreams.values() for service in self._services().values()
         )
-
-
-def owner_of(upstream: str, hosts: Iterable[str]) -> str:
-    """Returns the host that asks an upstream, by rendezvous hashing."""
-    return max(hosts, key=lambda host: xxhash.xxh64_intdigest(host + upstream))
--- a/standins/deployments.py
+++ b/standins/deployments.py
@@ -9,7 +9,9 @@
 import sys
 import time
 from typing import Any, Self
+import urllib.request
 
+from greengagedale.catalog import services
 from standins import httpcalls
 from standins import records
 from standins import shapes
@@ -188,6 +190,18 @@
         """Sets how the platform misbehaves; none means not at all."""
         httpcalls.call("POST", self.shape.platform_endpoint, "/control", faults)
 
+    def publish(self, service: services.Service) -> None:
+        """Has the platform replace a service, whatever it holds now."""
+        path = f"/v1/objects/{services.KIND_SERVICE}/{service.name}"
+        held = httpcalls.get(self.shape.platform_endpoint, path).body
+        request = urllib.request.Request(
+            f"http://{self.shape.platform_endpoint}{path}",
+            services.to_object(service),
+            {"If-Match": str(held["version"])},
+            method="PUT",
+        )
+        urllib.request.urlopen(request).close()
+
     def control_upstream(self, name: str, **control: Any) -> None:
         """Changes what an upstream holds and how it misbehaves."""
         placed = {p.upstream.name: p for p in self.shape.upstreams()}
