--- a/bench/cases.py
+++ b/bench/cases.py
@@ -37,11 +37,15 @@
         """The shape, on the ports of this context."""
         return shapes.Shape.from_file(self.shape_path, self.base_port)
 
-    def deployment(self, name: str = "") -> deployments.Deployment:
+    def deployment(
+        self, name: str = "", proxied: bool = False
+    ) -> deployments.Deployment:
         """Makes a deployment that is not yet started."""
         folder = self.folder / name
         folder.mkdir(parents=True, exist_ok=True)
-        return deployments.Deployment(folder, self.shape_path, self.base_port)
+        return deployments.Deployment(
+            folder, self.shape_path, self.base_port, proxied
+        )
 
 
 class Row(NamedTuple):
--- /dev/null
+++ b/bench/drain.py
@@ -0,0 +1,128 @@
+"""How long after it begins to leave an upstream still gets new work."""
+
+from collections.abc import Iterable
+import itertools
+import threading
+import time
+
+from bench import cases
+from standins import deployments
+from standins import load
+
+_SERVICES = {"kodklubben": "enrolment", "tuners": "booking"}
+_RATE_PER_S = 20.0
+_BEFORE_S = 2.0
+_BOUND_MS = 2000.0
+_MS_PER_S = 1000.0
+
+
+class Drain(cases.Case):
+    """One upstream leaves under load; each row is one way to hear of it."""
+
+    name = "drain"
+    duration_s = 8.0
+
+    def run(self, context: cases.Context) -> Iterable[cases.Row]:
+        """Measures each signal, with the platform up and down."""
+        service = _SERVICES[context.shape.name]
+        deployment = context.deployment()
+        try:
+            deployment.start(service=service)
+            deployment.apply_workspace("bench", "member-a", service)
+            names = [
+                placed.upstream.name
+                for placed in deployment.shape.upstreams()
+                if placed.shape.name == service
+            ]
+            ways = (
+                ("upstream", False),
+                ("upstream", True),
+                ("platform", False),
+            )
+            for (source, down), name in zip(ways, names, strict=False):
+                figures = _measure(
+                    deployment, context, service, name, source, down
+                )
+                yield _row(self.name, context, source, down, figures)
+        finally:
+            deployment.stop()
+
+
+def _row(
+    case: str,
+    context: cases.Context,
+    source: str,
+    down: bool,
+    figures: dict[str, float],
+) -> cases.Row:
+    return cases.Row(
+        case,
+        context.shape.name,
+        f"{source}, platform {'down' if down else 'up'}",
+        context.seed,
+        figures,
+        "last new work at most 2000 ms after, all requests whole",
+        figures["last_work_ms"] <= _BOUND_MS
+        and figures["full"] == figures["requests"],
+    )
+
+
+def _measure(
+    deployment: deployments.Deployment,
+    context: cases.Context,
+    service: str,
+    name: str,
+    source: str,
+    down: bool,
+) -> dict[str, float]:
+    deployment.control_platform(down=down)
+    at_ms = []
+    leaving = threading.Timer(
+        _BEFORE_S,
+        lambda: at_ms.append(_leave(deployment, service, name, source)),
+    )
+    leaving.start()
+    plan = load.LoadPlan(
+        [deployment.caller(host) for host in deployment.shape.entry_hosts()],
+        "bench",
+        _RATE_PER_S,
+        context.duration_s,
+        context.seed,
+    )
+    [samples] = load.run(plan)
+    leaving.join()
+    deployment.control_platform()
+    summary = load.Summary.of(samples)
+    work = [
+        event
+        for event in _events(deployment)
+        if event.get("upstream") == name
+        and event["event"] in ("search", "refused_draining")
+        and event["at_ms"] > at_ms[0]
+    ]
+    last_ms = max((event["at_ms"] for event in work), default=at_ms[0])
+    return {
+        "last_work_ms": last_ms - at_ms[0],
+        "work_after": float(len(work)),
+        "requests": float(summary.requests),
+        "full": float(summary.full),
+        "p99_ms": summary.p99_ms,
+    }
+
+
+def _events(deployment: deployments.Deployment) -> Iterable[dict]:
+    names = [path.stem for path in deployment.folder.glob("*.jsonl")]
+    return itertools.chain.from_iterable(map(deployment.record_of, names))
+
+
+def _leave(
+    deployment: deployments.Deployment, service: str, name: str, source: str
+) -> float:
+    if source == "upstream":
+        deployment.control_upstream(name, draining=True)
+    else:
+        held = deployment.shape.initial_service(service)
+        upstream = held.upstreams[name]._replace(leaving=True)
+        upstreams = {**held.upstreams, name: upstream}
+        deployment.publish(held._replace(upstreams=upstreams))
+    return time.monotonic() * _MS_PER_S
--- a/greengagedale/config/settings.py
+++ b/greengagedale/config/settings.py
@@ -39,6 +39,7 @@
     """Other hosts that are known before the platform answers."""
 
     seeds: list[options.Endpoint] = []
+    advertised_endpoint: options.Endpoint | None = None
     timeout_ms: options.DurationMs = 300
     max_bytes_per_s: options.Count = 1800
 
--- a/greengagedale/directory.py
+++ b/greengagedale/directory.py
@@ -57,7 +57,8 @@
         )
         swim = swim_lib.Swim(
             _first_status(settings),
-            f"{settings.host.address}:{settings.host.peer_port}",
+            settings.peers.advertised_endpoint
+            or f"{settings.host.address}:{settings.host.peer_port}",
             # Above that of an earlier life; refuting mends a clock set back.
             int(time.time()),
             options,
--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -9,6 +9,7 @@
 
 from greengagedale import loops
 from standins import bare as bare_lib
+from standins import datagramproxy
 from standins import faultproxy
 from standins import platform as platform_lib
 from standins import records
@@ -105,9 +106,7 @@
     """Run the fault-injecting proxy of a deployment."""
     del record
     loaded = shapes.Shape.from_file(shape, base_port, proxied)
-    loops.run(
-        faultproxy.serve(loaded.routes(), loaded.proxy_control_endpoint, seed)
-    )
+    loops.run(_serve_proxies(loaded, seed))
 
 
 @app.command()
@@ -124,6 +123,13 @@
         path.write_text(host.settings_toml(loaded), encoding="utf-8")
 
 
+async def _serve_proxies(shape: shapes.Shape, seed: int) -> None:
+    await asyncio.gather(
+        faultproxy.serve(shape.routes(), shape.proxy_control_endpoint, seed),
+        datagramproxy.serve(shape.peer_routes(), shape.cut_control_endpoint),
+    )
+
+
 async def _serve(apps: dict, record: pathlib.Path | None) -> None:
     recorder = records.Recorder.from_config(record)
     for endpoint, (make, arguments) in apps.items():
--- a/standins/deployments.py
+++ b/standins/deployments.py
@@ -227,6 +227,15 @@
         endpoint = self.shape.proxy_control_endpoint
         httpcalls.call("POST", endpoint, "/control", body)
 
+    def cut(self, *links: tuple[int, int]) -> None:
+        """Cuts one-way links between entry hosts, by number; heals others."""
+        cut = [
+            (self.host(sender).peer_endpoint, self.host(target).peer_endpoint)
+            for sender, target in links
+        ]
+        endpoint = self.shape.cut_control_endpoint
+        httpcalls.call("POST", endpoint, "/control", {"cut": cut})
+
     def signal(self, name: str, number: int) -> None:
         """Sends a signal to a process."""
         self.processes[name].send_signal(number)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -217,7 +217,7 @@
             name=host.name,
             data_centre=host.data_centre,
             caller_endpoint=f"{host.address}:{host.caller_port}",
-            peer_endpoint=f"{host.address}:{host.peer_port}",
+            peer_endpoint=host.published_peer_endpoint,
             leaving=False,
         )
         for host in shape.entry_hosts()
--- a/standins/shapes.py
+++ b/standins/shapes.py
@@ -20,6 +20,8 @@
 _PROXY_OFFSET = 250
 _PLATFORM_PROXY_OFFSET = 8
 _PROXY_CONTROL_OFFSET = 7
+_CUT_CONTROL_OFFSET = 6
+_PEER_PROXY_OFFSET = 40
 
 
 class ServiceShape(settings_lib.Section):
@@ -99,6 +101,18 @@
         """Where the proxy takes its faults from."""
         return f"127.0.0.1:{self.base_port + _PROXY_CONTROL_OFFSET}"
 
+    @property
+    def cut_control_endpoint(self) -> str:
+        """Where the proxy is told which links between hosts are cut."""
+        return f"127.0.0.1:{self.base_port + _CUT_CONTROL_OFFSET}"
+
+    def peer_routes(self) -> list[faultproxy.Route]:
+        """Returns where hosts are reached by others, and where they listen."""
+        return [
+            faultproxy.Route(host.published_peer_endpoint, host.peer_endpoint)
+            for host in self.entry_hosts()
+        ]
+
     def routes(self) -> list[faultproxy.Route]:
         """Returns what the proxy listens on and forwards to."""
         return [
@@ -109,6 +123,7 @@
                 faultproxy.Route(placed.upstream.endpoint, placed.listen)
                 for placed in self.upstreams()
             ),
+            *self.peer_routes(),
         ]
 
     def entry_hosts(self) -> list["EntryHost"]:
@@ -153,6 +168,9 @@
             caller_port=first,
             operator_port=first + 1,
             peer_port=first + 2,
+            published_peer_port=self.base_port + _PEER_PROXY_OFFSET + number
+            if self.proxied
+            else first + 2,
         )
 
     def _placed(
@@ -187,11 +205,22 @@
     caller_port: int
     operator_port: int
     peer_port: int
+    published_peer_port: int
+
+    @property
+    def peer_endpoint(self) -> str:
+        """Where the process listens for other hosts."""
+        return f"{self.address}:{self.peer_port}"
+
+    @property
+    def published_peer_endpoint(self) -> str:
+        """Where other hosts reach it."""
+        return f"{self.address}:{self.published_peer_port}"
 
     def settings_toml(self, shape: Shape) -> str:
         """Returns the settings file of this host."""
         seeds = ", ".join(
-            f'"{h.address}:{h.peer_port}"' for h in shape.entry_hosts()
+            f'"{h.published_peer_endpoint}"' for h in shape.entry_hosts()
         )
         return (
             "[host]\n"
@@ -204,6 +233,7 @@
             "\n[platform]\n"
             f'endpoint = "{shape.published_platform_endpoint}"\n'
             f"\n[peers]\nseeds = [{seeds}]\n"
+            f'advertised_endpoint = "{self.published_peer_endpoint}"\n'
         )
 
 
