--- a/proofs/traffic.py
+++ b/proofs/traffic.py
@@ -9,6 +9,8 @@
 import aiohttp
 import msgspec
 
+from greengagedale.catalog import edits
+from greengagedale.idempotency import tickets
 from proofs import history as history_lib
 from standins import shapes
 
@@ -22,6 +24,7 @@
 _OBSERVE_EVERY_S = 0.2
 _CHANGE_EVERY_S = 0.4
 _RESEND_SHARE = 0.3
+_TICKETED_SHARE = 0.5
 _LIMIT = 10
 _DOCUMENT_KEYS = 1 << 32
 _OPERATOR_TIMEOUT_S = 8.0
@@ -31,9 +34,13 @@
     """A locate answer as a caller keeps it."""
 
     endpoints: list[str]
+    ticket: str
     until_s: float
 
 
+_NOT_LOCATED = Located([], "", 0.0)
+
+
 class Traffic:
     """Sends requests and changes, and notes what comes of them."""
 
@@ -49,13 +56,14 @@
         self._session = session
         self._rng = random.Random(seed)
         self._seed = seed
+        self._revision = 0
         self.calls: list[history_lib.Call] = []
         self.changes: list[history_lib.Change] = []
         self.observations: list[history_lib.Observation] = []
 
     async def call_until(self, stop: asyncio.Event, caller: int) -> None:
         """Sends one request after another until told to stop."""
-        located = Located([], 0.0)
+        located = _NOT_LOCATED
         rng = random.Random(f"{self._seed}/{caller}")
         number = 0
         while not stop.is_set():
@@ -69,10 +77,9 @@
                 text = f"{caller}-{number}-{rng.randrange(1000)}"
                 await self._search(located.endpoints[0], text)
             else:
-                key = f"{self._seed}-{caller}-{number}"
-                await self._act(located, key, rng)
+                await self._act(located, self._new_key(located, rng), rng)
             if self.calls and self.calls[-1].failure:
-                located = Located([], 0.0)
+                located = _NOT_LOCATED
 
     async def change_until(self, stop: asyncio.Event, operator: int) -> None:
         """Sends one change after another until told to stop."""
@@ -80,8 +87,9 @@
         number = 0
         while not stop.is_set():
             number += 1
-            change_id = f"{self._seed}-{operator}-{number}"
-            await self._change(rng.choice(self._hosts), change_id, number)
+            host = rng.choice(self._hosts)
+            change_id = edits.new_change_id(self._revision)
+            await self._change(host, change_id, number)
             await asyncio.sleep(_CHANGE_EVERY_S * rng.random())
 
     async def observe_until(self, stop: asyncio.Event) -> None:
@@ -112,8 +120,15 @@
                 endpoints = [item["endpoint"] for item in body["hosts"]]
                 # A caller is free to prefer any; this one spreads the load.
                 rng.shuffle(endpoints)
-                return Located(endpoints, asked_s + body["ttl_ms"] / _MS_PER_S)
-        return Located([], 0.0)
+                until_s = asked_s + body["ttl_ms"] / _MS_PER_S
+                return Located(endpoints, body.get("ticket", ""), until_s)
+        return _NOT_LOCATED
+
+    def _new_key(self, located: Located, rng: random.Random) -> str:
+        """Makes a key from a ticket, or one of the caller's own choice."""
+        if located.ticket and rng.random() < _TICKETED_SHARE:
+            return tickets.new_key(located.ticket)
+        return f"own-{self._seed}-{rng.getrandbits(64):x}"
 
     async def _search(self, endpoint: str, text: str) -> None:
         body = {"text": text, "limit": _LIMIT, "timeout_ms": _TIMEOUT_MS}
@@ -143,7 +158,8 @@
             "body": {"offer": key},
             "timeout_ms": _TIMEOUT_MS,
         }
-        sends = [self._act_once(located.endpoints[0], key, body)]
+        first = {**body, "first_send": True}
+        sends = [self._act_once(located.endpoints[0], key, first)]
         if rng.random() < _RESEND_SHARE:
             again = rng.choice(located.endpoints)
             sends.append(self._act_once(again, key, body))
@@ -229,6 +245,7 @@
         at_ms = _now_ms()
         answer = await self._ask("GET", _operator(host), "/v1/workspaces")
         if answer and "revision" in answer:
+            self._revision = max(self._revision, answer["revision"])
             self.observations.append(
                 history_lib.Observation(at_ms, host.name, answer["revision"])
             )
