Progress limits double with each replacement of an attempt

Cause: upstreams that were slow rather than silent lost every attempt at the same short limit, so a search with time left ended unknown; seen in the test of a leaving host. Ruled out: shutdown itself, the host served on. Change: the limit of a range doubles with each replacement.

--- a/greengagedale/query/fanout.py
+++ b/greengagedale/query/fanout.py
@@ -23,6 +23,7 @@
 _MOST_ROUNDS = 4
 _ROUND_DELAY_MS = 10.0
 _MOST_RESTARTS = 3
+_MOST_DOUBLINGS = 10
 _MOST_LEFT_OUT = 0.1
 
 
@@ -212,13 +213,22 @@
         self, part: parts.Part, attempt: attempts.Attempt, now_ms: float
     ) -> None:
         hedge_ms = self._timings.hedge_ms
-        if hedge_ms < self._timings.progress_ms:
+        progress_ms = self._progress_ms(part)
+        if hedge_ms < progress_ms:
             due_ms = now_ms + hedge_ms
             self._timers.add(due_ms, timers.Kind.HEDGE, part, attempt)
         else:
-            due_ms = now_ms + self._timings.progress_ms
+            due_ms = now_ms + progress_ms
             self._timers.add(due_ms, timers.Kind.PROGRESS, part, attempt)
 
+    def _progress_ms(self, part: parts.Part) -> float:
+        """Returns the progress limit, which doubles with replacements.
+
+        So an upstream that is slow rather than silent can answer in the end.
+        """
+        doublings = min(part.replaced, _MOST_DOUBLINGS)
+        return self._timings.progress_ms * (1 << doublings)
+
     def _answered(
         self,
         part: parts.Part,
@@ -364,7 +374,7 @@
     def _hedge(
         self, part: parts.Part, attempt: attempts.Attempt, now_ms: float
     ) -> list[Command]:
-        progress_ms = attempt.sent_ms + self._timings.progress_ms
+        progress_ms = attempt.sent_ms + self._progress_ms(part)
         if not self._has_untried(part):
             self._timers.add(progress_ms, timers.Kind.PROGRESS, part, attempt)
             return []
@@ -392,7 +402,7 @@
         if len(part.open) == 1:
             others = self._replace(part, attempt, now_ms)
             if not others:
-                again_ms = now_ms + self._timings.progress_ms
+                again_ms = now_ms + self._progress_ms(part)
                 kind = timers.Kind.PROGRESS
                 self._timers.add(again_ms, kind, part, attempt)
                 return []
@@ -406,6 +416,7 @@
         self, part: parts.Part, attempt: attempts.Attempt, now_ms: float
     ) -> list[Command]:
         """Sends another attempt, if need be to the same upstream."""
+        part.replaced += 1
         if not self._has_untried(part):
             part.tried = {attempt.upstream}
         if not self._has_untried(part):
--- a/greengagedale/query/parts.py
+++ b/greengagedale/query/parts.py
@@ -18,6 +18,7 @@
         reason: Why there is no answer, as far as is known.
         rounds: How often all replicas have been tried.
         waiting: Whether a next round is due later.
+        replaced: How many attempts were replaced for want of progress.
     """
 
     __slots__ = (
@@ -26,6 +27,7 @@
         "hits",
         "open",
         "reason",
+        "replaced",
         "rounds",
         "tried",
         "waiting",
@@ -42,6 +44,7 @@
         self.reason = outcomes.Reason.DEADLINE
         self.rounds = 0
         self.waiting = False
+        self.replaced = 0
 
     @property
     def is_settled(self) -> bool:
--- a/tests/membership/test_swim.py
+++ b/tests/membership/test_swim.py
@@ -8,7 +8,7 @@
 
 GONE_MS = 2000
 MOST_BYTES_PER_S = 2000
-SEEDS = range(10)
+SEEDS = range(20)
 
 
 @pytest.fixture(params=SEEDS)
--- a/tests/query/test_tail.py
+++ b/tests/query/test_tail.py
@@ -1,5 +1,6 @@
 """Hedges, retries, restarts and early stops, without input or output."""
 
+import itertools
 import random
 
 import pytest
@@ -266,3 +267,18 @@
     merged = {e.key_range for e in pinned.ranges} - missing
     assert {(answer.snapshot, item) for item in merged} <= answered
     assert answer.coverage.covered == sum(item.width for item in merged)
+
+
+def test_slow_upstreams_are_given_longer_with_each_replacement(
+    answered_but_one,
+):
+    driven = answered_but_one(tactics_with(hedges=0.0))
+    driven.run_to(DEADLINE_MS - 1)
+    kept = [a for a in driven.sent[4:] if a not in driven.cancelled]
+    longest_ms = max(
+        after.sent_ms - before.sent_ms
+        for before, after in itertools.pairwise(driven.sent[4:])
+    )
+    assert kept
+    assert longest_ms >= DEADLINE_MS / 4
+    assert len(driven.sent) - 4 <= 6
