--- a/greengagedale/platform/base.py
+++ b/greengagedale/platform/base.py
@@ -53,7 +53,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Conflict:
-    """The write did not take effect: the object has another version."""
+    """The object has another version than the expected one.
+
+    Client libraries may send a write again when a connection breaks, so the
+    other version can be due to this very write; only reading tells.
+    """
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
