--- a/greengagedale/config/settings.py
+++ b/greengagedale/config/settings.py
@@ -39,6 +39,7 @@
     """Other hosts that are known before the platform answers."""
 
     seeds: list[options.Endpoint] = []
+    advertised_endpoint: options.Endpoint | None = None
     timeout_ms: options.DurationMs = 300
     max_bytes_per_s: options.Count = 1800
 
@@ -70,7 +71,26 @@
     """How upstreams are used."""
 
     connect_timeout_ms: options.DurationMs = 200
-    policy: Literal["plain"] = "plain"
+    spare_connections: options.Count = 2
+
+
+class RoutingSettings(Section):
+    """How attempts are sent; `plain` is the baseline of measurements."""
+
+    policy: Literal["adaptive", "plain"] = "adaptive"
+    retry_share: options.Share = 0.1
+
+
+class LimitsSettings(Section):
+    """What may run at once; `none` stands for no limit.
+
+    Attributes:
+        admission: How requests are admitted.
+        concurrency: How the limit of each upstream follows what it does.
+    """
+
+    admission: Literal["fair", "none"] = "fair"
+    concurrency: Literal["gradient", "aimd", "fixed", "none"] = "aimd"
 
 
 class ShutdownSettings(Section):
@@ -102,6 +122,8 @@
     actions: ActionsSettings = ActionsSettings()
     configuration: ConfigurationSettings = ConfigurationSettings()
     upstreams: UpstreamsSettings = UpstreamsSettings()
+    limits: LimitsSettings = LimitsSettings()
+    routing: RoutingSettings = RoutingSettings()
     shutdown: ShutdownSettings = ShutdownSettings()
     drain: DrainSettings = DrainSettings()
     logs: LogsSettings = LogsSettings()
--- a/greengagedale/daemons.py
+++ b/greengagedale/daemons.py
@@ -31,6 +31,7 @@
 from greengagedale.idempotency import claims
 from greengagedale.idempotency import tables
 from greengagedale.idempotency import tickets
+from greengagedale.limits import assembly
 from greengagedale.membership import drains as drains_lib
 from greengagedale.membership import news
 from greengagedale.operators import http_server as operators_http
@@ -41,8 +42,9 @@
 from greengagedale.platform import base as platform_base
 from greengagedale.platform import http as platform_http
 from greengagedale.routing import leaving
+from greengagedale.routing import loads as loads_lib
 from greengagedale.routing import policies
-from greengagedale.upstreams import base as upstreams_base
+from greengagedale.routing import tacticians
 from greengagedale.upstreams import http as upstreams_http
 from greengagedale.upstreams import observed
 
@@ -91,10 +93,12 @@
         lambda source: metrics.drain_signals.labels(source).inc(),
     )
     plain_transport = upstreams_http.HttpTransport.from_config(
-        settings.host.data_centre, settings.upstreams.connect_timeout_ms
+        settings.host.data_centre,
+        settings.upstreams.connect_timeout_ms,
+        settings.upstreams.spare_connections,
     )
     stack.push_async_callback(plain_transport.close)
-    transport = observed.ObservedTransport(plain_transport, drains)
+    observed_transport = observed.ObservedTransport(plain_transport, drains)
     peers = grpc_client.GrpcTransport.from_config(settings.peers.timeout_ms)
     stack.push_async_callback(peers.close)
     holder = configuration.Holder(clock)
@@ -114,19 +118,35 @@
             lambda: directory.counts, directory.hosts_by_state
         )
     )
+    limits = assembly.Limits.from_config(
+        settings.limits,
+        observed_transport,
+        holder,
+        drains.is_leaving,
+        lambda: 1 + len(directory.alive),
+        clock,
+        metrics,
+    )
+    transport = limits.transport
+    loads = loads_lib.LoadTracker(clock)
     policy = leaving.LeavingFilter(
-        policies.PlainPolicy(random.Random()), drains.is_leaving
+        policies.from_config(settings.routing, loads, random.Random()),
+        drains.is_leaving,
     )
+    tactician = tacticians.Tactician.from_config(settings.routing, policy)
     action_runner = _action_runner(
-        settings, store, holder, directory, peers, transport, policy, metrics
+        settings, store, holder, directory, peers, limits, policy, metrics
     )
     stack.push_async_callback(action_runner.finish)
     host = hosts.Host(
         settings,
         holder,
         writer,
-        searches.SearchRunner(transport, policy, clock, metrics),
+        searches.SearchRunner(
+            transport, tactician, loads, holder.services.get, clock, metrics
+        ),
         action_runner,
+        limits.admitter,
         directory,
         peers,
         clock,
@@ -154,7 +174,9 @@
         _follow_hosts(settings, store, directory),
     ]
     for work in background:
-        stack.push_async_callback(_stop_task, asyncio.create_task(work))
+        task = asyncio.create_task(work)
+        task.add_done_callback(_log_failure)
+        stack.push_async_callback(_stop_task, task)
     await _listen(settings, host, shutdown, stack)
     return host
 
@@ -165,24 +187,26 @@
     holder: configuration.Holder,
     directory: directory_lib.Directory,
     peers: peers_base.PeerTransport,
-    transport: upstreams_base.UpstreamTransport,
+    limits: assembly.Limits,
     policy: policies.RoutingPolicy,
     metrics: metrics_lib.Metrics,
 ) -> actions.ActionRunner:
     clock = clocks.MonotonicClock()
     incarnation = secrets.token_hex(_INCARNATION_BYTES)
     issuer = tickets.Issuer(settings.host.name, incarnation)
-    limits = tables.Limits(
+    key_limits = tables.Limits(
         settings.actions.most_keys,
         settings.actions.ticket_life_ms,
         settings.actions.retention_ms,
     )
     return actions.ActionRunner(
         issuer,
-        tables.KeyTable(limits),
+        tables.KeyTable(key_limits),
         claims.PlatformClaims(store, issuer, clock),
         forwarding.PeerForwarder(directory, peers, clock),
-        dispatches.Dispatcher(holder, transport, policy, clock, metrics),
+        dispatches.Dispatcher(
+            holder, limits.transport, policy, clock, metrics, limits.admitter
+        ),
         clock,
         metrics,
     )
@@ -235,6 +259,11 @@
     return int(time.time() * _MS_PER_S)
 
 
+def _log_failure(task: asyncio.Task[None]) -> None:
+    if not task.cancelled() and task.exception() is not None:
+        log.error("background work ended", exc_info=task.exception())
+
+
 async def _stop_task(task: asyncio.Task[None]) -> None:
     task.cancel()
     with contextlib.suppress(asyncio.CancelledError):
--- a/greengagedale/hosts.py
+++ b/greengagedale/hosts.py
@@ -19,11 +19,14 @@
 from greengagedale.catalog import catalogs
 from greengagedale.catalog import documents
 from greengagedale.catalog import edits
+from greengagedale.catalog import services
 from greengagedale.config import settings as settings_lib
+from greengagedale.limits import admitting
 from greengagedale.membership import messages
 from greengagedale.operators import base as operators_base
 from greengagedale.peers import base as peers_base
 from greengagedale.peers import results
+from greengagedale.query import events
 from greengagedale.query import fanout
 
 log = logging.getLogger(__name__)
@@ -45,6 +48,7 @@
         writer: acceptance.Writer,
         search_runner: searches.SearchRunner,
         action_runner: actions.ActionRunner,
+        admitter: admitting.Admitter | None,
         directory: directory_lib.Directory,
         peers: peers_base.PeerTransport,
         clock: clocks.Clock,
@@ -55,6 +59,7 @@
         self._writer = writer
         self._searches = search_runner
         self._actions = action_runner
+        self._admitter = admitter
         self._directory = directory
         self._peers = peers
         self._clock = clock
@@ -121,18 +126,26 @@
             call.text,
             min(call.limit or plan.hits_limit, plan.hits_limit),
             started_ms + self._timeout_ms(call.timeout_ms, plan),
+            call.workspace,
+            plan.prefer,
+            plan.extra_load_share,
         )
         service = self._holder.services.get(plan.service)
+        trace = self._new_trace()
         self._running += 1
         try:
             outcome = (
-                await self._searches.run(search, member, service)
+                await self._admitted_search(
+                    call, search, member, service, trace
+                )
                 if service is not None
                 else _not_ready()
             )
         finally:
             self._running -= 1
-        self._record(request_id, call.workspace, "search", started_ms, outcome)
+        self._record(
+            request_id, call.workspace, "search", started_ms, outcome, trace
+        )
         return callers_base.Reply(request_id, outcome)
 
     async def act(self, call: callers_base.ActionCall) -> callers_base.Reply:
@@ -145,6 +158,7 @@
         request = dispatches.ActionRequest(
             request_id,
             call.key,
+            call.workspace,
             current.workspaces[call.workspace].member,
             plan.service,
             call.target,
@@ -172,6 +186,7 @@
         request = dispatches.ActionRequest(
             forwarded.request_id,
             forwarded.key,
+            forwarded.workspace,
             forwarded.member,
             forwarded.service,
             forwarded.target,
@@ -202,6 +217,42 @@
         """Refuses all keys that are not known yet; known ones go on."""
         self._actions.stop()
 
+    async def _admitted_search(
+        self,
+        call: callers_base.SearchCall,
+        search: fanout.Search,
+        member: str,
+        service: services.Service,
+        trace: records_lib.Trace,
+    ) -> outcomes.Outcome:
+        if self._admitter is None:
+            return await self._run_search(search, member, service, trace)
+        return await self._admitter.run_search(
+            admitting.Asked.from_plan(
+                self._holder.current.plans[call.workspace],
+                call.workspace,
+                search.request_id,
+                search.deadline_ms,
+            ),
+            service,
+            lambda: self._run_search(search, member, service, trace),
+        )
+
+    async def _run_search(
+        self,
+        search: fanout.Search,
+        member: str,
+        service: services.Service,
+        trace: records_lib.Trace,
+    ) -> outcomes.Outcome:
+        trace.add("start")
+        started_ms = trace.elapsed_ms()
+        steps = events.Trace()
+        try:
+            return await self._searches.run(search, member, service, steps)
+        finally:
+            trace.add_search(steps, started_ms)
+
     async def explain_anywhere(
         self, request_id: str
     ) -> records_lib.Record | None:
@@ -300,7 +351,7 @@
         kind: str,
         started_ms: float,
         outcome: outcomes.Outcome,
-        trace: records_lib.Trace | None = None,
+        trace: records_lib.Trace,
         key: str = "",
     ) -> None:
         took_ms = self._clock.now_ms() - started_ms
@@ -320,8 +371,8 @@
                 took_ms=round(took_ms, 3),
                 detail=_detail(outcome),
                 key=key,
-                events=trace.events if trace else [],
-                events_left_out=trace.events_left_out if trace else 0,
+                events=trace.events,
+                events_left_out=trace.events_left_out,
             )
         )
 
--- a/greengagedale/peers/base.py
+++ b/greengagedale/peers/base.py
@@ -18,6 +18,7 @@
         incarnation: The incarnation that may run it.
         request_id: Identifier of the request.
         key: The idempotency key.
+        workspace: Workspace in which it runs.
         member: Member on whose behalf it runs.
         service: Service whose upstreams hold the document.
         target: Key of the document that it acts on.
@@ -28,6 +29,7 @@
     incarnation: str
     request_id: str
     key: str
+    workspace: str
     member: str
     service: str
     target: int
--- a/greengagedale/upstreams/observed.py
+++ b/greengagedale/upstreams/observed.py
@@ -39,6 +39,14 @@
         """Asks an upstream about itself; None if it does not say."""
         return await self._inner.health(upstream)
 
+    async def prewarm(self, upstream: base.Upstream) -> None:
+        """Opens connections ahead of need."""
+        await self._inner.prewarm(upstream)
+
+    async def check_idle(self) -> None:
+        """Finds connections that went silent while idle."""
+        await self._inner.check_idle()
+
     async def close(self) -> None:
         """Closes all connections."""
         await self._inner.close()
