Outages in the race of operators; a dead watch is made up for sooner

A host alone with a dead watch waited for the bounded wait and up to 2 s of backoff, although reads were answered; an answered read now resets the backoff.

--- a/greengagedale/distribution.py
+++ b/greengagedale/distribution.py
@@ -147,7 +147,8 @@
             )
             if isinstance(changes, platform_base.Unavailable):
                 # The watch may be silent while reads are answered.
-                await self._read_catalog()
+                if await self._read_catalog():
+                    backoff.reset()
                 await backoff.wait()
                 continue
             values = [
@@ -164,17 +165,19 @@
             cursor = changes.cursor
             self._platform_answered()
 
-    async def _read_catalog(self) -> None:
+    async def _read_catalog(self) -> bool:
+        """Reads the newest catalog; tells whether the platform answered."""
         found = await self._store.get(
             catalogs.KIND_CATALOG, catalogs.CATALOG_NAME
         )
         if isinstance(found, platform_base.Unavailable):
-            return
+            return False
         if isinstance(found, platform_base.Missing):
             self._holder.configuration_known = True
         elif not await self._take(found.stored.value, FROM_PLATFORM):
-            return
+            return False
         self._platform_answered()
+        return True
 
     def _platform_answered(self) -> None:
         if self._platform_revision >= self._holder.current.revision:
--- a/standins/change_history.py
+++ b/standins/change_history.py
@@ -35,8 +35,8 @@
         gaps: Revisions that don't follow the one before by one.
         twice: Changes that are in the history more than once.
         lost: Changes told accepted that are not in it at that revision.
-        false_refusals: Changes told not accepted that are in it, or that fit
-            every revision of their time.
+        false_refusals: Changes told not accepted that are in it, or refused
+            although they fit every revision of their time.
     """
 
     invalid: list[int]
@@ -116,6 +116,8 @@
 ) -> bool:
     if item.change.change_id in at_revision:
         return True
+    if item.reason == "platform_down":
+        return False
     until = None if item.to_revision is None else item.to_revision + 1
     lived = states[item.from_revision : until]
     # The id is given anew, so that only the content of the change decides.
