--- a/greengagedale/distribution.py
+++ b/greengagedale/distribution.py
@@ -112,7 +112,7 @@
 
     async def run(self) -> None:
         """Follows everything until cancelled."""
-        await self._ask_seeds()
+        await self._guard(self._ask_seeds)
         async with asyncio.TaskGroup() as group:
             group.create_task(self._keep_up(self._follow_catalog))
             group.create_task(self._keep_up(self._follow_services))
@@ -121,12 +121,15 @@
     async def _keep_up(self, follow: Callable[[], Awaitable[None]]) -> None:
         """Starts work anew after an unexpected error, so that none ends it."""
         while True:
-            try:
-                await follow()
-            except Exception:
-                self._metrics.rejected.labels("internal").inc()
-                log.exception("following failed; it starts again")
-                await asyncio.sleep(_LONGEST_DELAY_S)
+            await self._guard(follow)
+            await asyncio.sleep(_LONGEST_DELAY_S)
+
+    async def _guard(self, work: Callable[[], Awaitable[None]]) -> None:
+        try:
+            await work()
+        except Exception:
+            self._metrics.rejected.labels("internal").inc()
+            log.exception("following configuration failed")
 
     async def _ask_seeds(self) -> None:
         """Takes over what other hosts have before the platform is asked.
