--- a/greengagedale/catalog/catalogs.py
+++ b/greengagedale/catalog/catalogs.py
@@ -160,7 +160,7 @@
         catalog["revision"],
         templates,
         workspaces,
-        resolve_all(templates, workspaces),
+        resolve_all(templates, workspaces, previous),
         catalog,
         encoded,
     )
@@ -169,9 +169,15 @@
 def resolve_all(
     templates: dict[str, documents.Template],
     workspaces: dict[str, documents.Workspace],
+    previous: Configuration = EMPTY,
 ) -> dict[str, documents.WorkspacePlan]:
     """Fills every workspace's template in.
 
+    Args:
+        templates: Templates by name.
+        workspaces: Workspaces by name.
+        previous: Its plans are kept where neither document was replaced.
+
     Raises:
         InvalidInputError: Some don't fit; all mistakes are listed.
     """
@@ -186,6 +192,12 @@
                 )
             )
             continue
+        if (
+            previous.workspaces.get(name) is workspace
+            and previous.templates.get(workspace.template) is template
+        ):
+            plans[name] = previous.plans[name]
+            continue
         try:
             plans[name] = documents.resolve(workspace, template)
         except exceptions.InvalidInputError as error:
--- a/greengagedale/catalog/edits.py
+++ b/greengagedale/catalog/edits.py
@@ -181,7 +181,7 @@
     workspaces = _edited(
         current.workspaces, change.workspace, change.delete_workspace
     )
-    plans = catalogs.resolve_all(templates, workspaces)
+    plans = catalogs.resolve_all(templates, workspaces, current)
     added = _new_documents(current, change, revision)
     catalog = _catalog(current.catalog, change, revision, added)
     value = msgspec.json.encode(catalog)
