Exact shares of slots, and room for members with less than their share

Change: the parts of an upstream's slots add up to the slots (rendezvous order takes the remainder); a workspace below its weighted share is admitted at once, and its attempts may go one over a limit; waiting requests need twice the expected wait and the mean run time with two deviations.

--- a/greengagedale/daemons.py
+++ b/greengagedale/daemons.py
@@ -99,7 +99,11 @@
         observed_transport,
         holder,
         drains.is_leaving,
-        lambda: 1 + len(directory.alive),
+        settings.host.name,
+        lambda: [
+            settings.host.name,
+            *(status.name for status in directory.alive.values()),
+        ],
         clock,
         metrics,
     )
--- a/greengagedale/limits/admission.py
+++ b/greengagedale/limits/admission.py
@@ -7,6 +7,7 @@
 estimate made on arrival turns out wrong.
 """
 
+import dataclasses
 import enum
 import random
 from typing import NamedTuple
@@ -17,7 +18,8 @@
 MAX_RETRY_AFTER_MS = 10_000
 _JITTER = (0.75, 1.5)
 _SMOOTHING = 0.1
-_WAIT_MARGIN = 1.25
+_WAIT_MARGIN = 2.0
+_DEVIATIONS = 2.0
 
 
 class Cause(enum.StrEnum):
@@ -65,6 +67,12 @@
 Decision = Admit | Refuse
 
 
+@dataclasses.dataclass(slots=True)
+class _Open:
+    workspace: str
+    units: int
+
+
 class Admission:
     """Admits the requests of one service on one host."""
 
@@ -72,11 +80,14 @@
         self._rng = rng
         self._queue: fairness.FairQueue[Ticket] = fairness.FairQueue()
         self._waiting: dict[str, Ticket] = {}
-        self._open: dict[str, int] = {}
+        self._open: dict[str, _Open] = {}
         self._open_units = 0
         self._admit_gap_ms: float | None = None
         self._admitted_ms = 0.0
         self._run_ms: float | None = None
+        self._run_deviation_ms = 0.0
+        self._open_of: dict[str, int] = {}
+        self._weights: dict[str, float] = {}
 
     @property
     def open_units(self) -> int:
@@ -104,15 +115,26 @@
         entry = fairness.Entry(ticket.request_id, float(ticket.units), ticket)
         self._queue.push(ticket.workspace, ticket.weight, entry)
         self._waiting[ticket.request_id] = ticket
-        return self.advance(capacity, now_ms)
+        return self.advance(capacity, now_ms, ticket.request_id)
+
+    def advance(
+        self, capacity: int, now_ms: float, arrived: str | None = None
+    ) -> list[Decision]:
+        """Admits what fits now, in fair order.
 
-    def advance(self, capacity: int, now_ms: float) -> list[Decision]:
-        """Admits what fits now, in fair order."""
+        Args:
+            capacity: Sub-requests that may run at once.
+            now_ms: The time.
+            arrived: A request that has not waited at all: it may run even
+                if only a partial answer can be had before its deadline.
+        """
         decisions: list[Decision] = []
-        crowded = len(self._queue) > 1 or not self._fits(1, capacity)
+        crowded = len(self._queue) > 1
         while (head := self._queue.peek()) is not None:
-            late = now_ms + self._expected_run_ms() > head.item.deadline_ms
-            if not late and not self._fits(head.item.units, capacity):
+            run_ms = self._expected_run_ms()
+            needed_ms = 0.0 if head.item_id == arrived else run_ms
+            late = now_ms + needed_ms > head.item.deadline_ms
+            if not late and not self._fits(head.item, capacity):
                 break
             self._queue.pop()
             del self._waiting[head.item_id]
@@ -145,10 +167,11 @@
 
     def end_unit(self, request_id: str) -> bool:
         """Takes in that a sub-request ended; False if none was open."""
-        if self._open.get(request_id, 0) == 0:
+        held = self._open.get(request_id)
+        if held is None or held.units == 0:
             return False
-        self._open[request_id] -= 1
-        self._open_units -= 1
+        held.units -= 1
+        self._give_back(held.workspace, 1)
         return True
 
     def end(self, request_id: str, took_ms: float) -> None:
@@ -158,7 +181,14 @@
             request_id: The request.
             took_ms: Time from its admission to its end.
         """
-        self._open_units -= self._open.pop(request_id, 0)
+        held = self._open.pop(request_id, None)
+        if held is None:
+            return
+        if held.units:
+            self._give_back(held.workspace, held.units)
+        if self._run_ms is not None:
+            off_ms = abs(took_ms - self._run_ms)
+            self._run_deviation_ms = _smoothed(self._run_deviation_ms, off_ms)
         self._run_ms = _smoothed(self._run_ms, took_ms)
 
     def _refuse_on_arrival(
@@ -167,13 +197,19 @@
         ahead = self._queue.length_of(ticket.workspace)
         if ahead >= ticket.queue_length:
             return self._refuse(ticket, Cause.QUEUE_FULL)
-        fits = not self._queue and self._fits(ticket.units, capacity)
-        wait_ms = 0.0 if fits else self._expected_wait_ms(ticket, ahead)
+        if self._runs_at_once(ticket, ahead, capacity):
+            return None
+        wait_ms = self._expected_wait_ms(ticket, ahead)
         due_ms = now_ms + wait_ms * _WAIT_MARGIN + self._expected_run_ms()
         if due_ms > ticket.deadline_ms:
             return self._refuse(ticket, Cause.TOO_LATE)
         return None
 
+    def _runs_at_once(self, ticket: Ticket, ahead: int, capacity: int) -> bool:
+        if ahead == 0 and self._is_small(ticket, capacity):
+            return True
+        return not self._queue and self._fits(ticket, capacity)
+
     def _expected_wait_ms(self, ticket: Ticket, ahead: int) -> float:
         others = self._queue.waiting_weight() - (ticket.weight if ahead else 0)
         turns = (ahead + 1) * (ticket.weight + others) / ticket.weight
@@ -181,14 +217,40 @@
         return turns * (self._admit_gap_ms or 0.0)
 
     def _expected_run_ms(self) -> float:
-        return self._run_ms or 0.0
-
-    def _fits(self, units: int, capacity: int) -> bool:
-        return not self._open or self._open_units + units <= capacity
+        if self._run_ms is None:
+            return 0.0
+        return self._run_ms + _DEVIATIONS * self._run_deviation_ms
+
+    def _fits(self, ticket: Ticket, capacity: int) -> bool:
+        if not self._open or self._open_units + ticket.units <= capacity:
+            return True
+        return self._is_small(ticket, capacity)
+
+    def _is_small(self, ticket: Ticket, capacity: int) -> bool:
+        """Tells whether a workspace has less than its share of what runs."""
+        others = sum(
+            weight
+            for name, weight in self._weights.items()
+            if name != ticket.workspace
+        )
+        part = capacity * ticket.weight / (ticket.weight + others)
+        held = self._open_of.get(ticket.workspace, 0)
+        return bool(others) and held + ticket.units <= part
+
+    def _give_back(self, workspace: str, units: int) -> None:
+        self._open_units -= units
+        self._open_of[workspace] -= units
+        if self._open_of[workspace] == 0:
+            del self._open_of[workspace]
+            del self._weights[workspace]
 
     def _admit(self, ticket: Ticket) -> Admit:
-        self._open[ticket.request_id] = ticket.units
+        workspace = ticket.workspace
+        self._open[ticket.request_id] = _Open(workspace, ticket.units)
         self._open_units += ticket.units
+        held = self._open_of.get(workspace, 0)
+        self._open_of[workspace] = held + ticket.units
+        self._weights[workspace] = ticket.weight
         return Admit(ticket.request_id)
 
     def _note_pace(self, admitted: int, crowded: bool, now_ms: float) -> None:
--- a/greengagedale/limits/assembly.py
+++ b/greengagedale/limits/assembly.py
@@ -1,6 +1,6 @@
 """Puts the parts of the limits together from the settings."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 import random
 from typing import NamedTuple, Self
 
@@ -36,7 +36,8 @@
         inner: base.UpstreamTransport,
         holder: configuration.Holder,
         is_leaving: Callable[[str], bool],
-        live_hosts: Callable[[], int],
+        own_name: str,
+        live_hosts: Callable[[], Iterable[str]],
         clock: clocks.Clock,
         metrics: metrics_lib.Metrics,
     ) -> Self:
@@ -48,6 +49,7 @@
             inner,
             gated.Placement(holder, is_leaving),
             gate,
+            own_name,
             live_hosts,
             clock,
             metrics,
--- a/greengagedale/limits/concurrency.py
+++ b/greengagedale/limits/concurrency.py
@@ -7,6 +7,7 @@
 """
 
 import abc
+from collections.abc import Sequence
 import enum
 import math
 from typing import NamedTuple
@@ -40,12 +41,28 @@
     high: int
 
     @classmethod
-    def of_upstream(cls, slots: int, connections: int, hosts: int) -> "Bounds":
-        """Returns the bounds for one of several hosts."""
-        wanted = owners.owners_wanted(slots, connections, hosts)
-        part = owners.share(slots, connections, wanted)
-        low = min(part.slots, part.connections)
-        return cls(low, max(low, min(slots, part.connections)))
+    def of_upstream(
+        cls,
+        upstream: str,
+        slots: int,
+        connections: int,
+        own: str,
+        hosts: Sequence[str],
+    ) -> "Bounds":
+        """Returns the bounds for one of several hosts.
+
+        Args:
+            upstream: Name of the upstream.
+            slots: Requests that it runs at once.
+            connections: Connections that it accepts, over all hosts.
+            own: Name of this host.
+            hosts: Names of all live hosts, this one included.
+        """
+        wanted = owners.owners_wanted(slots, connections, len(hosts))
+        names = owners.owners(upstream, hosts, wanted)
+        most = owners.share(upstream, own, names, connections)
+        low = min(most, owners.share(upstream, own, names, slots))
+        return cls(low, max(low, min(slots, most)))
 
 
 class _Latency:
--- a/greengagedale/limits/gate.py
+++ b/greengagedale/limits/gate.py
@@ -12,6 +12,7 @@
 from greengagedale.limits import fairness
 
 _FAILED_PAUSE_MS = 250.0
+_MOST_OVER_LIMIT = 1
 
 
 class Want(NamedTuple):
@@ -122,6 +123,9 @@
         ]
         if sound:
             return self._grant(want, sound[0])
+        spare = self._spare_for_small(want, used, now_ms)
+        if spare is not None:
+            return self._grant(want, spare)
         self._queue_of(want).push(
             want.member,
             want.weight,
@@ -165,6 +169,36 @@
             grants.append(grant)
         return grants
 
+    def _spare_for_small(
+        self, want: Want, used: set[str], now_ms: float
+    ) -> str | None:
+        """Lets a member with less than its share go over a limit by a little.
+
+        Otherwise it would wait for the attempts of members with more.
+        """
+        held = [
+            holder
+            for name in want.replicas
+            for holder in self._slots[name].holders.values()
+        ]
+        weights = {holder.member: holder.weight for holder in held}
+        weights[want.member] = want.weight
+        if len(weights) == 1:
+            return None
+        limits = self.capacity(want.replicas)
+        part = limits * want.weight / sum(weights.values())
+        if sum(holder.member == want.member for holder in held) + 1 > part:
+            return None
+        over = {
+            name: len(self._slots[name].holders) - self._slots[name].limit.value
+            for name in want.replicas
+            if name not in used and self._slots[name].failed_until_ms <= now_ms
+        }
+        least = min(over, key=lambda name: over[name], default=None)
+        if least is None or over[least] >= _MOST_OVER_LIMIT:
+            return None
+        return least
+
     def _serve(self, upstream: str, slots: _Slots) -> Grant | None:
         for _ in range(len(slots.queues)):
             key = slots.queues.pop(0)
--- a/greengagedale/limits/gated.py
+++ b/greengagedale/limits/gated.py
@@ -1,7 +1,7 @@
 """Carries attempts to upstreams through the gate of their slots."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterable
 from typing import Any, TypeVar
 
 from greengagedale import clocks
@@ -95,14 +95,17 @@
         inner: base.UpstreamTransport,
         placement: Placement,
         gate: gate_lib.Gate,
-        live_hosts: Callable[[], int],
+        own_name: str,
+        live_hosts: Callable[[], Iterable[str]],
         clock: clocks.Clock,
         metrics: metrics_lib.Metrics,
     ) -> None:
         self._inner = inner
         self._placement = placement
         self._gate = gate
+        self._own_name = own_name
         self._live_hosts = live_hosts
+        self._prepared: dict[str, tuple[int, tuple[str, ...]]] = {}
         self._clock = clock
         self._metrics = metrics
         self._waiting: dict[str, asyncio.Future[str]] = {}
@@ -115,11 +118,19 @@
         self._listeners.append(listener)
 
     def prepare(self, service: services.Service) -> None:
-        """Takes in the slots of a service's upstreams."""
-        hosts = max(1, self._live_hosts())
+        """Takes in the slots of a service's upstreams and the live hosts."""
+        hosts = tuple(sorted(self._live_hosts()))
+        known = (service.version, hosts)
+        if self._prepared.get(service.name) == known:
+            return
+        self._prepared[service.name] = known
         for upstream in service.upstreams.values():
             bounds = concurrency.Bounds.of_upstream(
-                upstream.slots, upstream.connections, hosts
+                upstream.name,
+                upstream.slots,
+                upstream.connections,
+                self._own_name,
+                hosts,
             )
             self._gate.set_bounds(upstream.name, bounds)
 
--- a/greengagedale/limits/owners.py
+++ b/greengagedale/limits/owners.py
@@ -5,7 +5,6 @@
 """
 
 from collections.abc import Iterable
-from typing import NamedTuple
 
 import xxhash
 
@@ -13,18 +12,6 @@
 SMALL_FLEET = 4
 
 
-class Share(NamedTuple):
-    """The part of one upstream that one owner may use.
-
-    Attributes:
-        slots: Slots that are this owner's when all owners are busy.
-        connections: Most connections that it may hold open.
-    """
-
-    slots: int
-    connections: int
-
-
 def owners_wanted(slots: int, connections: int, hosts: int) -> int:
     """Returns how many hosts may use an upstream directly.
 
@@ -46,10 +33,22 @@
     return sorted(hosts, key=lambda host: _score(upstream, host))[:wanted]
 
 
-def share(slots: int, connections: int, owner_count: int) -> Share:
-    """Divides an upstream among its owners; no part is ever zero."""
-    count = max(1, owner_count)
-    return Share(max(1, slots // count), max(1, connections // count))
+def share(upstream: str, own: str, owner_names: list[str], whole: int) -> int:
+    """Returns one owner's part of an upstream's slots or connections.
+
+    The parts add up to the whole, as those first in the order of the hash
+    take what an even division leaves over; but no part is less than one.
+
+    Args:
+        upstream: Name of the upstream.
+        own: Name of the owner.
+        owner_names: Names of all owners.
+        whole: What is divided.
+    """
+    count = max(1, len(owner_names))
+    even, left_over = divmod(whole, count)
+    first = owners(upstream, owner_names, left_over)
+    return max(1, even + (own in first))
 
 
 def _score(upstream: str, host: str) -> tuple[int, str]:
