--- a/tests/limits/test_admission.py
+++ b/tests/limits/test_admission.py
@@ -35,7 +35,7 @@
         held.end_unit(f"run-{number % 4}")
     assert held.advance(CAPACITY, 2.0) == [admission.Admit("next")]
     assert held.open_units == CAPACITY
-    for number in range(UNITS):
+    for _ in range(UNITS):
         held.end_unit("next")
     held.end("next", RUN_MS)
     assert held.open_units == CAPACITY - UNITS
