--- a/greengagedale/config/settings.py
+++ b/greengagedale/config/settings.py
@@ -52,11 +52,32 @@
     record_requests: options.Count = 2000
 
 
+class ActionsSettings(Section):
+    """Requests that are not safe to repeat, and their idempotency keys."""
+
+    ticket_life_ms: options.DurationMs = 30_000
+    retention_ms: options.DurationMs = 60_000
+    most_keys: options.Count = 50_000
+
+
+class ConfigurationSettings(Section):
+    """How changes of configuration are accepted."""
+
+    accept_timeout_ms: options.DurationMs = 10_000
+
+
 class UpstreamsSettings(Section):
     """How upstreams are used."""
 
     connect_timeout_ms: options.DurationMs = 200
-    policy: Literal["plain"] = "plain"
+    spare_connections: options.Count = 2
+
+
+class RoutingSettings(Section):
+    """How attempts are sent; `plain` is the baseline of measurements."""
+
+    policy: Literal["adaptive", "plain"] = "adaptive"
+    retry_share: options.Share = 0.1
 
 
 class LimitsSettings(Section):
@@ -97,8 +118,11 @@
     platform: PlatformSettings
     peers: PeersSettings = PeersSettings()
     callers: CallersSettings = CallersSettings()
+    actions: ActionsSettings = ActionsSettings()
+    configuration: ConfigurationSettings = ConfigurationSettings()
     upstreams: UpstreamsSettings = UpstreamsSettings()
     limits: LimitsSettings = LimitsSettings()
+    routing: RoutingSettings = RoutingSettings()
     shutdown: ShutdownSettings = ShutdownSettings()
     drain: DrainSettings = DrainSettings()
     logs: LogsSettings = LogsSettings()
--- a/greengagedale/daemons.py
+++ b/greengagedale/daemons.py
@@ -4,16 +4,23 @@
 import contextlib
 import logging
 import random
+import secrets
 import time
 
 from aiohttp import web
 
+from greengagedale import acceptance
 from greengagedale import actions
 from greengagedale import clocks
+from greengagedale import collection
 from greengagedale import configuration
+from greengagedale import configuration_metrics
 from greengagedale import directory as directory_lib
+from greengagedale import dispatches
+from greengagedale import distribution
 from greengagedale import drain_watch
 from greengagedale import fleet_metrics
+from greengagedale import forwarding
 from greengagedale import hosts
 from greengagedale import loops
 from greengagedale import metrics as metrics_lib
@@ -21,17 +28,23 @@
 from greengagedale import shutdowns
 from greengagedale.callers import http_server as callers_http
 from greengagedale.config import settings as settings_lib
+from greengagedale.idempotency import claims
+from greengagedale.idempotency import tables
+from greengagedale.idempotency import tickets
 from greengagedale.limits import assembly
 from greengagedale.membership import drains as drains_lib
 from greengagedale.membership import news
 from greengagedale.operators import http_server as operators_http
+from greengagedale.peers import base as peers_base
 from greengagedale.peers import grpc_client
 from greengagedale.peers import grpc_server
 from greengagedale.peers import udp
 from greengagedale.platform import base as platform_base
 from greengagedale.platform import http as platform_http
 from greengagedale.routing import leaving
+from greengagedale.routing import loads as loads_lib
 from greengagedale.routing import policies
+from greengagedale.routing import tacticians
 from greengagedale.upstreams import http as upstreams_http
 from greengagedale.upstreams import observed
 
@@ -39,6 +52,7 @@
 
 _HOST_LIST_S = 1.0
 _MS_PER_S = 1000.0
+_INCARNATION_BYTES = 6
 
 
 async def serve(settings: settings_lib.Settings) -> None:
@@ -53,6 +67,7 @@
         host.leaving = True
         log.info("leaving")
         await shutdown.wait_for_callers()
+        host.refuse_new_actions()
     log.info("stopped")
 
 
@@ -64,7 +79,10 @@
     clock = clocks.MonotonicClock()
     metrics = metrics_lib.Metrics()
     store = platform_http.HttpStore.from_config(
-        settings.platform.endpoint, settings.platform.timeout_ms, metrics
+        settings.platform.endpoint,
+        settings.platform.timeout_ms,
+        metrics,
+        client_name=settings.host.name,
     )
     stack.push_async_callback(store.close)
     board = news.Board(clock)
@@ -75,19 +93,25 @@
         lambda source: metrics.drain_signals.labels(source).inc(),
     )
     plain_transport = upstreams_http.HttpTransport.from_config(
-        settings.host.data_centre, settings.upstreams.connect_timeout_ms
+        settings.host.data_centre,
+        settings.upstreams.connect_timeout_ms,
+        settings.upstreams.spare_connections,
     )
     stack.push_async_callback(plain_transport.close)
     observed_transport = observed.ObservedTransport(plain_transport, drains)
     peers = grpc_client.GrpcTransport.from_config(settings.peers.timeout_ms)
     stack.push_async_callback(peers.close)
-    holder = configuration.Holder()
-    reader = configuration.Reader(
-        store, holder, settings.platform.watch_wait_ms
+    holder = configuration.Holder(clock)
+    held_metrics = configuration_metrics.ConfigurationMetrics.from_config(
+        metrics, holder
+    )
+    collector = collection.Collector(store, held_metrics)
+    stack.push_async_callback(collector.close)
+    writer = acceptance.Writer.from_config(
+        settings, store, holder, collector, held_metrics
     )
-    rng = random.Random()
     directory = directory_lib.Directory.from_config(
-        settings, board, peers, clock, rng
+        settings, board, peers, clock, random.Random()
     )
     metrics.registry.register(
         fleet_metrics.MembershipCollector(
@@ -108,15 +132,24 @@
         metrics,
     )
     transport = limits.transport
+    loads = loads_lib.LoadTracker(clock)
     policy = leaving.LeavingFilter(
-        policies.PlainPolicy(random.Random()), drains.is_leaving
+        policies.from_config(settings.routing, loads, random.Random()),
+        drains.is_leaving,
     )
+    tactician = tacticians.Tactician.from_config(settings.routing, policy)
+    action_runner = _action_runner(
+        settings, store, holder, directory, peers, limits, policy, metrics
+    )
+    stack.push_async_callback(action_runner.finish)
     host = hosts.Host(
         settings,
         holder,
-        configuration.Writer(store, reader, holder),
-        searches.SearchRunner(transport, policy, clock, metrics),
-        actions.ActionRunner(transport, policy, clock),
+        writer,
+        searches.SearchRunner(
+            transport, tactician, loads, holder.services.get, clock, metrics
+        ),
+        action_runner,
         limits.admitter,
         directory,
         peers,
@@ -134,12 +167,14 @@
         lambda: [status.name for status in directory.alive.values()],
         settings.drain.poll_interval_ms,
     )
+    follower = distribution.Follower.from_config(
+        settings, store, peers, holder, lambda: directory.alive, held_metrics
+    )
     background = [
         watch.follow_platform(),
         watch.poll(),
         directory.run(datagrams, host.status),
-        reader.follow_catalog(),
-        reader.follow_services(),
+        follower.run(),
         _follow_hosts(settings, store, directory),
     ]
     for work in background:
@@ -148,6 +183,37 @@
     return host
 
 
+def _action_runner(
+    settings: settings_lib.Settings,
+    store: platform_base.ObjectStore,
+    holder: configuration.Holder,
+    directory: directory_lib.Directory,
+    peers: peers_base.PeerTransport,
+    limits: assembly.Limits,
+    policy: policies.RoutingPolicy,
+    metrics: metrics_lib.Metrics,
+) -> actions.ActionRunner:
+    clock = clocks.MonotonicClock()
+    incarnation = secrets.token_hex(_INCARNATION_BYTES)
+    issuer = tickets.Issuer(settings.host.name, incarnation)
+    key_limits = tables.Limits(
+        settings.actions.most_keys,
+        settings.actions.ticket_life_ms,
+        settings.actions.retention_ms,
+    )
+    return actions.ActionRunner(
+        issuer,
+        tables.KeyTable(key_limits),
+        claims.PlatformClaims(store, issuer, clock),
+        forwarding.PeerForwarder(directory, peers, clock),
+        dispatches.Dispatcher(
+            holder, limits.transport, policy, clock, metrics, limits.admitter
+        ),
+        clock,
+        metrics,
+    )
+
+
 async def _listen(
     settings: settings_lib.Settings,
     host: hosts.Host,
--- a/greengagedale/limits/admitting.py
+++ b/greengagedale/limits/admitting.py
@@ -3,11 +3,12 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 import random
-from typing import NamedTuple
+from typing import NamedTuple, Self
 
 from greengagedale import clocks
 from greengagedale import metrics as metrics_lib
 from greengagedale import outcomes
+from greengagedale.catalog import documents
 from greengagedale.catalog import services
 from greengagedale.limits import admission
 from greengagedale.query import snapshots
@@ -35,6 +36,23 @@
     queue_length: int
     deadline_ms: float
 
+    @classmethod
+    def from_plan(
+        cls,
+        plan: documents.WorkspacePlan,
+        workspace: str,
+        request_id: str,
+        deadline_ms: float,
+    ) -> Self:
+        """Makes the ask of a request from the plan of its workspace."""
+        return cls(
+            request_id,
+            workspace,
+            float(plan.weight),
+            plan.queue_length,
+            deadline_ms,
+        )
+
 
 class Admitter:
     """Admits the requests of all services on this host."""
--- a/greengagedale/metrics.py
+++ b/greengagedale/metrics.py
@@ -61,8 +61,11 @@
         requests: Requests of callers by workspace and outcome.
         refusals: Refusals by layer and reason.
         retries: Attempts beyond the first by reason.
+        action_steps: What was done for requests that are not safe to repeat.
         attempts: Attempts sent to upstreams by service.
         drops: Answers of upstreams that were not used, by reason.
+        search_events: What searches did beyond first attempts, by service,
+            event and reason.
         drain_signals: First signals that an upstream leaves, by source.
         platform_calls: Calls to the platform by operation and result.
         request_latency: Latency of requests by workspace.
@@ -80,12 +83,22 @@
         self.retries = self._counter(
             "retries", "Attempts beyond the first.", "reason"
         )
+        self.action_steps = self._counter(
+            "action_steps", "Steps of requests not safe to repeat.", "step"
+        )
         self.attempts = self._counter(
             "attempts", "Attempts sent to upstreams.", "service"
         )
         self.drops = self._counter(
             "dropped_answers", "Answers not used.", "reason"
         )
+        self.search_events = self._counter(
+            "search_events",
+            "What searches did beyond first attempts.",
+            "service",
+            "event",
+            "reason",
+        )
         self.drain_signals = self._counter(
             "drain_signals", "Upstreams found leaving.", "source"
         )
--- a/greengagedale/peers/grpc_client.py
+++ b/greengagedale/peers/grpc_client.py
@@ -6,6 +6,7 @@
 from grpc import aio
 import msgspec
 
+from greengagedale import configuration
 from greengagedale import records
 from greengagedale.membership import messages
 from greengagedale.peers import base
@@ -40,6 +41,45 @@
             endpoint, wire.EXPLAIN, request_id, records.Record | None
         )
 
+    async def act(
+        self, endpoint: str, request: base.ForwardedAction
+    ) -> base.ForwardedResult | None:
+        """Forwards a request; without an answer it may have run."""
+        return await self._ask(
+            endpoint,
+            wire.ACT,
+            request,
+            base.ForwardedResult,
+            request.left_ms / _MS_PER_S,
+        )
+
+    async def catalog(
+        self, endpoint: str, known_revision: int
+    ) -> base.SharedCatalog | None:
+        """Asks a host for its catalog, without the content if it is known."""
+        return await self._ask(
+            endpoint, wire.CATALOG, known_revision, base.SharedCatalog | None
+        )
+
+    async def documents(
+        self, endpoint: str, names: list[str]
+    ) -> dict[str, bytes] | None:
+        """Asks a host for documents; it may send only some of them."""
+        return await self._ask(
+            endpoint, wire.DOCUMENTS, names, dict[str, bytes]
+        )
+
+    async def services(
+        self, endpoint: str, known: dict[str, int]
+    ) -> list[configuration.StoredService] | None:
+        """Asks a host for services of higher versions than the known."""
+        return await self._ask(
+            endpoint,
+            wire.SERVICES,
+            known,
+            list[configuration.StoredService] | None,
+        )
+
     async def close(self) -> None:
         """Closes all connections."""
         for channel in self._channels.values():
@@ -47,7 +87,12 @@
         self._channels.clear()
 
     async def _ask(
-        self, endpoint: str, method: str, request: Any, reply_type: Any
+        self,
+        endpoint: str,
+        method: str,
+        request: Any,
+        reply_type: Any,
+        timeout_s: float | None = None,
     ) -> Any:
         channel = self._channels.get(endpoint)
         if channel is None:
@@ -55,7 +100,9 @@
             self._channels[endpoint] = channel
         call = channel.unary_unary(wire.path_of(method))
         try:
-            encoded = await call(wire.encode(request), timeout=self._timeout_s)
+            encoded = await call(
+                wire.encode(request), timeout=timeout_s or self._timeout_s
+            )
             return wire.decode(encoded, reply_type)
         except (grpc.RpcError, msgspec.DecodeError):
             return None
--- a/greengagedale/peers/grpc_server.py
+++ b/greengagedale/peers/grpc_server.py
@@ -1,6 +1,7 @@
 """Answers other hosts over gRPC."""
 
 from collections.abc import Callable
+import inspect
 from typing import Any
 
 import grpc
@@ -24,6 +25,10 @@
     methods = {
         wire.MEMBERS: _unary(lambda _: service.members(), type(None)),
         wire.EXPLAIN: _unary(service.explain, str),
+        wire.ACT: _unary(service.act_forwarded, base.ForwardedAction),
+        wire.CATALOG: _unary(service.catalog, int),
+        wire.DOCUMENTS: _unary(service.shared_documents, list[str]),
+        wire.SERVICES: _unary(service.newer_services, dict[str, int]),
     }
     return grpc.method_handlers_generic_handler(wire.SERVICE, methods)
 
@@ -36,6 +41,9 @@
             await context.abort(
                 grpc.StatusCode.INVALID_ARGUMENT, f"bad message: {error}"
             )
-        return wire.encode(answer(request))
+        answered = answer(request)
+        if inspect.isawaitable(answered):
+            answered = await answered
+        return wire.encode(answered)
 
     return grpc.unary_unary_rpc_method_handler(handle)
--- a/greengagedale/peers/wire.py
+++ b/greengagedale/peers/wire.py
@@ -7,6 +7,10 @@
 SERVICE = "greengagedale.Peers"
 MEMBERS = "Members"
 EXPLAIN = "Explain"
+ACT = "Act"
+CATALOG = "Catalog"
+DOCUMENTS = "Documents"
+SERVICES = "Services"
 
 encode = msgspec.msgpack.encode
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -29,8 +29,11 @@
         down: Every call is refused with status 503.
         delay_ms: Every call takes this much longer.
         lose_replies: This many writes take effect without a reply.
+        lose_every: Of so many writes, one takes effect without a reply.
         stale_reads: Reads give the version before the newest.
         silent_watches: Watches never answer.
+        silent_clients: Watches of these clients never answer; each is the
+            end of a user agent.
         writes_per_s: Limit on writes; more get status 429.
         reads_per_s: Limit on reads; more get status 429.
     """
@@ -38,8 +41,10 @@
     down: bool
     delay_ms: float
     lose_replies: int
+    lose_every: int
     stale_reads: bool
     silent_watches: bool
+    silent_clients: list[str]
     writes_per_s: int
     reads_per_s: int
 
@@ -109,11 +114,13 @@
         try:
             async with asyncio.timeout(wait_s), self._changed:
                 await self._changed.wait_for(
-                    lambda: self._after(kind, cursor) and self._watchable()
+                    lambda: (
+                        self._after(kind, cursor) and self._watchable(request)
+                    )
                 )
         except TimeoutError:
             pass
-        while not self._watchable():
+        while not self._watchable(request):
             await asyncio.sleep(wait_s)
         if self.faults.get("down"):
             raise web.HTTPServiceUnavailable
@@ -141,8 +148,19 @@
         del request
         return _json(self.calls)
 
-    def _watchable(self) -> bool:
-        return not self.faults.get("silent_watches")
+    def _loses_reply(self) -> bool:
+        if self.faults.get("lose_replies", 0) > 0:
+            self.faults["lose_replies"] -= 1
+            return True
+        every = self.faults.get("lose_every")
+        return bool(every) and self.calls["put"] % every == 0
+
+    def _watchable(self, request: web.Request) -> bool:
+        agent = request.headers.get("User-Agent", "")
+        silent = tuple(self.faults.get("silent_clients", ()))
+        return not self.faults.get("silent_watches") and not (
+            agent.endswith(silent)
+        )
 
     def _read(self, key: tuple[str, str]) -> Stored | None:
         versions = self._objects.get(key)
@@ -197,8 +215,7 @@
         )
         async with self._changed:
             self._changed.notify_all()
-        if self.faults.get("lose_replies", 0) > 0:
-            self.faults["lose_replies"] -= 1
+        if self._loses_reply():
             request.transport.abort()
         return _json(wire.WriteReply(version=version))
 
