Quarantine of requests that crash upstreams

Cause: a request that crashes each upstream that runs it was sent to every range, and again by its caller. Change: limits.quarantine decides from deaths (a written attempt failed and a fresh connection is refused), trials and answers; a suspect goes ahead alone, a second death in its trial quarantines it, any answer clears it; news carry findings to all hosts, and an answer waits 150 ms for them after a death.

--- a/bench/capacities.py
+++ b/bench/capacities.py
@@ -3,6 +3,7 @@
 import math
 import pathlib
 import re
+import time
 from typing import NamedTuple
 
 from bench import cases
@@ -74,3 +75,8 @@
         text.replace(line, f"{line}work_ms = {WORK_MS}\n"), encoding="utf-8"
     )
     return slowed
+
+
+def now_ms() -> float:
+    """Returns the time by the clock that stand-ins record."""
+    return time.monotonic() * _MS_PER_S
--- /dev/null
+++ b/bench/poison.py
@@ -0,0 +1,205 @@
+"""Requests that crash upstreams, sent again by their caller."""
+
+import asyncio
+from collections.abc import Iterable
+import contextlib
+import itertools
+import threading
+from typing import Any, ClassVar, NamedTuple
+
+import aiohttp
+
+from bench import capacities
+from bench import cases
+from greengagedale import loops
+from standins import deployments
+from standins import load
+from standins import upstream as upstream_lib
+
+_RATE_PER_S = 60.0
+_POISON_SHARE = 0.004
+_SENDS = 5
+_TIMEOUT_MS = 1500
+_RESTART_POLL_S = 0.1
+_MOST_DEATHS = 2
+_TARGET = (
+    "at most 2 deaths for each poison, none after its quarantine is known,"
+    " no healthy request quarantined"
+)
+
+
+class _Answer(NamedTuple):
+    text: str
+    reason: str
+    at_ms: float
+
+
+class Poison(cases.Case):
+    """Deaths of upstreams, and what canaries cost while none die."""
+
+    name = "poison"
+    duration_s = 12.0
+    policies: ClassVar[dict[str, str]] = {
+        "plain": '[limits]\nadmission = "none"\nconcurrency = "none"\n',
+        **{
+            f"canary {mode}": f'[limits]\ncanary = "{mode}"\n'
+            for mode in ("suspected", "after_deaths", "always")
+        },
+    }
+
+    def run(self, context: cases.Context) -> Iterable[cases.Row]:
+        """Measures each policy on a deployment of its own."""
+        for policy, settings in self.policies.items():
+            figures = _measure(context, policy, "\n" + settings)
+            plain = policy == "plain"
+            yield cases.Row(
+                self.name,
+                context.shape.name,
+                policy,
+                context.seed,
+                figures,
+                "" if plain else _TARGET,
+                None if plain else _meets(figures),
+            )
+
+
+def _meets(figures: dict[str, float]) -> bool:
+    return (
+        figures["most_deaths"] <= _MOST_DEATHS
+        and figures["deaths_after_known"] == 0
+        and figures["healthy_quarantined"] == 0
+    )
+
+
+def _measure(
+    context: cases.Context, policy: str, settings: str
+) -> dict[str, float]:
+    service = capacities.SERVICES[context.shape.name]
+    deployment = context.deployment(policy.replace(" ", "-"))
+    names = [
+        placed.upstream.name
+        for placed in deployment.shape.upstreams()
+        if placed.shape.name == service
+    ]
+    try:
+        deployment.start_platform()
+        for name in names:
+            deployment.start_upstream(name)
+        for host in deployment.shape.entry_hosts():
+            deployment.start_host(host, settings)
+        deployment.wait_ready()
+        deployment.apply_workspace("bench", "member-a", service)
+        with _restarting(deployment, names):
+            return _figures(deployment, names, context)
+    finally:
+        deployment.stop()
+
+
+@contextlib.contextmanager
+def _restarting(deployment: deployments.Deployment, names: list[str]) -> Any:
+    """Starts upstreams again that have crashed."""
+    stop = threading.Event()
+
+    def watch() -> None:
+        while not stop.wait(_RESTART_POLL_S):
+            for name in names:
+                if deployment.processes[name].poll() is not None:
+                    deployment.start_upstream(name)
+
+    thread = threading.Thread(target=watch)
+    thread.start()
+    try:
+        yield
+    finally:
+        stop.set()
+        thread.join()
+
+
+def _figures(
+    deployment: deployments.Deployment,
+    names: list[str],
+    context: cases.Context,
+) -> dict[str, float]:
+    endpoints = [deployment.caller(h) for h in deployment.shape.entry_hosts()]
+    plan = load.LoadPlan(
+        endpoints,
+        "bench",
+        _RATE_PER_S,
+        context.duration_s,
+        context.seed,
+        _TIMEOUT_MS,
+    )
+    [calm] = load.run(plan._replace(duration_s=context.duration_s / 2))
+    beside, answers = loops.run(_offer(plan._replace(seed=context.seed + 9)))
+    events = [
+        event
+        for name in names
+        for event in deployment.record_of(name)
+        if event["event"] == "crash"
+    ]
+    deaths = [
+        sum(event["text"] == text for event in events)
+        for text in {answer.text for answer in answers}
+    ]
+    before, during = load.Summary.of(calm), load.Summary.of(beside)
+    return {
+        "calm_p50_ms": before.p50_ms,
+        "calm_p99_ms": before.p99_ms,
+        "during_p50_ms": during.p50_ms,
+        "during_p99_ms": during.p99_ms,
+        "poisons": len(deaths),
+        "most_deaths": max(deaths),
+        "mean_deaths": sum(deaths) / len(deaths),
+        "deaths_after_known": _after_known(events, answers),
+        "poison_sends_refused": sum(a.reason == "quarantined" for a in answers),
+        "healthy_quarantined": sum(_reason(s.body) for s in beside),
+        "healthy_full_share": during.full / max(1, during.requests),
+    }
+
+
+def _reason(body: Any) -> bool:
+    return isinstance(body, dict) and body.get("reason") == "quarantined"
+
+
+def _after_known(events: list[dict[str, Any]], answers: list[_Answer]) -> int:
+    known: dict[str, float] = {}
+    for answer in answers:
+        if answer.reason == "quarantined":
+            known.setdefault(answer.text, answer.at_ms)
+    return sum(
+        event["at_ms"] > known.get(event["text"], float("inf"))
+        for event in events
+    )
+
+
+async def _offer(
+    plan: load.LoadPlan,
+) -> tuple[list[load.Sample], list[_Answer]]:
+    count = max(2, round(plan.rate_per_s * plan.duration_s * _POISON_SHARE))
+    async with aiohttp.ClientSession() as session:
+        poisons = (
+            _resend(session, plan, number, number * plan.duration_s / count)
+            for number in range(count)
+        )
+        healthy, *answers = await asyncio.gather(load.offer(plan), *poisons)
+    return healthy, list(itertools.chain.from_iterable(answers))
+
+
+async def _resend(
+    session: aiohttp.ClientSession,
+    plan: load.LoadPlan,
+    number: int,
+    delay_s: float,
+) -> list[_Answer]:
+    await asyncio.sleep(delay_s)
+    text = f"{upstream_lib.CRASH_TEXT} {number}"
+    answers = []
+    for turn in range(_SENDS):
+        endpoint = plan.endpoints[(number + turn) % len(plan.endpoints)]
+        url = f"http://{endpoint}/v1/workspaces/{plan.workspace}/search"
+        body = {"text": text, "timeout_ms": plan.timeout_ms}
+        async with session.post(url, json=body) as response:
+            got = await response.json()
+        reason = got.get("reason", got["outcome"])
+        answers.append(_Answer(text, reason, capacities.now_ms()))
+    return answers
--- a/greengagedale/config/settings.py
+++ b/greengagedale/config/settings.py
@@ -86,10 +86,12 @@
     Attributes:
         admission: How requests are admitted.
         concurrency: How the limit of each upstream follows what it does.
+        canary: When one sub-request of a search goes ahead of the others.
     """
 
     admission: Literal["fair", "none"] = "fair"
     concurrency: Literal["gradient", "aimd", "fixed", "none"] = "aimd"
+    canary: Literal["always", "after_deaths", "suspected"] = "after_deaths"
 
 
 class ShutdownSettings(Section):
--- a/greengagedale/daemons.py
+++ b/greengagedale/daemons.py
@@ -123,6 +123,8 @@
         observed_transport,
         holder,
         drains.is_leaving,
+        board,
+        _wall_ms,
         settings.host.name,
         lambda: [
             settings.host.name,
--- a/greengagedale/dispatches.py
+++ b/greengagedale/dispatches.py
@@ -9,6 +9,7 @@
 from greengagedale import records
 from greengagedale.catalog import services
 from greengagedale.limits import admitting
+from greengagedale.limits import guarded
 from greengagedale.query import snapshots
 from greengagedale.routing import policies
 from greengagedale.upstreams import base as upstreams_base
@@ -74,7 +75,11 @@
         if self._admitter is None or service is None or plan is None:
             return await self._dispatch(request, service, trace)
         asked = admitting.Asked.from_plan(
-            plan, request.workspace, request.request_id, request.deadline_ms
+            plan,
+            request.workspace,
+            request.request_id,
+            request.deadline_ms,
+            guarded.action_fingerprint(request.member, request.body),
         )
         return await self._admitter.run_action(
             asked, service, lambda: self._dispatch(request, service, trace)
--- a/greengagedale/hosts.py
+++ b/greengagedale/hosts.py
@@ -22,6 +22,7 @@
 from greengagedale.catalog import services
 from greengagedale.config import settings as settings_lib
 from greengagedale.limits import admitting
+from greengagedale.limits import guarded
 from greengagedale.membership import messages
 from greengagedale.operators import base as operators_base
 from greengagedale.peers import base as peers_base
@@ -226,6 +227,7 @@
                 call.workspace,
                 search.request_id,
                 search.deadline_ms,
+                guarded.search_fingerprint(member, search.text),
             ),
             service,
             lambda: self._searches.run(search, member, service),
--- a/greengagedale/limits/admitting.py
+++ b/greengagedale/limits/admitting.py
@@ -11,6 +11,7 @@
 from greengagedale.catalog import documents
 from greengagedale.catalog import services
 from greengagedale.limits import admission
+from greengagedale.limits import guarded
 from greengagedale.query import snapshots
 
 _MS_PER_S = 1000.0
@@ -28,6 +29,7 @@
         weight: Weight of the workspace.
         queue_length: Requests of the workspace that may wait.
         deadline_ms: When its answer is due, by the clock of the process.
+        fingerprint: What the quarantine knows it by.
     """
 
     request_id: str
@@ -35,6 +37,7 @@
     weight: float
     queue_length: int
     deadline_ms: float
+    fingerprint: str
 
     @classmethod
     def from_plan(
@@ -43,6 +46,7 @@
         workspace: str,
         request_id: str,
         deadline_ms: float,
+        fingerprint: str,
     ) -> Self:
         """Makes the ask of a request from the plan of its workspace."""
         return cls(
@@ -51,6 +55,7 @@
             float(plan.weight),
             plan.queue_length,
             deadline_ms,
+            fingerprint,
         )
 
 
@@ -63,7 +68,9 @@
         clock: clocks.Clock,
         rng: random.Random,
         metrics: metrics_lib.Metrics,
+        guard: guarded.Guard,
     ) -> None:
+        self._guard = guard
         self._capacity = capacity
         self._clock = clock
         self._rng = rng
@@ -101,6 +108,9 @@
     async def _run(
         self, asked: Asked, service: services.Service, units: int, run: Run
     ) -> outcomes.Outcome:
+        refusal = self._guard.refusal(asked.fingerprint)
+        if refusal is not None:
+            return refusal
         ticket = admission.Ticket(
             asked.request_id,
             asked.workspace,
@@ -117,9 +127,11 @@
             )
         started_ms = self._clock.now_ms()
         try:
-            return await run()
+            outcome = await run()
         finally:
             self._end(ticket, service, started_ms)
+        await self._guard.settle(asked.fingerprint, asked.deadline_ms)
+        return outcome
 
     async def _decide(
         self, ticket: admission.Ticket, service: services.Service
--- a/greengagedale/limits/assembly.py
+++ b/greengagedale/limits/assembly.py
@@ -13,7 +13,13 @@
 from greengagedale.limits import gate as gate_lib
 from greengagedale.limits import gated
 from greengagedale.limits import gauges
+from greengagedale.limits import guarded
+from greengagedale.limits import quarantine
+from greengagedale.membership import news
 from greengagedale.upstreams import base
+from greengagedale.upstreams import probes
+
+_PROBE_TIMEOUT_MS = 200.0
 
 
 class Limits(NamedTuple):
@@ -36,6 +42,8 @@
         inner: base.UpstreamTransport,
         holder: configuration.Holder,
         is_leaving: Callable[[str], bool],
+        board: news.Board,
+        wall_ms: Callable[[], int],
         own_name: str,
         live_hosts: Callable[[], Iterable[str]],
         clock: clocks.Clock,
@@ -45,8 +53,16 @@
         if config.concurrency == "none":
             return cls(inner, None, None)
         gate = gate_lib.Gate(concurrency.KINDS[config.concurrency])
-        transport = gated.GatedTransport(
-            inner,
+        guard = guarded.Guard(
+            quarantine.Quarantine(quarantine.Canary(config.canary)),
+            probes.TcpProber(_PROBE_TIMEOUT_MS),
+            board,
+            clock,
+            wall_ms,
+            metrics,
+        )
+        gated_transport = gated.GatedTransport(
+            guarded.WatchedTransport(inner, guard),
             gated.Placement(holder, is_leaving),
             gate,
             own_name,
@@ -54,12 +70,13 @@
             clock,
             metrics,
         )
+        transport = guarded.GuardedTransport(gated_transport, guard)
         metrics.registry.register(gauges.GateCollector(gate))
         if config.admission == "none":
             return cls(transport, gate, None)
         admitter = admitting.Admitter(
-            transport.capacity, clock, random.Random(), metrics
+            gated_transport.capacity, clock, random.Random(), metrics, guard
         )
-        transport.on_attempt_end(admitter.on_attempt_end)
+        gated_transport.on_attempt_end(admitter.on_attempt_end)
         metrics.registry.register(gauges.AdmissionCollector(admitter))
         return cls(transport, gate, admitter)
--- a/greengagedale/limits/gated.py
+++ b/greengagedale/limits/gated.py
@@ -12,6 +12,7 @@
 from greengagedale.catalog import services
 from greengagedale.limits import concurrency
 from greengagedale.limits import gate as gate_lib
+from greengagedale.limits import passing
 from greengagedale.query import attempts
 from greengagedale.query import ranges
 from greengagedale.query import snapshots
@@ -87,7 +88,7 @@
         return index
 
 
-class GatedTransport(base.UpstreamTransport):
+class GatedTransport(passing.PassingTransport):
     """Sends attempts only while their upstream has a slot for this host."""
 
     def __init__(
@@ -100,7 +101,7 @@
         clock: clocks.Clock,
         metrics: metrics_lib.Metrics,
     ) -> None:
-        self._inner = inner
+        super().__init__(inner)
         self._placement = placement
         self._gate = gate
         self._own_name = own_name
@@ -197,10 +198,6 @@
             self._release(attempt_id)
         return confirmed
 
-    async def health(self, upstream: base.Upstream) -> base.Health | None:
-        """Asks an upstream about itself; None if it does not say."""
-        return await self._inner.health(upstream)
-
     async def close(self) -> None:
         """Closes all connections."""
         for handle in self._releases:
@@ -333,3 +330,8 @@
             weight, weights.get(workspace.member, 0.0)
         )
     return weights
+
+
+def was_answered(result: Any) -> bool:
+    """Tells whether an attempt got an answer rather than a failure."""
+    return not isinstance(result, outcomes.AttemptEnd)
--- a/greengagedale/metrics.py
+++ b/greengagedale/metrics.py
@@ -62,6 +62,7 @@
         refusals: Refusals by layer and reason.
         retries: Attempts beyond the first by reason.
         action_steps: What was done for requests that are not safe to repeat.
+        quarantine: Deaths of upstreams, suspicions and refusals, by event.
         attempts: Attempts sent to upstreams by service.
         drops: Answers of upstreams that were not used, by reason.
         search_events: What searches did beyond first attempts, by service,
@@ -86,6 +87,9 @@
         self.action_steps = self._counter(
             "action_steps", "Steps of requests not safe to repeat.", "step"
         )
+        self.quarantine = self._counter(
+            "quarantine", "Deaths, suspicions and refusals.", "event"
+        )
         self.attempts = self._counter(
             "attempts", "Attempts sent to upstreams.", "service"
         )
