A platform write that was sent twice is never said not to be sent

Cause: aiohttp sends a PUT again if its kept connection is lost. If the second try can't connect, the store answered that the write did not take effect, though the first may have (tests/platform/test_http_retries.py, failing before: Unavailable instead of Unsure). What counts now is whether any connection was there to write to. One class in the platform's adapter.

--- a/greengagedale/platform/http.py
+++ b/greengagedale/platform/http.py
@@ -27,6 +27,22 @@
     sent: bool
 
 
+class _Progress:
+    """How far a call came.
+
+    The library sends a write again if a connection that it kept is lost, so
+    that the last error alone doesn't tell whether anything was sent.
+
+    Attributes:
+        connected: Whether any connection was there to write to.
+    """
+
+    __slots__ = ("connected",)
+
+    def __init__(self) -> None:
+        self.connected = False
+
+
 class HttpStore(base.ObjectStore):
     """The object API over HTTP."""
 
@@ -58,8 +74,12 @@
             metrics: Where calls are counted.
             client_name: Told to the platform as part of the user agent.
         """
+        tracing = aiohttp.TraceConfig(trace_config_ctx_factory=_context_of_call)
+        tracing.on_connection_create_end.append(_mark_connected)
+        tracing.on_connection_reuseconn.append(_mark_connected)
         session = aiohttp.ClientSession(
             connector=connectors.DirectConnector(limit=0),
+            trace_configs=[tracing],
             headers={"User-Agent": f"greengagedale/{client_name}"},
         )
         return cls(session, endpoint, timeout_ms, metrics)
@@ -162,6 +182,7 @@
             else {"If-Match": str(expected_version)}
         )
         total_s = (timeout_ms or self._timeout_ms) / _MS_PER_S
+        progress = _Progress()
         try:
             async with self._session.request(
                 method,
@@ -169,14 +190,13 @@
                 data=body,
                 headers=headers,
                 timeout=aiohttp.ClientTimeout(total=total_s),
+                trace_request_ctx=progress,
             ) as response:
                 reply = _Reply(response.status, await response.read())
-        except aiohttp.ClientConnectorError as error:
-            self._count(operation, "unreachable")
-            return _Failure(str(error), sent=False)
         except (aiohttp.ClientError, OSError) as error:
-            self._count(operation, "no_reply")
-            return _Failure(repr(error), sent=True)
+            sent = progress.connected
+            self._count(operation, "no_reply" if sent else "unreachable")
+            return _Failure(repr(error), sent)
         self._count(operation, str(reply.status))
         return reply
 
@@ -184,6 +204,17 @@
         self._metrics.platform_calls.labels(operation, result).inc()
 
 
+def _context_of_call(trace_request_ctx: _Progress) -> _Progress:
+    return trace_request_ctx
+
+
+async def _mark_connected(
+    session: aiohttp.ClientSession, progress: _Progress, params: object
+) -> None:
+    del session, params
+    progress.connected = True
+
+
 def _stored(kind: str, reply: wire.ObjectReply) -> base.StoredObject:
     return base.StoredObject(
         kind, reply["name"], reply["version"], reply["value"].encode()
