Every point holds under its fault and is lost without its mechanism

Cause: a check that stays green without its mechanism proves nothing. Change: nine scenarios over real processes behind the fault proxy, each run as the product is and with one mechanism patched away by the tests. Ruled out on the way: a configuration that takes any revision stayed green, since the writer and the follower guard as well, so lost updates are shown by conflicts that count as done; lost answers alone never reach the resend, so connections are cut too, with actions only.

--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -52,6 +52,7 @@
         silent_after: Requests after which such connections go silent; 0 at
             once.
         wrong_echo: Answers carry the snapshot of another version.
+        swap_answers: Each search gets the answer of the one before.
         poison_crashes: Whether `CRASH_TEXT` in a request ends the process.
     """
 
@@ -64,6 +65,7 @@
     silent_share: float
     silent_after: int
     wrong_echo: bool
+    swap_answers: bool
     poison_crashes: bool
 
 
@@ -97,6 +99,7 @@
         self._slots = asyncio.Semaphore(placed.upstream.slots)
         self._most_waiting = placed.upstream.slots * _QUEUE_PER_SLOT
         self._present = 0
+        self._last_reply: wire.SearchReply | None = None
         self._tasks: dict[str, asyncio.Task[Any]] = {}
         self._connections: dict[asyncio.Transport, _Connection] = {}
         self._control: Control = {"holdings": holdings}
@@ -121,7 +124,7 @@
             self._crash_if_poisoned(body["text"])
             await self._work()
             self._note("answer", body, holding=holding)
-            return _json(self._search_reply(body, holding))
+            return _json(self._answer(self._search_reply(body, holding)))
         finally:
             self._leave(body["attempt_id"])
 
@@ -260,6 +263,11 @@
             work_ms *= 10
         await asyncio.sleep(work_ms / _MS_PER_S)
 
+    def _answer(self, reply: wire.SearchReply) -> wire.SearchReply:
+        before, self._last_reply = self._last_reply, reply
+        swap = self._control.get("swap_answers") and before is not None
+        return before if swap else reply
+
     def _search_reply(
         self, body: wire.SearchBody, holding: Holding
     ) -> wire.SearchReply:
--- /dev/null
+++ b/tests/mutants.py
@@ -0,0 +1,94 @@
+"""Runs an entry host with one protecting mechanism taken away.
+
+Usage: mutants.py MUTATION serve --settings FILE. Only proofs use this: a
+check that stays green without its mechanism proves nothing.
+"""
+
+import sys
+
+from greengagedale import __main__ as command_line
+from greengagedale import dispatches
+from greengagedale import outcomes
+from greengagedale import shutdowns
+from greengagedale.idempotency import tables
+from greengagedale.membership import drains
+from greengagedale.platform import base as platform_base
+from greengagedale.platform import http as platform_http
+from greengagedale.query import coverage
+from greengagedale.query import echoes
+
+
+def accept_any_echo():
+    """Answers of other snapshots and attempts are merged."""
+    echoes.mismatch = lambda expected, got: None
+
+
+def claim_full_coverage():
+    """Coverage is stated as full, whatever is missing."""
+    coverage.of_map = lambda pinned, merged, reasons: coverage.Coverage(
+        pinned.total_width, pinned.total_width, ()
+    )
+
+
+def call_lost_replies_not_run():
+    """A request without an answer is said not to have run."""
+    outcomes.of_attempts = lambda ends, reason, retry_after_ms: outcomes.NotRun(
+        reason, retry_after_ms
+    )
+
+
+def send_again():
+    """An action without an answer is sent to another replica."""
+    outcomes.may_send_again = lambda ends: True
+    assert dispatches.outcomes is outcomes
+
+
+def forget_keys():
+    """A key that ran may start again."""
+    tables.KeyTable.look_up = lambda self, identity, digest: None
+
+
+def ignore_drains():
+    """Upstreams that leave get new work."""
+    drains.Drains.is_leaving = lambda self, upstream: False
+
+
+def leave_at_once():
+    """SIGTERM ends the host without waiting for anyone."""
+
+    async def wait_for_callers(self):
+        shutdowns._end_at_once("mutation")
+
+    shutdowns.Shutdown.wait_for_callers = wait_for_callers
+
+
+def ignore_conflicts():
+    """A write that the platform refuses as a conflict counts as done."""
+    write_result = platform_http._write_result
+
+    def without_conflicts(got):
+        result = write_result(got)
+        refused = isinstance(result, platform_base.Conflict)
+        return platform_base.Written(0) if refused else result
+
+    platform_http._write_result = without_conflicts
+
+
+MUTATIONS = {
+    mutation.__name__: mutation
+    for mutation in (
+        accept_any_echo,
+        call_lost_replies_not_run,
+        claim_full_coverage,
+        forget_keys,
+        ignore_conflicts,
+        ignore_drains,
+        leave_at_once,
+        send_again,
+    )
+}
+
+
+if __name__ == "__main__":
+    MUTATIONS[sys.argv.pop(1)]()
+    command_line.main()
--- /dev/null
+++ b/tests/proofs/test_points.py
@@ -0,0 +1,203 @@
+"""Each point of the brief holds under its fault, and not without its mechanism.
+
+Every scenario runs twice over real processes behind the fault proxy: with
+the product as it is, where no check may be red, and with the protecting
+mechanism taken away, where the check of the point must be.
+"""
+
+import asyncio
+import pathlib
+import random
+from typing import NamedTuple
+
+import pytest
+
+from proofs import checkers
+from proofs import nemesis
+from proofs import runs
+from standins import deployments
+
+MUTANTS = pathlib.Path(__file__).parents[1] / "mutants.py"
+SEED = 1
+RESETS = 4
+RESET_EVERY_S = 0.4
+
+
+class ControlledUpstreams(nemesis.Fault):
+    """Several upstreams are told to misbehave."""
+
+    control: dict[str, object]
+    endings: tuple[str, ...] = ("-1",)
+
+    def target(
+        self, deployment: deployments.Deployment, rng: random.Random
+    ) -> str:
+        return ""
+
+    async def strike(self, deployment, target):
+        await self._tell(deployment, **self.control)
+
+    async def heal(self, deployment, target):
+        await self._tell(deployment, **dict.fromkeys(self.control, False))
+
+    async def _tell(self, deployment, **control):
+        for placed in deployment.shape.upstreams():
+            if placed.upstream.name.endswith(self.endings):
+                await asyncio.to_thread(
+                    deployment.control_upstream, placed.upstream.name, **control
+                )
+
+
+class OldAnswers(ControlledUpstreams):
+    """One replica of each range answers from an older version."""
+
+    name = "old_answers"
+    control = {"wrong_echo": True}
+
+
+class SwappedAnswers(ControlledUpstreams):
+    """One replica of each range gives answers to other requests."""
+
+    name = "swapped_answers"
+    control = {"swap_answers": True}
+
+
+class DrainedReplicas(ControlledUpstreams):
+    """One replica of each range drains."""
+
+    name = "drain"
+    lasts_s = 4.0
+    control = {"draining": True}
+
+
+class LostRange(nemesis.Fault):
+    """All replicas of a range are cut off."""
+
+    name = "lost_range"
+
+    def target(self, deployment, rng):
+        return ""
+
+    async def strike(self, deployment, target):
+        await self._set(deployment, refuse=True, reset=True)
+
+    async def heal(self, deployment, target):
+        await self._set(deployment)
+
+    async def _set(self, deployment, **fault):
+        listens = [
+            placed.listen
+            for placed in deployment.shape.upstreams()
+            if placed.group == 0
+        ]
+        await asyncio.to_thread(deployment.control_proxy, listens, **fault)
+
+
+class LostAnswers(LostRange):
+    """Answers of all replicas of a range are lost."""
+
+    name = "lost_answers"
+
+    async def strike(self, deployment, target):
+        await self._set(deployment, drop_to_caller=True)
+
+
+class CutAnswers(LostAnswers):
+    """Answers are lost, and their connections are reset soon after."""
+
+    name = "cut_answers"
+
+    async def strike(self, deployment, target):
+        await super().strike(deployment, target)
+        for _ in range(RESETS):
+            await asyncio.sleep(RESET_EVERY_S)
+            await self._set(deployment, drop_to_caller=True, reset=True)
+
+
+class BusyStop(nemesis.StopHost):
+    """A host is shut down while upstreams are slow."""
+
+    async def strike(self, deployment, target):
+        for placed in deployment.shape.upstreams():
+            await asyncio.to_thread(
+                deployment.control_upstream,
+                placed.upstream.name,
+                straggler_share=1.0,
+                straggler_factor=(50.0, 50.0),
+            )
+        await super().strike(deployment, target)
+
+
+class Scenario(NamedTuple):
+    """A point of the brief, its fault and its mechanism."""
+
+    checker: checkers.Checker
+    mutation: str
+    fault: type[nemesis.Fault]
+    duration_s: float = 2.5
+    search_share: float = 0.5
+
+
+SCENARIOS = [
+    Scenario(checkers.one_snapshot, "accept_any_echo", OldAnswers),
+    Scenario(checkers.true_coverage, "claim_full_coverage", LostRange),
+    Scenario(checkers.whole_and_own, "accept_any_echo", SwappedAnswers),
+    Scenario(
+        checkers.not_run_is_true,
+        "call_lost_replies_not_run",
+        CutAnswers,
+        search_share=0.0,
+    ),
+    Scenario(checkers.at_most_once, "forget_keys", nemesis.SlowUpstream),
+    Scenario(checkers.at_most_once, "send_again", CutAnswers, search_share=0.0),
+    Scenario(checkers.no_work_to_leaving, "ignore_drains", DrainedReplicas),
+    Scenario(checkers.shutdown_cuts_nothing, "leave_at_once", BusyStop),
+    Scenario(
+        checkers.configuration_holds,
+        "ignore_conflicts",
+        nemesis.PlatformSlow,
+    ),
+]
+
+
+@pytest.fixture
+def run_scenario(tmp_path):
+    def run(scenario, host_command):
+        deployment = deployments.Deployment(
+            tmp_path,
+            base_port=deployments.BASE_PORT + 400,
+            proxied=True,
+            host_command=host_command,
+        )
+        try:
+            deployment.start()
+            plan = runs.RunPlan(
+                "places",
+                SEED,
+                scenario.duration_s,
+                (scenario.fault,),
+                search_share=scenario.search_share,
+            )
+            return runs.run(deployment, plan)
+        finally:
+            deployment.stop()
+
+    return run
+
+
+def name_of(scenario):
+    return f"{scenario.checker.__name__}-{scenario.mutation}"
+
+
+@pytest.mark.parametrize("scenario", SCENARIOS, ids=name_of)
+def test_point_holds(run_scenario, scenario):
+    history = run_scenario(scenario, ("-m", "greengagedale", "serve"))
+    assert history.faults
+    assert checkers.check(history) == []
+
+
+@pytest.mark.parametrize("scenario", SCENARIOS, ids=name_of)
+def test_point_is_lost_without_its_mechanism(run_scenario, scenario):
+    command = (str(MUTANTS), scenario.mutation, "serve")
+    history = run_scenario(scenario, command)
+    assert scenario.checker(history)
