--- a/bench/operators.py
+++ b/bench/operators.py
@@ -115,6 +115,8 @@
             "took_s": took_s,
             "answer_p50_ms": changes.quantile(_latencies(race.sent), 0.5),
             "answer_p99_ms": changes.quantile(_latencies(race.sent), 0.99),
+            "documents_written": len(blobs),
+            "documents_left": len(blobs) - _deleted(events),
             "writes_a_change": calls.get("put", 0) / len(told),
             "reads_a_change": calls.get("get", 0) / len(told),
         }
@@ -290,6 +292,15 @@
     return max((i.revision for i in stored if i.at_ms <= at_ms), default=0)
 
 
+def _deleted(events: list[dict[str, Any]]) -> int:
+    return sum(
+        item["event"] == "write"
+        and item["kind"] == catalogs.KIND_DOCUMENT
+        and item["value"] is None
+        for item in events
+    )
+
+
 def _reasons(told: list[change_history.Told]) -> list[str]:
     return [item.reason for item in told]
 
