Collect old documents also when replies are lost

Cause: of 903 documents that the race of operators wrote, 697 were left. A collection stopped at the first delete without a reply, and was not started when the acceptance itself was found by reading.

--- a/greengagedale/acceptance.py
+++ b/greengagedale/acceptance.py
@@ -186,6 +186,7 @@
             return newest
         decision = edits.decide(newest.configuration, change)
         if isinstance(decision, edits.AlreadyAccepted):
+            self._collector.accepted(decision.revision, newest.configuration)
             return configuration.Accepted(decision.revision)
         if isinstance(decision, edits.Stale):
             return _Again("stale_read", "the platform answers with old reads")
@@ -268,8 +269,9 @@
         )
         if isinstance(written, platform_base.Written):
             self._offer(prepared.configuration)
-            self._collector.accepted(prepared.configuration)
-            return configuration.Accepted(prepared.configuration.revision)
+            revision = prepared.configuration.revision
+            self._collector.accepted(revision, prepared.configuration)
+            return configuration.Accepted(revision)
         if isinstance(written, platform_base.Unavailable):
             return _Again("platform_down", written.detail)
         # The client library sends a write again when its connection breaks,
--- a/greengagedale/collection.py
+++ b/greengagedale/collection.py
@@ -28,14 +28,19 @@
         self._metrics = metrics
         self._task: asyncio.Task[None] | None = None
 
-    def accepted(self, current: catalogs.Configuration) -> None:
-        """Starts to collect in the background when it is time to."""
+    def accepted(self, revision: int, current: catalogs.Configuration) -> None:
+        """Starts to collect in the background when it is time to.
+
+        Args:
+            revision: Revision at which a change was accepted.
+            current: A configuration of that revision or a later one.
+        """
         running = self._task is not None and not self._task.done()
-        if current.revision % _EVERY_REVISIONS == 0 and not running:
+        if revision % _EVERY_REVISIONS == 0 and not running:
             self._task = asyncio.create_task(self.collect(current.catalog))
 
     async def collect(self, catalog: catalogs.CatalogObject) -> None:
-        """Deletes what is collectable; stops at the first failed call."""
+        """Deletes what is collectable; stops when the platform is down."""
         names = await self._store.names(catalogs.KIND_DOCUMENT)
         if isinstance(names, platform_base.Unavailable):
             return
@@ -48,9 +53,10 @@
             deleted = await self._store.delete(
                 catalogs.KIND_DOCUMENT, name, found.stored.version
             )
-            if not isinstance(deleted, platform_base.Written):
+            if isinstance(deleted, platform_base.Unavailable):
                 return
-            self._metrics.collected.inc()
+            if isinstance(deleted, platform_base.Written):
+                self._metrics.collected.inc()
 
     async def close(self) -> None:
         """Stops collecting."""
--- a/tests/test_acceptance.py
+++ b/tests/test_acceptance.py
@@ -216,6 +216,8 @@
     groups = await asyncio.gather(*(operate(n) for n in range(10)))
     told = [item for group in groups for item in group]
     await store.close()
+    left = await store.names(catalogs.KIND_DOCUMENT)
+    assert len(left) < len(store.documents) * 2 // 3
     findings = change_history.check(store.catalogs, store.documents, told)
     assert findings == change_history.Findings([], [], [], [], [])
     outcomes = [item.outcome for item in told]
