--- a/greengagedale/query/parts.py
+++ b/greengagedale/query/parts.py
@@ -18,7 +18,9 @@
         reason: Why there is no answer, as far as is known.
         rounds: How often all replicas have been tried.
         waiting: Whether a next round is due later.
-        replaced: How many attempts were replaced for want of progress.
+        patience: How many times the usual time without progress is allowed;
+            doubles with each attempt given up, so that a range whose
+            replicas are all slow still gets its answer.
     """
 
     __slots__ = (
@@ -26,8 +28,8 @@
         "gone",
         "hits",
         "open",
+        "patience",
         "reason",
-        "replaced",
         "rounds",
         "tried",
         "waiting",
@@ -44,7 +46,7 @@
         self.reason = outcomes.Reason.DEADLINE
         self.rounds = 0
         self.waiting = False
-        self.replaced = 0
+        self.patience = 1
 
     @property
     def is_settled(self) -> bool:
