--- a/greengagedale/operators/http_server.py
+++ b/greengagedale/operators/http_server.py
@@ -112,7 +112,7 @@
         return http_replies.reply(
             wire.ConfigurationReply(
                 revision=self._service.current().revision,
-                age_ms=self._service.configuration_age_ms(),
+                age_ms=_rounded(self._service.configuration_age_ms()),
             )
         )
 
@@ -147,7 +147,10 @@
         ages_ms = await self._service.configuration_ages()
         # NamedTuples encode as arrays; operators get names.
         listed = [
-            {**h._asdict(), "configuration_age_ms": ages_ms.get(h.name)}
+            {
+                **h._asdict(),
+                "configuration_age_ms": _rounded(ages_ms.get(h.name)),
+            }
             for h in hosts
         ]
         return http_replies.reply({"hosts": listed})
@@ -171,6 +174,10 @@
         return _change_response(change_id, result)
 
 
+def _rounded(duration_ms: float | None) -> float | None:
+    return None if duration_ms is None else round(duration_ms, 1)
+
+
 def _change_response(
     change_id: str, result: configuration.ChangeResult
 ) -> web.Response:
