A first attempt that arrives twice is no first attempt

Cause: the operator's client library may send a request again by itself, with the header that marks the first attempt, while a write of the first call is still open; in an outage the second call could then be told not accepted. The host remembers the last 1,000 ids that it was sent.

--- a/greengagedale/acceptance.py
+++ b/greengagedale/acceptance.py
@@ -1,6 +1,7 @@
 """Gets changes of configuration accepted by the platform."""
 
 import asyncio
+import collections
 import dataclasses
 import logging
 import random
@@ -25,6 +26,7 @@
 _LONGEST_DELAY_MS = 500
 _UNAVAILABLE_TRIES = 3
 _DOCUMENT_TRIES = 3
+_IDS_REMEMBERED = 1000
 _MS_PER_S = 1000.0
 
 
@@ -83,6 +85,9 @@
         self._assembler = assembly.Assembler(holder)
         self._source = assembly.PlatformSource(store)
         self._lock = asyncio.Lock()
+        self._seen: collections.deque[str] = collections.deque(
+            maxlen=_IDS_REMEMBERED
+        )
 
     @classmethod
     def from_config(
@@ -113,7 +118,9 @@
             change: The change.
             first_attempt: Nobody has sent a change with this id before.
         """
-        settlement = settlements.Settlement(first_attempt)
+        settlement = settlements.Settlement(
+            first_attempt and self._is_new(change.change_id)
+        )
         until_ms = self._clock.now_ms() + self._timeout_ms
         try:
             async with asyncio.timeout(self._timeout_ms / _MS_PER_S):
@@ -130,6 +137,12 @@
         self._metrics.changes.labels(result.tag, reason).inc()
         return result
 
+    def _is_new(self, change_id: str) -> bool:
+        """Remembers an id; operators' client libraries send again as well."""
+        is_new = change_id not in self._seen
+        self._seen.append(change_id)
+        return is_new
+
     async def follow_up(self, change_id: str) -> configuration.FollowUp:
         """Finds out what became of a change."""
         found = edits.find(self._holder.current, change_id)
--- a/tests/test_acceptance.py
+++ b/tests/test_acceptance.py
@@ -123,6 +123,8 @@
     result = await writer.accept(change, True)
     assert result.tag == "unknown"
     assert result.change_id == change.change_id
+    sent_again = await writer.accept(change, True)
+    assert sent_again.tag == "unknown"
     assert holder.current.revision == 1
 
 
