A poison request is stopped after two deaths, by real processes

A test with processes and a canary always sees 2 deaths and then only quarantine. Admission admits while any capacity is left, as whole searches left a part of it idle.

--- a/greengagedale/limits/admission.py
+++ b/greengagedale/limits/admission.py
@@ -222,7 +222,8 @@
         return self._run_ms + _DEVIATIONS * self._run_deviation_ms
 
     def _fits(self, ticket: Ticket, capacity: int) -> bool:
-        if not self._open or self._open_units + ticket.units <= capacity:
+        # What is over the capacity waits for a slot, so that none is idle.
+        if not self._open or self._open_units < capacity:
             return True
         return self._is_small(ticket, capacity)
 
--- a/greengagedale/limits/quarantine.py
+++ b/greengagedale/limits/quarantine.py
@@ -102,6 +102,10 @@
         held = self._held(fingerprint, now_ms)
         return held.until_ms - now_ms if held else 0.0
 
+    def is_alert(self, now_ms: float) -> bool:
+        """Tells whether an upstream died lately, here or by news."""
+        return now_ms < self._alert_until_ms
+
     def counts(self, now_ms: float) -> dict[State, int]:
         """Returns how many fingerprints are held in each state."""
         states = (self.state(name, now_ms) for name in list(self._suspects))
@@ -230,4 +234,4 @@
             return False
         if self._is_proved(fingerprint, now_ms):
             return False
-        return self._canary is Canary.ALWAYS or now_ms < self._alert_until_ms
+        return self._canary is Canary.ALWAYS or self.is_alert(now_ms)
--- /dev/null
+++ b/tests/integration/test_quarantine.py
@@ -0,0 +1,66 @@
+"""A request that crashes upstreams, sent again and again."""
+
+import contextlib
+
+import pytest
+
+from standins import deployments
+from standins import httpcalls
+from standins import upstream
+
+SEARCH = "/v1/workspaces/search-a/search"
+SENDS = 5
+MOST_DEATHS = 2
+
+
+@pytest.fixture
+def deployment(own_deployment):
+    own_deployment.start('\n[limits]\ncanary = "always"\n')
+    own_deployment.apply_examples()
+    return own_deployment
+
+
+def search(deployment, number, text):
+    host = deployment.host(1 + number % 4)
+    body = {"text": text, "timeout_ms": 2000}
+    return httpcalls.call("POST", deployment.caller(host), SEARCH, body).body
+
+
+def deaths(deployment):
+    return [
+        event
+        for placed in deployment.shape.upstreams()
+        for event in deployment.record_of(placed.upstream.name)
+        if event["event"] == "crash"
+    ]
+
+
+def restart_crashed(deployment):
+    for placed in deployment.shape.upstreams():
+        name = placed.upstream.name
+        if deployment.processes[name].poll() is not None:
+            deployment.start_upstream(name)
+            deployments.wait_until(lambda n=name: answers(deployment, n), name)
+
+
+def answers(deployment, name):
+    placed = {p.upstream.name: p.upstream for p in deployment.shape.upstreams()}
+    with contextlib.suppress(OSError):
+        return httpcalls.get(placed[name].endpoint, "/v1/health").body
+    return None
+
+
+def test_poison_is_quarantined_on_all_hosts_after_two_deaths(deployment):
+    assert search(deployment, 0, "healthy")["outcome"] == "ran"
+    poison = f"{upstream.CRASH_TEXT} here"
+    answers_to_poison = []
+    for number in range(SENDS):
+        answers_to_poison.append(search(deployment, number, poison))
+        restart_crashed(deployment)
+    assert len(deaths(deployment)) <= MOST_DEATHS
+    reasons = [answer.get("reason") for answer in answers_to_poison]
+    assert reasons[2:] == ["quarantined"] * (SENDS - 2)
+    for number in range(4):
+        healthy = search(deployment, number, "healthy")
+        assert healthy["outcome"] == "ran"
+        assert healthy["coverage"]["missing"] == []
