A hedge takes over the place of an attempt that waits for a slot

Cause: an attempt that waits in the gate looks like a straggler, so it was hedged, or given up for want of progress and sent to the end of the queue. Change: a later attempt of a request for the same replicas takes the place of the one that waits, which ends unwritten. Test: tests/limits/test_gate.py.

--- a/greengagedale/limits/fairness.py
+++ b/greengagedale/limits/fairness.py
@@ -105,6 +105,16 @@
             heapq.heapify(self._order)
         return True
 
+    def replace(self, flow: str, item_id: str, entry: Entry[Item]) -> None:
+        """Puts an item in the place of one that waits."""
+        held = self._flows[flow]
+        held.entries = {
+            (entry.item_id if name == item_id else name): (
+                entry if name == item_id else old
+            )
+            for name, old in held.entries.items()
+        }
+
     def _skip_empty(self) -> None:
         while self._order and not self._flows[self._order[0][2]].entries:
             heapq.heappop(self._order)
--- a/greengagedale/limits/gate.py
+++ b/greengagedale/limits/gate.py
@@ -40,6 +40,12 @@
     upstream: str
 
 
+class Displace(NamedTuple):
+    """Decision: this attempt no longer waits; a later one has its place."""
+
+    attempt_id: str
+
+
 class _Slots:
     __slots__ = ("failed_until_ms", "holders", "limit", "queues")
 
@@ -62,6 +68,7 @@
         self._slots: dict[str, _Slots] = {}
         self._bounds: dict[str, concurrency.Bounds] = {}
         self._queues: dict[frozenset[str], fairness.FairQueue[Want]] = {}
+        self._waiting: dict[tuple[str, frozenset[str]], Want] = {}
 
     def set_bounds(self, upstream: str, bounds: concurrency.Bounds) -> None:
         """Takes in the bounds of an upstream; cheap if nothing changed."""
@@ -107,8 +114,12 @@
         held = self._slots.get(upstream)
         return held.limit.latency_ms if held else 0.0
 
-    def ask(self, want: Want, now_ms: float) -> Grant | None:
-        """Gives an attempt a slot, or lets it wait and returns None."""
+    def ask(self, want: Want, now_ms: float) -> Grant | Displace | None:
+        """Gives an attempt a slot, or lets it wait.
+
+        A second attempt of a request for the same replicas, such as a hedge,
+        takes over the place of one that waits: both would wait for the same.
+        """
         used = self._used_by(want)
         usable = [
             name
@@ -126,15 +137,13 @@
         spare = self._spare_for_small(want, used, now_ms)
         if spare is not None:
             return self._grant(want, spare)
-        self._queue_of(want).push(
-            want.member,
-            want.weight,
-            fairness.Entry(want.attempt_id, 1.0, want),
-        )
-        return None
+        return self._enqueue(want)
 
     def stop_waiting(self, want: Want) -> bool:
         """Drops an attempt that waits; False if it has a slot by now."""
+        key = _place_of(want)
+        if self._waiting.get(key) == want:
+            del self._waiting[key]
         return self._queue_of(want).remove(want.member, want.attempt_id)
 
     def take_in(
@@ -208,7 +217,22 @@
                 return self._grant(entry.item, upstream)
         return None
 
+    def _enqueue(self, want: Want) -> Displace | None:
+        queue = self._queue_of(want)
+        entry = fairness.Entry(want.attempt_id, 1.0, want)
+        key = _place_of(want)
+        earlier = self._waiting.get(key)
+        self._waiting[key] = want
+        if earlier is None:
+            queue.push(want.member, want.weight, entry)
+            return None
+        queue.replace(want.member, earlier.attempt_id, entry)
+        return Displace(earlier.attempt_id)
+
     def _grant(self, want: Want, upstream: str) -> Grant:
+        key = _place_of(want)
+        if self._waiting.get(key) == want:
+            del self._waiting[key]
         self._slots[upstream].holders[want.attempt_id] = want
         return Grant(want.attempt_id, upstream)
 
@@ -229,3 +253,7 @@
             for name in want.replicas:
                 self._slots[name].queues.append(key)
         return held
+
+
+def _place_of(want: Want) -> tuple[str, frozenset[str]]:
+    return (want.request_id, frozenset(want.replicas))
--- a/greengagedale/limits/gated.py
+++ b/greengagedale/limits/gated.py
@@ -109,7 +109,7 @@
         self._prepared: dict[str, tuple[int, tuple[str, ...]]] = {}
         self._clock = clock
         self._metrics = metrics
-        self._waiting: dict[str, asyncio.Future[str]] = {}
+        self._waiting: dict[str, asyncio.Future[str | None]] = {}
         self._sent: dict[str, base.Upstream] = {}
         self._releases: set[asyncio.TimerHandle] = set()
         self._listeners: list[Callable[[str], None]] = []
@@ -220,8 +220,10 @@
     ) -> base.Upstream | None:
         self.prepare(service)
         granted = self._gate.ask(want, self._clock.now_ms())
-        if granted is not None:
+        if isinstance(granted, gate_lib.Grant):
             return service.upstreams[granted.upstream]
+        if granted is not None:
+            self._displace(granted.attempt_id)
         name = await self._wait(want, timeout_ms)
         if name is not None:
             return service.upstreams[name]
@@ -230,7 +232,8 @@
         return None
 
     async def _wait(self, want: gate_lib.Want, timeout_ms: float) -> str | None:
-        turn: asyncio.Future[str] = asyncio.get_running_loop().create_future()
+        loop = asyncio.get_running_loop()
+        turn: asyncio.Future[str | None] = loop.create_future()
         self._waiting[want.attempt_id] = turn
         wait_ms = timeout_ms - self._gate.latency_ms(want.replicas[0])
         try:
@@ -245,6 +248,11 @@
         finally:
             del self._waiting[want.attempt_id]
 
+    def _displace(self, attempt_id: str) -> None:
+        turn = self._waiting.get(attempt_id)
+        if turn is not None and not turn.done():
+            turn.set_result(None)
+
     def _give_up(self, want: gate_lib.Want) -> None:
         if self._gate.stop_waiting(want):
             return
--- a/tests/limits/test_gate.py
+++ b/tests/limits/test_gate.py
@@ -69,3 +69,15 @@
         gate.ask(want(f"big-{number}", "big", f"big-{number}"), 0.0)
     assert gate.ask(want("small", "small", "small"), 0.0) is not None
     assert gate.ask(want("small-2", "small", "small-2"), 0.0) is None
+
+
+def test_hedge_takes_over_the_place_of_an_attempt_that_waits(gate):
+    for number in range(2):
+        gate.ask(want(f"m-{number}", request=f"r{number}"), 0.0)
+    gate.ask(want("a.0", request="a"), 0.0)
+    gate.ask(want("b.0", request="b"), 0.0)
+    hedge = want("a.1", request="a", first="u2")
+    assert gate.ask(hedge, 1.0) == gate_lib.Displace("a.0")
+    assert not gate.stop_waiting(want("a.0", request="a"))
+    assert gate.release("u1", "m-0") == [gate_lib.Grant("a.1", "u1")]
+    assert gate.release("u1", "a.1") == [gate_lib.Grant("b.0", "u1")]
