--- a/tests/query/test_tail.py
+++ b/tests/query/test_tail.py
@@ -1,5 +1,6 @@
 """Hedges, retries, restarts and early stops, without input or output."""
 
+import itertools
 import random
 
 import pytest
@@ -158,6 +159,17 @@
     assert driven.outcomes[0].value.coverage.share == 1.0
 
 
+def test_range_that_is_slow_everywhere_is_answered(answered_but_one):
+    driven = answered_but_one(tactics_with(hedges=0.0))
+    for now_ms in range(10, int(DEADLINE_MS), 10):
+        driven.run_to(now_ms)
+        done = [a for a in driven.sent if now_ms - a.sent_ms >= 300.0]
+        for attempt in done:
+            if attempt not in driven.cancelled:
+                driven.result(attempt, ANSWER, now_ms)
+    assert driven.outcomes[0].value.coverage.share == 1.0
+
+
 def test_single_replica_gets_a_second_connection_when_silent():
     driven = Driven(tactics_with(), maps=[map_of(1, parts=1, replicas=("u1",))])
     driven.run_to(4 * QUANTILE_MS)
@@ -266,3 +278,18 @@
     merged = {e.key_range for e in pinned.ranges} - missing
     assert {(answer.snapshot, item) for item in merged} <= answered
     assert answer.coverage.covered == sum(item.width for item in merged)
+
+
+def test_slow_upstreams_are_given_longer_with_each_replacement(
+    answered_but_one,
+):
+    driven = answered_but_one(tactics_with(hedges=0.0))
+    driven.run_to(DEADLINE_MS - 1)
+    kept = [a for a in driven.sent[4:] if a not in driven.cancelled]
+    longest_ms = max(
+        after.sent_ms - before.sent_ms
+        for before, after in itertools.pairwise(driven.sent[4:])
+    )
+    assert kept
+    assert longest_ms >= DEADLINE_MS / 4
+    assert len(driven.sent) - 4 <= 6
