--- a/greengagedale/hosts.py
+++ b/greengagedale/hosts.py
@@ -359,6 +359,8 @@
         self._metrics.request_latency.record(workspace, took_ms)
         if isinstance(outcome, outcomes.NotRun):
             self._metrics.refusals.labels("host", outcome.reason).inc()
+        elif isinstance(outcome, outcomes.Unknown):
+            self._metrics.unknowns.labels(kind, outcome.reason).inc()
         self._records.add(
             records_lib.Record(
                 request_id=request_id,
--- a/greengagedale/metrics.py
+++ b/greengagedale/metrics.py
@@ -60,6 +60,7 @@
     Attributes:
         requests: Requests of callers by workspace and outcome.
         refusals: Refusals by layer and reason.
+        unknowns: Requests that may have run, by kind and reason.
         retries: Attempts beyond the first by reason.
         action_steps: What was done for requests that are not safe to repeat.
         attempts: Attempts sent to upstreams by service.
@@ -80,6 +81,9 @@
         self.refusals = self._counter(
             "refusals", "Refusals by layer.", "layer", "reason"
         )
+        self.unknowns = self._counter(
+            "unknown_outcomes", "Requests that may have run.", "kind", "reason"
+        )
         self.retries = self._counter(
             "retries", "Attempts beyond the first.", "reason"
         )
--- /dev/null
+++ b/tests/test_actions.py
@@ -0,0 +1,135 @@
+"""One process's part in running each key at most once."""
+
+import asyncio
+
+import pytest
+
+from greengagedale import actions
+from greengagedale import clocks
+from greengagedale import dispatches
+from greengagedale import metrics
+from greengagedale import outcomes
+from greengagedale import records
+from greengagedale.idempotency import claims
+from greengagedale.idempotency import tables
+from greengagedale.idempotency import tickets
+
+OWN = tickets.Issuer("entry-1", "ab")
+LIMITS = tables.Limits(capacity=10, ticket_life_ms=30_000, retention_ms=60_000)
+RAN = outcomes.Ran("done")
+
+
+class GatedDispatcher(dispatches.Dispatcher):
+    """Counts what it is given and ends it when told to."""
+
+    def __init__(self):
+        self.keys = []
+        self.gate = asyncio.Event()
+        self.failure = None
+
+    async def dispatch(self, request, trace):
+        self.keys.append(request.key)
+        await self.gate.wait()
+        if self.failure:
+            raise self.failure
+        return RAN
+
+
+class NoClaims(claims.ClaimBook):
+    async def claim(self, identity, deadline_ms):
+        return claims.NotClaimed()
+
+
+class NoForwarder(actions.Forwarder):
+    async def forward(self, issuer, request, trace):
+        return outcomes.Unknown(outcomes.Reason.ISSUER_UNREACHABLE)
+
+
+class Setting:
+    """A runner with fakes around it."""
+
+    def __init__(self):
+        self.clock = clocks.ManualClock(1000.0)
+        self.dispatcher = GatedDispatcher()
+        self.runner = actions.ActionRunner(
+            OWN,
+            tables.KeyTable(LIMITS),
+            NoClaims(),
+            NoForwarder(),
+            self.dispatcher,
+            self.clock,
+            metrics.Metrics(),
+        )
+
+    def begin(self, key, **changes):
+        request = dispatches.ActionRequest(
+            "r.1", key, "w", "member-a", "s", 1, {}, 3000.0, first_send=False
+        )._replace(**changes)
+        trace = records.Trace("entry-1", self.clock)
+        return asyncio.create_task(self.runner.run(request, trace))
+
+    def key(self):
+        return tickets.new_key(self.runner.ticket())
+
+
+@pytest.fixture
+async def setting():
+    return Setting()
+
+
+async def test_run_outlives_the_caller_that_began_it(setting):
+    key = setting.key()
+    first = setting.begin(key)
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    first.cancel()
+    second = setting.begin(key)
+    setting.dispatcher.gate.set()
+    assert await second == RAN
+    assert await setting.begin(key) == RAN
+    assert setting.dispatcher.keys == [key]
+
+
+async def test_stopping_ends_what_runs_and_refuses_new_keys(setting):
+    known, new = setting.key(), setting.key()
+    running = setting.begin(known)
+    while not setting.dispatcher.keys:
+        await asyncio.sleep(0)
+    setting.runner.stop()
+    refused = await setting.begin(new)
+    assert refused.reason is outcomes.Reason.STOPPING
+    assert isinstance(refused, outcomes.NotRun)
+    setting.dispatcher.gate.set()
+    await setting.runner.finish()
+    assert await running == RAN
+    assert await setting.begin(known) == RAN
+    assert await setting.begin(new) == refused
+
+
+async def test_fault_of_ours_after_the_dispatch_began_is_unknown(setting):
+    setting.dispatcher.failure = RuntimeError("bug")
+    setting.dispatcher.gate.set()
+    key = setting.key()
+    for _ in range(2):
+        told = await setting.begin(key)
+        assert told == outcomes.Unknown(outcomes.Reason.INTERNAL)
+    assert setting.dispatcher.keys == [key]
+
+
+@pytest.mark.parametrize(
+    ("first_send", "told"),
+    [(True, outcomes.NotRun), (False, outcomes.Unknown)],
+)
+async def test_platform_down_is_not_run_only_for_a_first_send(
+    setting, first_send, told
+):
+    outcome = await setting.begin("family-7", first_send=first_send)
+    assert isinstance(outcome, told)
+    assert outcome.reason is outcomes.Reason.PLATFORM_DOWN
+    assert setting.dispatcher.keys == []
+
+
+async def test_foreign_incarnation_of_this_host_is_gone(setting):
+    earlier = tickets.Ticket(tickets.Issuer("entry-1", "old"), 1)
+    told = await setting.begin(tickets.new_key(earlier.encode()))
+    assert told == outcomes.Unknown(outcomes.Reason.ISSUER_GONE)
--- /dev/null
+++ b/tests/test_dispatches.py
@@ -0,0 +1,92 @@
+"""One key reaches at most one upstream."""
+
+import random
+
+import pytest
+
+from greengagedale import clocks
+from greengagedale import configuration
+from greengagedale import dispatches
+from greengagedale import metrics
+from greengagedale import outcomes
+from greengagedale import records
+from greengagedale.catalog import services
+from greengagedale.query import ranges
+from greengagedale.query import snapshots
+from greengagedale.routing import policies
+from greengagedale.upstreams import base
+
+NAMES = ("u1", "u2", "u3")
+UNREACHED = outcomes.AttemptEnd(outcomes.Reason.CONNECT_FAILED, False, False)
+LOST = outcomes.AttemptEnd(outcomes.Reason.REPLY_LOST, True, False)
+REFUSED = outcomes.AttemptEnd(outcomes.Reason.OVERLOADED, True, True, 70)
+TOLD = outcomes.Reason
+
+
+class ScriptedTransport(base.UpstreamTransport):
+    """Ends attempts as the script says; each takes 400 ms."""
+
+    def __init__(self, clock, script):
+        self._clock = clock
+        self._script = list(script)
+        self.sent = []
+
+    async def act(self, upstream, action):
+        self.sent.append((upstream.name, action.attempt_id))
+        assert action.timeout_ms > 0
+        self._clock.advance(400.0)
+        return self._script.pop(0)
+
+    async def search(self, upstream, request):
+        raise NotImplementedError
+
+    async def cancel(self, upstream, attempt_id):
+        raise NotImplementedError
+
+    async def health(self, upstream):
+        raise NotImplementedError
+
+    async def prewarm(self, upstream):
+        raise NotImplementedError
+
+    async def close(self):
+        pass
+
+
+@pytest.mark.parametrize(
+    ("script", "sends", "told"),
+    [
+        ([base.Acted("ok")], 1, outcomes.Ran("ok")),
+        ([UNREACHED, base.Acted("ok")], 2, outcomes.Ran("ok")),
+        ([LOST], 1, outcomes.Unknown(TOLD.REPLY_LOST)),
+        ([UNREACHED, LOST], 2, outcomes.Unknown(TOLD.REPLY_LOST)),
+        ([REFUSED], 1, outcomes.NotRun(TOLD.OVERLOADED, 200)),
+        ([UNREACHED] * 3, 2, outcomes.NotRun(TOLD.DEADLINE, 200)),
+    ],
+)
+async def test_sent_again_only_while_nothing_was_written(script, sends, told):
+    clock = clocks.ManualClock()
+    transport = ScriptedTransport(clock, script)
+    holder = configuration.Holder(clock)
+    upstreams = {
+        name: base.Upstream(name, "127.0.0.1:1", "dc-a", 1, 1) for name in NAMES
+    }
+    pinned = snapshots.PinnedMap(
+        snapshots.Snapshot(1, 1),
+        (snapshots.RangeReplicas(ranges.KEY_SPACE, NAMES),),
+    )
+    holder.services["s"] = services.Service("s", 1, upstreams, (pinned,))
+    dispatcher = dispatches.Dispatcher(
+        holder,
+        transport,
+        policies.PlainPolicy(random.Random(1)),
+        clock,
+        metrics.Metrics(),
+    )
+    request = dispatches.ActionRequest(
+        "r.1", "k", "w", "member-a", "s", 1, {}, 800.0, first_send=True
+    )
+    trace = records.Trace("entry-1", clock)
+    assert await dispatcher.dispatch(request, trace) == told
+    assert len(transport.sent) == sends
+    assert len({name for name, _ in transport.sent}) == sends
