--- a/greengagedale/daemons.py
+++ b/greengagedale/daemons.py
@@ -123,7 +123,13 @@
         observed_transport,
         holder,
         drains.is_leaving,
-        lambda: 1 + len(directory.alive),
+        board,
+        _wall_ms,
+        settings.host.name,
+        lambda: [
+            settings.host.name,
+            *(status.name for status in directory.alive.values()),
+        ],
         clock,
         metrics,
     )
