Claims and actions end at their deadline

A silent platform held a claim until its own time-out, so that a caller was told unknown; it now ends at the deadline and the next call takes the claim up by its token (test failing first: no end within 5 s). An action whose time is up before it is sent, as after a freeze, is not sent and told as not run (test failing first: unknown).

--- a/greengagedale/idempotency/claims.py
+++ b/greengagedale/idempotency/claims.py
@@ -21,6 +21,7 @@
 
 KIND_CLAIM = "claims"
 
+_MS_PER_S = 1000.0
 _TOKEN_BYTES = 12
 _PAUSES_S = (0.02, 0.05, 0.1)
 _MOST_UNRESOLVED = 10_000
@@ -111,7 +112,7 @@
         for pause_s in _PAUSES_S:
             if self._clock.now_ms() >= deadline_ms:
                 break
-            written = await self._create(identity, wanted)
+            written = await self._create(identity, wanted, deadline_ms)
             if isinstance(written, platform_base.Written):
                 return Owned()
             if isinstance(written, platform_base.Unavailable) and not unsure:
@@ -125,15 +126,20 @@
         return Unresolved()
 
     async def _create(
-        self, identity: tables.Identity, wanted: Claim
+        self, identity: tables.Identity, wanted: Claim, deadline_ms: float
     ) -> (
         platform_base.Written
         | platform_base.Conflict
         | platform_base.Unavailable
         | platform_base.Unsure
     ):
-        value = msgspec.json.encode(wanted)
-        return await self._store.put(KIND_CLAIM, name_of(identity), value, 0)
+        name, value = name_of(identity), msgspec.json.encode(wanted)
+        left_ms = max(0.0, deadline_ms - self._clock.now_ms())
+        try:
+            async with asyncio.timeout(left_ms / _MS_PER_S):
+                return await self._store.put(KIND_CLAIM, name, value, 0)
+        except TimeoutError:
+            return platform_base.Unsure("no reply until the deadline")
 
     def _keep(self, identity: tables.Identity, token: str) -> None:
         self._unresolved[identity] = token
--- a/greengagedale/upstreams/http.py
+++ b/greengagedale/upstreams/http.py
@@ -91,7 +91,11 @@
     async def act(
         self, upstream: base.Upstream, action: base.Action
     ) -> base.Acted | outcomes.AttemptEnd:
-        """Sends an action, once, and returns how it ended."""
+        """Sends an action, once and in time, and returns how it ended."""
+        if action.timeout_ms <= 0:
+            return outcomes.AttemptEnd(
+                outcomes.Reason.DEADLINE, written=False, refused=False
+            )
         body = wire.ActionBody(
             attempt_id=action.attempt_id,
             key=action.key,
--- a/tests/idempotency/test_claims.py
+++ b/tests/idempotency/test_claims.py
@@ -1,5 +1,7 @@
 """Claims under lost replies, outages and rivals."""
 
+import asyncio
+
 import pytest
 
 from greengagedale import clocks
@@ -22,8 +24,11 @@
         self.held = {}
         self.put_script = []
         self.get_script = []
+        self.silent = False
 
     async def put(self, kind, name, value, expected_version):
+        if self.silent:
+            await asyncio.Event().wait()
         applied, reply = (self.put_script or [(True, None)]).pop(0)
         if name in self.held:
             return reply or base.Conflict()
@@ -98,3 +103,11 @@
 async def test_own_claim_of_an_earlier_call_is_never_taken_again(book):
     assert await book.claim(KEY, 1000) == claims.Owned()
     assert await book.claim(KEY, 1000) == claims.HeldBy(OWN)
+
+
+async def test_silent_platform_is_given_up_at_the_deadline(store, book):
+    store.silent = True
+    async with asyncio.timeout(5):
+        assert await book.claim(KEY, 20) == claims.Unresolved()
+    store.silent = False
+    assert await book.claim(KEY, 1000) == claims.Owned()
--- a/tests/upstreams/test_http.py
+++ b/tests/upstreams/test_http.py
@@ -18,14 +18,14 @@
     await made.close()
 
 
-async def act_against(handler, transport):
+async def act_against(handler, transport, action=ACTION):
     app = web.Application()
     app.router.add_post("/{path:.*}", handler)
     async with test_utils.TestServer(app) as server:
         upstream = base.Upstream(
             "places-1-1", f"{server.host}:{server.port}", "dc-a", 1, 1
         )
-        return await transport.act(upstream, ACTION)
+        return await transport.act(upstream, action)
 
 
 async def test_redirect_does_not_send_an_action_again(transport):
@@ -54,3 +54,18 @@
     assert runs == ["/v1/act"]
     assert end.written
     assert not end.refused
+
+
+async def test_action_whose_time_is_up_is_not_sent(transport):
+    runs = []
+
+    async def run(request):
+        runs.append(request.path)
+        return web.json_response({"attempt_id": "a.0", "body": None})
+
+    late = ACTION._replace(timeout_ms=0.0)
+    end = await act_against(run, transport, late)
+    assert runs == []
+    assert outcomes.of_attempts([end], end.reason, 0) == outcomes.NotRun(
+        outcomes.Reason.DEADLINE, 0
+    )
