--- a/greengagedale/query/parts.py
+++ b/greengagedale/query/parts.py
@@ -1,5 +1,7 @@
 """One range of a search: its attempts and its answer."""
 
+from collections.abc import Collection
+
 from greengagedale import outcomes
 from greengagedale.query import attempts
 from greengagedale.query import hits
@@ -18,7 +20,9 @@
         reason: Why there is no answer, as far as is known.
         rounds: How often all replicas have been tried.
         waiting: Whether a next round is due later.
-        replaced: How many attempts were replaced for want of progress.
+        patience: How many times the usual time without progress is allowed;
+            doubles with each attempt given up, so that a range whose
+            replicas are all slow still gets its answer.
     """
 
     __slots__ = (
@@ -26,25 +30,33 @@
         "gone",
         "hits",
         "open",
+        "patience",
         "reason",
-        "replaced",
         "rounds",
         "tried",
         "waiting",
     )
 
     def __init__(
-        self, entry: snapshots.RangeReplicas, gone: frozenset[str]
+        self, entry: snapshots.RangeReplicas, refusing: Collection[str] = ()
     ) -> None:
+        """Makes a range of which nothing was tried.
+
+        Args:
+            entry: The range and its replicas.
+            refusing: Upstreams that lately did not hold the snapshot; they
+                are tried only if all replicas are among them.
+        """
         self.entry = entry
         self.open: dict[str, attempts.Attempt] = {}
-        self.tried: set[str] = set()
-        self.gone = gone
+        lagging = set(entry.upstreams) & set(refusing)
+        self.tried = lagging if len(lagging) < len(entry.upstreams) else set()
+        self.gone: set[str] = set()
         self.hits: list[hits.Hit] | None = None
         self.reason = outcomes.Reason.DEADLINE
         self.rounds = 0
         self.waiting = False
-        self.replaced = 0
+        self.patience = 1
 
     @property
     def is_settled(self) -> bool:
