The library never calls a search not run that a host may have run

Cause: after a lost answer of one host, the refusal of the next was handed on as the outcome of the search. And a locate answer without a ticket, from a host that leaves, was used to make a key, which then counted as one of the caller's own. Both in tests/test_client.py, failing before.

--- a/greengagedale/client.py
+++ b/greengagedale/client.py
@@ -119,9 +119,9 @@
             result = await self._send(endpoint, path, body, left_ms + _GRACE_MS)
             match result:
                 case resends.Answered(outcome):
-                    last = outcome
+                    last = _more_certain(last, outcome)
                     if not _may_go_elsewhere(outcome):
-                        return outcome
+                        return last
                 case resends.Rejected(message):
                     raise exceptions.RemoteError(message)
                 case resends.Lost():
@@ -218,7 +218,8 @@
 
     async def _locate(self, with_ticket: bool = False) -> _Known:
         known = self._known
-        if known is not None and self._clock.now_ms() < known.until_ms:
+        fresh = known is not None and self._clock.now_ms() < known.until_ms
+        if fresh and (known.located["ticket"] or not with_ticket):
             return known
         earlier = known.endpoints if known else []
         endpoints = dict.fromkeys([*earlier, *self._endpoints])
@@ -323,6 +324,16 @@
     return outcomes.NotRun(outcomes.Reason.CONNECT_FAILED, 0)
 
 
+def _more_certain(
+    earlier: outcomes.Outcome, later: outcomes.Outcome
+) -> outcomes.Outcome:
+    """Returns what two hosts' answers to one search come to."""
+    later_refused = isinstance(later, outcomes.NotRun)
+    if later_refused and isinstance(earlier, outcomes.Unknown):
+        return earlier
+    return later
+
+
 def _may_go_elsewhere(outcome: outcomes.Outcome) -> bool:
     refused = isinstance(outcome, outcomes.NotRun)
     return refused and outcome.reason in _ELSEWHERE
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -25,6 +25,7 @@
         self.located = []
         self.sent = []
         self.silent = set()
+        self.leaving = set()
 
     async def locate(self, endpoint, data_centre):
         self.located.append(endpoint)
@@ -36,6 +37,8 @@
         ]
         number = HOSTS.index(endpoint) + 1
         ticket = f"t1.entry-{number}.ab.{len(self.located):x}"
+        if endpoint in self.leaving:
+            ticket = ""
         return base.Located(hosts=hosts, ttl_ms=2000, revision=1, ticket=ticket)
 
     async def send(self, endpoint, path, body, wait_ms):
@@ -103,3 +106,20 @@
     calls.silent = set(HOSTS)
     with pytest.raises(exceptions.RemoteError, match="check the addresses"):
         await client.search("w", "x")
+
+
+async def test_search_that_a_host_may_have_run_is_never_not_run(client, calls):
+    stopping = outcomes.NotRun(outcomes.Reason.STOPPING, 0)
+    calls.script = [resends.Lost(), resends.Answered(stopping)]
+    told = await client.search("w", "x")
+    assert told == outcomes.Unknown(outcomes.Reason.REPLY_LOST)
+
+
+async def test_host_without_a_ticket_is_passed_over(client, calls):
+    calls.leaving = {HOSTS[0]}
+    await client.locate()
+    calls.script = [RAN]
+    assert isinstance(await client.act("w", 1, {}), outcomes.Ran)
+    [(endpoint, key, _)] = calls.sent
+    assert endpoint == HOSTS[1]
+    assert key.startswith("t1.entry-2.")
