--- a/greengagedale/config/settings.py
+++ b/greengagedale/config/settings.py
@@ -57,8 +57,8 @@
     """Requests that are not safe to repeat, and their idempotency keys."""
 
     ticket_life_ms: options.DurationMs = 30_000
-    retention_ms: options.DurationMs = 60_000
-    most_keys: options.Count = 50_000
+    retention_ms: options.DurationMs = 30_000
+    most_keys: options.Count = 20_000
 
 
 class ConfigurationSettings(Section):
