Settings refuse tickets that expire before their requests

A ticket has to live as long as a locate answer is kept and a request may take; a shorter life is a mistake with the least value in its message.

--- a/greengagedale/config/settings.py
+++ b/greengagedale/config/settings.py
@@ -130,6 +130,16 @@
     drain: DrainSettings = DrainSettings()
     logs: LogsSettings = LogsSettings()
 
+    @pydantic.model_validator(mode="after")
+    def _check_ticket_life(self) -> Self:
+        needed_ms = self.callers.locate_ttl_ms + self.callers.max_timeout_ms
+        if self.actions.ticket_life_ms < needed_ms:
+            raise ValueError(
+                "actions.ticket_life_ms must be at least "
+                f"callers.locate_ttl_ms + callers.max_timeout_ms = {needed_ms}"
+            )
+        return self
+
     @classmethod
     def from_file(cls, path: pathlib.Path) -> Self:
         """Reads and checks a settings file.
