--- a/tests/config/test_settings.py
+++ b/tests/config/test_settings.py
@@ -60,7 +60,7 @@
 
 def test_ticket_has_to_outlive_the_locate_answer_and_the_request(write):
     text = GOOD + "\n[actions]\nticket_life_ms = 5000\n"
-    with pytest.raises(exceptions.ConfigError, match="at least .* = 12000"):
+    with pytest.raises(exceptions.ConfigError, match=r"at least .* = 12000"):
         settings.Settings.from_file(write(text))
 
 
