--- /dev/null
+++ b/bench/control_cost.py
@@ -0,0 +1,230 @@
+"""What control costs a node: measured on few, carried to many."""
+
+from collections.abc import Iterable
+import json
+import random
+import statistics
+import subprocess
+import sys
+import time
+import tracemalloc
+
+from bench import cases
+from greengagedale import clocks
+from greengagedale.catalog import services
+from greengagedale.membership import messages
+from greengagedale.membership import news
+from greengagedale.membership import rings
+from greengagedale.membership import swim as swim_lib
+from greengagedale.query import ranges
+from greengagedale.query import snapshots
+from greengagedale.upstreams import base as upstreams_base
+from standins import member
+
+_COUNTS = (4, 8, 16, 32)
+_NODES = 820
+_UPSTREAMS = 3800
+_RANGES = 1500
+_REPLICAS = 3
+_WARM_S = 6.0
+_DRIVEN_S = 60.0
+_MOST_BYTES_PER_S = 2000.0
+_MOST_PROCESSOR_PERCENT = 3.1
+_MOST_KIB = 32 * 1024
+_TARGET = "at most 2000 B/s sent, 3.1% of a core, 32 MiB more than idle"
+_MS_PER_S = 1000.0
+
+
+class ControlCost(cases.Case):
+    """Processes of membership alone, then single parts at full size."""
+
+    name = "control_cost"
+    shapes = ("small",)
+    seeds = (1,)
+    duration_s = 12.0
+
+    def run(self, context: cases.Context) -> Iterable[cases.Row]:
+        """Measures each fleet size, and fits a line through them."""
+        measured = {n: _run_members(n, context) for n in _COUNTS}
+        for count, figures in measured.items():
+            yield self._row(context, f"{count} processes", figures)
+        carried = {
+            name: _carry(
+                [float(n) for n in measured],
+                [figures[name] for figures in measured.values()],
+            )
+            for name in ("sent_bytes_per_s", "processor_percent", "grown_kib")
+        }
+        yield self._row(context, f"line carried to {_NODES}", carried)
+        yield self._row(context, f"one core, {_NODES} members", _drive(context))
+        yield cases.Row(
+            self.name,
+            context.shape.name,
+            f"service of {_UPSTREAMS} upstreams",
+            context.seed,
+            _service_figures(),
+        )
+
+    def _row(
+        self, context: cases.Context, policy: str, figures: dict[str, float]
+    ) -> cases.Row:
+        met = (
+            figures["sent_bytes_per_s"] <= _MOST_BYTES_PER_S
+            and figures["processor_percent"] <= _MOST_PROCESSOR_PERCENT
+            and figures["grown_kib"] <= _MOST_KIB
+        )
+        shape = context.shape.name
+        return cases.Row(
+            self.name, shape, policy, context.seed, figures, _TARGET, met
+        )
+
+
+def _run_members(count: int, context: cases.Context) -> dict[str, float]:
+    arguments = [
+        [
+            sys.executable,
+            *("-m", "standins", "member"),
+            *("--number", str(number), "--count", str(count)),
+            *("--base-port", str(context.base_port)),
+            *("--warm-s", str(_WARM_S)),
+            *("--measured-s", str(context.duration_s)),
+        ]
+        for number in range(count)
+    ]
+    started = [
+        subprocess.Popen(item, stdout=subprocess.PIPE) for item in arguments
+    ]
+    usages = [
+        [member.Usage(*item) for item in json.loads(process.communicate()[0])]
+        for process in started
+    ]
+    spans = [(idle, warm, end) for idle, warm, end in usages]
+    return {
+        "sent_bytes_per_s": max(
+            (end.sent_bytes - warm.sent_bytes) / (end.at_s - warm.at_s)
+            for _, warm, end in spans
+        ),
+        "processor_percent": 100
+        * statistics.mean(
+            (end.processor_s - warm.processor_s) / (end.at_s - warm.at_s)
+            for _, warm, end in spans
+        ),
+        "grown_kib": statistics.mean(
+            end.resident_kib - idle.resident_kib for idle, _, end in spans
+        ),
+        "idle_kib": statistics.mean(idle.resident_kib for idle, _, _ in spans),
+        "least_alive": float(min(end.alive for _, _, end in spans)),
+    }
+
+
+def _carry(sizes: list[float], values: list[float]) -> float:
+    slope, start = statistics.linear_regression(sizes, values)
+    return start + slope * _NODES
+
+
+def _update(number: int) -> messages.Update:
+    endpoint = f"10.0.{number // 250}.{number % 250}:7000"
+    status = messages.PeerStatus(
+        f"entry-{number}", "dc-a", "0" * 12, endpoint, 1, True, False, 5
+    )
+    return messages.Update(
+        status.name, endpoint, 1, messages.State.ALIVE, 1, status
+    )
+
+
+def _drive(context: cases.Context) -> dict[str, float]:
+    """Drives one core with a full table; every ping is answered at once."""
+    clock = clocks.ManualClock()
+    updates = [_update(number) for number in range(_NODES)]
+    tracemalloc.start()
+    own = updates[0]
+    options = swim_lib.Options()
+    swim = swim_lib.Swim(
+        own.status,
+        own.endpoint,
+        1,
+        options,
+        news.Board(clock),
+        random.Random(context.seed),
+        0.0,
+    )
+    swim.merge_all(updates[1:])
+    grown_kib = tracemalloc.get_traced_memory()[0] / 1024
+    tracemalloc.stop()
+    by_endpoint = {item.endpoint: item for item in updates}
+    rng = random.Random(context.seed)
+    used_s = time.process_time()
+    next_ping_ms = 0.0
+    while clock.now_ms() < _DRIVEN_S * _MS_PER_S:
+        clock.advance(options.tick_ms)
+        for endpoint, message in swim.tick(clock.now_ms()):
+            encoded = messages.encode(message)
+            if message.kind is messages.Kind.PING:
+                ack = messages.Datagram(
+                    messages.Kind.ACK,
+                    message.sequence,
+                    by_endpoint[endpoint],
+                    updates=tuple(rng.sample(updates[1:], 3)),
+                )
+                swim.receive(messages.decode(messages.encode(ack)))
+            del encoded
+        if clock.now_ms() >= next_ping_ms:
+            next_ping_ms += options.probe_interval_ms
+            ping = messages.Datagram(
+                messages.Kind.PING,
+                1,
+                rng.choice(updates[1:]),
+                own.name,
+                updates=tuple(rng.sample(updates[1:], 3)),
+            )
+            for _, answer in swim.receive(
+                messages.decode(messages.encode(ping))
+            ):
+                messages.encode(answer)
+    used_s = time.process_time() - used_s
+    return {
+        "sent_bytes_per_s": swim.counts["sent_bytes"] / _DRIVEN_S,
+        "processor_percent": 100 * used_s / _DRIVEN_S,
+        "grown_kib": grown_kib,
+    }
+
+
+def _service_figures() -> dict[str, float]:
+    names = [f"upstream-{number}" for number in range(_UPSTREAMS)]
+    made = {
+        name: upstreams_base.Upstream(
+            name, f"10.1.{n // 250}.{n % 250}:7000", "dc-a", 5, 40
+        )
+        for n, name in enumerate(names)
+    }
+    entries = tuple(
+        snapshots.RangeReplicas(
+            key_range,
+            tuple(
+                names[(number * _REPLICAS + r) % _UPSTREAMS]
+                for r in range(_REPLICAS)
+            ),
+        )
+        for number, key_range in enumerate(
+            ranges.split_evenly(ranges.KEY_SPACE, _RANGES)
+        )
+    )
+    pinned = snapshots.PinnedMap(snapshots.Snapshot(1, 1), entries)
+    value = services.to_object(services.Service("all", 1, made, (pinned,)))
+    tracemalloc.start()
+    began_s = time.process_time()
+    held = services.from_object("all", 1, value)
+    decode_s = time.process_time() - began_s
+    grown_kib = tracemalloc.get_traced_memory()[0] / 1024
+    tracemalloc.stop()
+    began_s = time.process_time()
+    ring = rings.Ring(f"entry-{number}" for number in range(_NODES))
+    owned = [ring.owner_of(name) for name in held.upstreams]
+    ring_s = time.process_time() - began_s
+    return {
+        "object_bytes": float(len(value)),
+        "decode_ms": decode_s * _MS_PER_S,
+        "held_kib": grown_kib,
+        "owners_ms": ring_s * _MS_PER_S,
+        "most_owned": float(max(map(owned.count, set(owned)))),
+    }
--- a/bench/drain.py
+++ b/bench/drain.py
@@ -33,6 +33,7 @@
                 placed.upstream.name
                 for placed in deployment.shape.upstreams()
                 if placed.shape.name == service
+                and placed.upstream.name.endswith("-1")
             ]
             ways = (
                 ("upstream", False),
--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -5,12 +5,14 @@
 from typing import Annotated
 
 from aiohttp import web
+import msgspec
 import typer
 
 from greengagedale import loops
 from standins import bare as bare_lib
 from standins import datagramproxy
 from standins import faultproxy
+from standins import member as member_lib
 from standins import platform as platform_lib
 from standins import records
 from standins import shapes
@@ -109,6 +111,21 @@
     loops.run(_serve_proxies(loaded, seed))
 
 
+@app.command()
+def member(
+    number: Annotated[int, typer.Option(help="Number of this member.")],
+    count: Annotated[int, typer.Option(help="How many there are.")],
+    base_port: Annotated[int, typer.Option(help="Port of all of them.")],
+    warm_s: Annotated[float, typer.Option(help="Not measured.")],
+    measured_s: Annotated[float, typer.Option(help="Measured.")],
+) -> None:
+    """Run membership alone for a while and print what it used, in JSON."""
+    used = loops.run(
+        member_lib.run(number, count, base_port, warm_s, measured_s)
+    )
+    typer.echo(msgspec.json.encode(used))
+
+
 @app.command()
 def settings(
     shape: ShapePath,
