--- a/bench/control_cost.py
+++ b/bench/control_cost.py
@@ -100,7 +100,11 @@
     ]
     spans = [(idle, warm, end) for idle, warm, end in usages]
     return {
-        "sent_bytes_per_s": max(
+        "sent_bytes_per_s": statistics.mean(
+            (end.sent_bytes - warm.sent_bytes) / (end.at_s - warm.at_s)
+            for _, warm, end in spans
+        ),
+        "most_bytes_per_s": max(
             (end.sent_bytes - warm.sent_bytes) / (end.at_s - warm.at_s)
             for _, warm, end in spans
         ),
--- /dev/null
+++ b/bench/rolling.py
@@ -0,0 +1,176 @@
+"""All entry hosts are replaced, one after another, under load."""
+
+import asyncio
+from collections.abc import Iterable
+import itertools
+import random
+import signal
+import time
+from typing import NamedTuple
+
+from bench import cases
+from greengagedale import client as client_lib
+from greengagedale import loops
+from greengagedale import outcomes
+from standins import deployments
+
+_SERVICES = {"kodklubben": "enrolment", "tuners": "booking"}
+_CLIENTS = 12
+_ACTION_SHARE = 0.2
+_TIMEOUT_MS = 5000
+_MOST_P99_RATIO = 1.5
+_EXIT_TIMEOUT_S = 60.0
+_MS_PER_S = 1000.0
+# About half of what four hosts carry beside their upstreams on one machine.
+_RATES_PER_S = {"kodklubben": 60.0, "tuners": 60.0}
+
+
+class Call(NamedTuple):
+    """One request and how it ended."""
+
+    latency_ms: float
+    outcome: outcomes.Outcome
+
+
+class Rolling(cases.Case):
+    """Callers locate hosts and search or act while all hosts are replaced."""
+
+    name = "rolling"
+    seeds = (1,)
+    duration_s = 10.0
+
+    def run(self, context: cases.Context) -> Iterable[cases.Row]:
+        """Measures a quiet time first, then the replacement."""
+        service = _SERVICES[context.shape.name]
+        deployment = context.deployment()
+        try:
+            deployment.start(service=service)
+            deployment.apply_workspace("bench", "member-a", service)
+            quiet, rolling = loops.run(_measure(deployment, context))
+        finally:
+            deployment.stop()
+        quiet_figures = _figures(quiet)
+        yield self._row(context, "quiet", quiet_figures, None)
+        figures = _figures(rolling)
+        ratio = figures["p99_ms"] / quiet_figures["p99_ms"]
+        figures["p99_ratio"] = ratio
+        met = figures["lost"] == 0 and ratio <= _MOST_P99_RATIO
+        yield self._row(context, "rolling", figures, met)
+
+    def _row(
+        self,
+        context: cases.Context,
+        policy: str,
+        figures: dict[str, float],
+        met: bool | None,
+    ) -> cases.Row:
+        return cases.Row(
+            self.name,
+            context.shape.name,
+            policy,
+            context.seed,
+            figures,
+            "nothing cut or lost, p99 at most 1.5 times quiet",
+            met,
+        )
+
+
+async def _measure(
+    deployment: deployments.Deployment, context: cases.Context
+) -> tuple[list[Call], list[Call]]:
+    hosts = deployment.shape.entry_hosts()
+    endpoints = [deployment.caller(host) for host in hosts]
+    clients = [
+        client_lib.Client.from_config(endpoints, host.data_centre)
+        for host in itertools.islice(itertools.cycle(hosts), _CLIENTS)
+    ]
+    rate_per_s = _RATES_PER_S[context.shape.name]
+    rng = random.Random(context.seed)
+    try:
+        done = asyncio.Event()
+        asyncio.get_running_loop().call_later(context.duration_s, done.set)
+        quiet = await _offer(clients, rate_per_s, rng, done)
+        done = asyncio.Event()
+        replacing = asyncio.create_task(_replace_all(deployment, done))
+        rolling = await _offer(clients, rate_per_s, rng, done)
+        await replacing
+    finally:
+        for client in clients:
+            await client.close()
+    return quiet, rolling
+
+
+async def _replace_all(
+    deployment: deployments.Deployment, done: asyncio.Event
+) -> None:
+    try:
+        for host in deployment.shape.entry_hosts():
+            process = deployment.processes[host.name]
+            process.send_signal(signal.SIGTERM)
+            await asyncio.to_thread(process.wait, _EXIT_TIMEOUT_S)
+            if process.returncode != 0:
+                raise RuntimeError(f"{host.name} ended {process.returncode}")
+            deployment.start_host(host)
+            await asyncio.to_thread(deployment.wait_ready)
+    finally:
+        done.set()
+
+
+async def _offer(
+    clients: list[client_lib.Client],
+    rate_per_s: float,
+    rng: random.Random,
+    done: asyncio.Event,
+) -> list[Call]:
+    due_s = time.monotonic()
+    tasks = []
+    while not done.is_set():
+        due_s += rng.expovariate(rate_per_s)
+        await asyncio.sleep(max(0.0, due_s - time.monotonic()))
+        acting = rng.random() < _ACTION_SHARE
+        call = _call(rng.choice(clients), rng.randrange(1 << 32), acting, due_s)
+        tasks.append(asyncio.create_task(call))
+    return list(await asyncio.gather(*tasks))
+
+
+async def _call(
+    client: client_lib.Client, number: int, acting: bool, due_s: float
+) -> Call:
+    if acting:
+        body = {"offer": number}
+        outcome = await client.act(
+            "bench", number, body, timeout_ms=_TIMEOUT_MS
+        )
+    else:
+        text = f"text-{number % 50}"
+        outcome = await client.search("bench", text, timeout_ms=_TIMEOUT_MS)
+    latency_ms = (time.monotonic() - due_s) * _MS_PER_S
+    return Call(latency_ms, outcome)
+
+
+def _figures(calls: list[Call]) -> dict[str, float]:
+    latencies = sorted(call.latency_ms for call in calls)
+    lost = [c for c in calls if not isinstance(c.outcome, outcomes.Ran)]
+    partial = [c for c in calls if _is_partial(c.outcome)]
+    reasons = {f"lost_{c.outcome.reason}" for c in lost}
+    return {
+        "requests": float(len(calls)),
+        "lost": float(len(lost)),
+        "partial": float(len(partial)),
+        "p50_ms": latencies[len(latencies) // 2],
+        "p99_ms": latencies[int(len(latencies) * 0.99)],
+        "highest_ms": latencies[-1],
+        **{
+            reason: float(
+                sum(reason == f"lost_{c.outcome.reason}" for c in lost)
+            )
+            for reason in reasons
+        },
+    }
+
+
+def _is_partial(outcome: outcomes.Outcome) -> bool:
+    if not isinstance(outcome, outcomes.Ran):
+        return False
+    coverage = outcome.value.get("coverage")
+    return coverage is not None and coverage["covered"] < coverage["total"]
