--- a/greengagedale/distribution.py
+++ b/greengagedale/distribution.py
@@ -112,7 +112,7 @@
 
     async def run(self) -> None:
         """Follows everything until cancelled."""
-        await self._ask_seeds()
+        await self._guard(self._ask_seeds)
         async with asyncio.TaskGroup() as group:
             group.create_task(self._keep_up(self._follow_catalog))
             group.create_task(self._keep_up(self._follow_services))
@@ -121,12 +121,15 @@
     async def _keep_up(self, follow: Callable[[], Awaitable[None]]) -> None:
         """Starts work anew after an unexpected error, so that none ends it."""
         while True:
-            try:
-                await follow()
-            except Exception:
-                self._metrics.rejected.labels("internal").inc()
-                log.exception("following failed; it starts again")
-                await asyncio.sleep(_LONGEST_DELAY_S)
+            await self._guard(follow)
+            await asyncio.sleep(_LONGEST_DELAY_S)
+
+    async def _guard(self, work: Callable[[], Awaitable[None]]) -> None:
+        try:
+            await work()
+        except Exception:
+            self._metrics.rejected.labels("internal").inc()
+            log.exception("following configuration failed")
 
     async def _ask_seeds(self) -> None:
         """Takes over what other hosts have before the platform is asked.
@@ -147,7 +150,8 @@
             )
             if isinstance(changes, platform_base.Unavailable):
                 # The watch may be silent while reads are answered.
-                await self._read_catalog()
+                if await self._read_catalog():
+                    backoff.reset()
                 await backoff.wait()
                 continue
             values = [
@@ -164,17 +168,19 @@
             cursor = changes.cursor
             self._platform_answered()
 
-    async def _read_catalog(self) -> None:
+    async def _read_catalog(self) -> bool:
+        """Reads the newest catalog; tells whether the platform answered."""
         found = await self._store.get(
             catalogs.KIND_CATALOG, catalogs.CATALOG_NAME
         )
         if isinstance(found, platform_base.Unavailable):
-            return
+            return False
         if isinstance(found, platform_base.Missing):
             self._holder.configuration_known = True
         elif not await self._take(found.stored.value, FROM_PLATFORM):
-            return
+            return False
         self._platform_answered()
+        return True
 
     def _platform_answered(self) -> None:
         if self._platform_revision >= self._holder.current.revision:
--- a/greengagedale/limits/gated.py
+++ b/greengagedale/limits/gated.py
@@ -1,7 +1,7 @@
 """Carries attempts to upstreams through the gate of their slots."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterable
 from typing import Any, TypeVar
 
 from greengagedale import clocks
@@ -12,6 +12,7 @@
 from greengagedale.catalog import services
 from greengagedale.limits import concurrency
 from greengagedale.limits import gate as gate_lib
+from greengagedale.limits import passing
 from greengagedale.query import attempts
 from greengagedale.query import ranges
 from greengagedale.query import snapshots
@@ -87,7 +88,7 @@
         return index
 
 
-class GatedTransport(base.UpstreamTransport):
+class GatedTransport(passing.PassingTransport):
     """Sends attempts only while their upstream has a slot for this host."""
 
     def __init__(
@@ -95,14 +96,17 @@
         inner: base.UpstreamTransport,
         placement: Placement,
         gate: gate_lib.Gate,
-        live_hosts: Callable[[], int],
+        own_name: str,
+        live_hosts: Callable[[], Iterable[str]],
         clock: clocks.Clock,
         metrics: metrics_lib.Metrics,
     ) -> None:
-        self._inner = inner
+        super().__init__(inner)
         self._placement = placement
         self._gate = gate
+        self._own_name = own_name
         self._live_hosts = live_hosts
+        self._prepared: dict[str, tuple[int, tuple[str, ...]]] = {}
         self._clock = clock
         self._metrics = metrics
         self._waiting: dict[str, asyncio.Future[str]] = {}
@@ -115,11 +119,19 @@
         self._listeners.append(listener)
 
     def prepare(self, service: services.Service) -> None:
-        """Takes in the slots of a service's upstreams."""
-        hosts = max(1, self._live_hosts())
+        """Takes in the slots of a service's upstreams and the live hosts."""
+        hosts = tuple(sorted(self._live_hosts()))
+        known = (service.version, hosts)
+        if self._prepared.get(service.name) == known:
+            return
+        self._prepared[service.name] = known
         for upstream in service.upstreams.values():
             bounds = concurrency.Bounds.of_upstream(
-                upstream.slots, upstream.connections, hosts
+                upstream.name,
+                upstream.slots,
+                upstream.connections,
+                self._own_name,
+                hosts,
             )
             self._gate.set_bounds(upstream.name, bounds)
 
@@ -186,10 +198,6 @@
             self._release(attempt_id)
         return confirmed
 
-    async def health(self, upstream: base.Upstream) -> base.Health | None:
-        """Asks an upstream about itself; None if it does not say."""
-        return await self._inner.health(upstream)
-
     async def close(self) -> None:
         """Closes all connections."""
         for handle in self._releases:
@@ -322,3 +330,8 @@
             weight, weights.get(workspace.member, 0.0)
         )
     return weights
+
+
+def was_answered(result: Any) -> bool:
+    """Tells whether an attempt got an answer rather than a failure."""
+    return not isinstance(result, outcomes.AttemptEnd)
--- a/standins/change_history.py
+++ b/standins/change_history.py
@@ -35,8 +35,8 @@
         gaps: Revisions that don't follow the one before by one.
         twice: Changes that are in the history more than once.
         lost: Changes told accepted that are not in it at that revision.
-        false_refusals: Changes told not accepted that are in it, or that fit
-            every revision of their time.
+        false_refusals: Changes told not accepted that are in it, or refused
+            although they fit every revision of their time.
     """
 
     invalid: list[int]
@@ -56,6 +56,7 @@
         documents: Every document that was ever stored, by name.
         told: What the operators were told.
     """
+    values = _without_repeats(values)
     stored = [catalogs.decode_catalog(value) for value in values]
     states = [catalogs.EMPTY]
     invalid = []
@@ -89,6 +90,21 @@
     )
 
 
+def revision_of(value: bytes) -> int:
+    """Returns the revision of a catalog."""
+    return catalogs.decode_catalog(value)["revision"]
+
+
+def _without_repeats(values: list[bytes]) -> list[bytes]:
+    """Leaves out rewrites of the same bytes, which change nothing."""
+    earlier = [catalogs.EMPTY.encoded.catalog, *values]
+    return [
+        value
+        for value, before in zip(values, earlier, strict=False)
+        if value != before
+    ]
+
+
 def from_record(events: list[dict]) -> tuple[list[bytes], dict[str, bytes]]:
     """Returns catalogs and documents from the record of the platform."""
     writes = [
@@ -116,6 +132,8 @@
 ) -> bool:
     if item.change.change_id in at_revision:
         return True
+    if item.reason == "platform_down":
+        return False
     until = None if item.to_revision is None else item.to_revision + 1
     lived = states[item.from_revision : until]
     # The id is given anew, so that only the content of the change decides.
