--- a/greengagedale/daemons.py
+++ b/greengagedale/daemons.py
@@ -51,6 +51,7 @@
 log = logging.getLogger(__name__)
 
 _HOST_LIST_S = 1.0
+_HOST_LIST_CROWD = 50
 _MS_PER_S = 1000.0
 _INCARNATION_BYTES = 6
 
@@ -258,7 +259,9 @@
         if not isinstance(listed, platform_base.Unavailable):
             endpoints = [item.peer_endpoint for item in listed]
             directory.hint([*settings.peers.seeds, *endpoints])
-        await asyncio.sleep(_HOST_LIST_S)
+        # The fleet together asks no more often than a small one does.
+        crowd = max(1.0, len(directory.alive) / _HOST_LIST_CROWD)
+        await asyncio.sleep(_HOST_LIST_S * crowd)
 
 
 def _wall_ms() -> int:
--- a/greengagedale/membership/rings.py
+++ b/greengagedale/membership/rings.py
@@ -7,21 +7,20 @@
 
 import bisect
 from collections.abc import Iterable
+import functools
+import itertools
 
 import xxhash
 
-_POINTS_PER_HOST = 64
+_POINTS_PER_HOST = 32
+_MOST_REMEMBERED = 2048
 
 
 class Ring:
     """Hosts at points of a ring; each thing belongs to the next point."""
 
     def __init__(self, hosts: Iterable[str]) -> None:
-        placed = sorted(
-            (_hash(f"{number}/{host}"), host)
-            for host in hosts
-            for number in range(_POINTS_PER_HOST)
-        )
+        placed = sorted(itertools.chain.from_iterable(map(_points_of, hosts)))
         self._points = [point for point, _ in placed]
         self._hosts = [host for _, host in placed]
 
@@ -31,5 +30,12 @@
         return self._hosts[place]
 
 
+@functools.lru_cache(maxsize=_MOST_REMEMBERED)
+def _points_of(host: str) -> list[tuple[int, str]]:
+    return sorted(
+        (_hash(f"{number}/{host}"), host) for number in range(_POINTS_PER_HOST)
+    )
+
+
 def _hash(text: str) -> int:
     return xxhash.xxh64_intdigest(text.encode())
