--- /dev/null
+++ b/bench/losses.py
@@ -0,0 +1,165 @@
+"""Regions cut apart, a data centre lost, all hosts but one lost."""
+
+from collections.abc import Callable, Iterable
+import itertools
+import threading
+import time
+
+from bench import cases
+from standins import deployments
+from standins import load
+
+_LEFT, _RIGHT = (1, 2), (3, 4)
+_SURVIVOR = 2
+_WORKSPACE = "search-a"
+_RATE_PER_S = 20.0
+_BOUND_MS = 2000.0
+_WAIT_S = 10.0
+_MS_PER_S = 1000.0
+
+
+class Losses(cases.Case):
+    """What is served while much is lost, and how soon it heals.
+
+    The load begins once the loss is known everywhere and goes to the hosts
+    that are left; its requests should all be whole.
+    """
+
+    name = "losses"
+    shapes = ("small",)
+    seeds = (1,)
+    duration_s = 5.0
+
+    def run(self, context: cases.Context) -> Iterable[cases.Row]:
+        """Measures each loss on a deployment of its own."""
+        measures = {
+            "regions cut": _cut_regions,
+            "data centre lost": _lose_data_centre,
+            "one host left": _leave_one,
+        }
+        for policy, measure in measures.items():
+            deployment = context.deployment(policy.replace(" ", "-"), True)
+            try:
+                deployment.start()
+                deployment.apply_examples()
+                figures = measure(deployment, context)
+            finally:
+                deployment.stop()
+            yield cases.Row(
+                self.name,
+                context.shape.name,
+                policy,
+                context.seed,
+                figures,
+                "known within 2000 ms, all requests then whole",
+                figures["known_ms"] <= _BOUND_MS
+                and figures["whole"] == figures["requests"],
+            )
+
+
+def _cut_regions(
+    deployment: deployments.Deployment, context: cases.Context
+) -> dict[str, float]:
+    pairs = list(itertools.product(_LEFT, _RIGHT))
+    started_s = time.monotonic()
+    deployment.cut(*pairs, *((b, a) for a, b in pairs))
+    known_ms = _wait(
+        started_s,
+        lambda: all(
+            _named(deployment, number) == _names(deployment, side)
+            for side in (_LEFT, _RIGHT)
+            for number in side
+        ),
+    )
+    figures = _load(deployment, context, (*_LEFT, *_RIGHT))
+    started_s = time.monotonic()
+    deployment.cut()
+    deployment.wait_ready()
+    healed_ms = (time.monotonic() - started_s) * _MS_PER_S
+    return {"known_ms": known_ms, "healed_ms": healed_ms, **figures}
+
+
+def _lose_data_centre(
+    deployment: deployments.Deployment, context: cases.Context
+) -> dict[str, float]:
+    lost = deployment.shape.data_centres[0]
+    hosts = deployment.shape.entry_hosts()
+    numbers = range(1, len(hosts) + 1)
+    left = [n for n in numbers if deployment.host(n).data_centre != lost]
+    names = [host.name for host in hosts if host.data_centre == lost]
+    upstreams = [
+        placed.upstream.name
+        for placed in deployment.shape.upstreams()
+        if placed.upstream.data_centre == lost
+    ]
+    return _kill(deployment, context, [*names, *upstreams], left)
+
+
+def _leave_one(
+    deployment: deployments.Deployment, context: cases.Context
+) -> dict[str, float]:
+    names = [
+        host.name
+        for host in deployment.shape.entry_hosts()
+        if host.name != deployment.host(_SURVIVOR).name
+    ]
+    return _kill(deployment, context, names, [_SURVIVOR])
+
+
+def _kill(
+    deployment: deployments.Deployment,
+    context: cases.Context,
+    names: list[str],
+    left: list[int],
+) -> dict[str, float]:
+    started_s = time.monotonic()
+    killers = [
+        threading.Thread(target=deployment.kill, args=(name,)) for name in names
+    ]
+    for killer in killers:
+        killer.start()
+    known_ms = _wait(
+        started_s,
+        lambda: all(
+            _named(deployment, number) == _names(deployment, left)
+            for number in left
+        ),
+    )
+    return {
+        "known_ms": known_ms,
+        "lost_processes": float(len(names)),
+        **_load(deployment, context, left),
+    }
+
+
+def _load(
+    deployment: deployments.Deployment,
+    context: cases.Context,
+    numbers: Iterable[int],
+) -> dict[str, float]:
+    endpoints = [deployment.caller(deployment.host(n)) for n in numbers]
+    plan = load.LoadPlan(
+        endpoints, _WORKSPACE, _RATE_PER_S, context.duration_s, context.seed
+    )
+    [samples] = load.run(plan)
+    summary = load.Summary.of(samples)
+    return {
+        "requests": float(summary.requests),
+        "whole": float(summary.full),
+        "p99_ms": summary.p99_ms,
+    }
+
+
+def _names(
+    deployment: deployments.Deployment, numbers: Iterable[int]
+) -> set[str]:
+    return {deployment.host(number).name for number in numbers}
+
+
+def _named(deployment: deployments.Deployment, number: int) -> set[str]:
+    return set(deployment.located(deployment.host(number)))
+
+
+def _wait(started_s: float, condition: Callable[[], bool]) -> float:
+    deployments.wait_until(condition, "the loss to be known", _WAIT_S)
+    return (time.monotonic() - started_s) * _MS_PER_S
