--- a/greengagedale/membership/swim.py
+++ b/greengagedale/membership/swim.py
@@ -17,6 +17,8 @@
 from greengagedale.membership import messages
 from greengagedale.membership import news as news_lib
 
+_LONGEST_NEWS_MS = 3_600_000.0
+
 State = messages.State
 Kind = messages.Kind
 
@@ -165,7 +167,11 @@
         for update in (sender, *got.updates):
             self._merge(update)
         for item in reversed(got.news):
-            self._board.take_in(item)
+            # Also false for what is not a number.
+            if 0 < item.left_ms <= _LONGEST_NEWS_MS:
+                self._board.take_in(item)
+            else:
+                self.counts["invalid_news"] += 1
         match got.kind:
             case Kind.PING if got.target in ("", self._own.name):
                 return [self._answer(Kind.ACK, sender, got.sequence)]
--- a/tests/membership/test_swim.py
+++ b/tests/membership/test_swim.py
@@ -158,3 +158,19 @@
     )
     network.hosts["h0"].merge_all([old])
     assert "h1" in network.usable("h0")
+
+
+@pytest.mark.parametrize("left_ms", [float("inf"), float("nan"), -1.0, 1e12])
+def test_news_of_no_sane_life_is_dropped(left_ms):
+    network = networks.Network(3, 1)
+    network.run(2000)
+    sender = network.hosts["h1"].known()[0]
+    item = news.News("k", "n", 1, "", left_ms)
+    message = messages.Datagram(
+        messages.Kind.PUSH, 0, sender, "", "", (), (item,)
+    )
+    host = network.hosts["h0"]
+    host.receive(messages.decode(messages.encode(message)))
+    assert network.boards["h0"].current() == []
+    assert host.counts["invalid_news"] == 1
+    network.run(500)
