--- /dev/null
+++ b/bench/sides.py
@@ -0,0 +1,225 @@
+"""Two policies side by side: half of the hosts run each, at the same time."""
+
+import asyncio
+from collections.abc import Coroutine, Iterable, Mapping
+import logging
+import pathlib
+import re
+from typing import Any, NamedTuple, Self
+
+from prometheus_client import parser
+
+from bench import cases
+from greengagedale import loops
+from proofs import checkers
+from proofs import history as history_lib
+from standins import deployments
+from standins import httpcalls
+from standins import load
+
+log = logging.getLogger(__name__)
+
+POLICIES = ("plain", "adaptive")
+SERVICES = {"kodklubben": "enrolment", "tuners": "booking"}
+WORKSPACE = "bench"
+TIMEOUT_MS = 4000
+RATE_PER_S = 40.0
+WARM_UP_S = 4.0
+_WORK_MS = 20.0
+_LIMIT = 10
+_MOST_SHOWN = 5
+_ATTEMPTS = "greengagedale_attempts_total"
+_EVENTS = "greengagedale_search_events_total"
+
+
+class Side(NamedTuple):
+    """What one policy did under one load.
+
+    Attributes:
+        samples: Requests and answers.
+        attempts: Attempts that its hosts sent to upstreams.
+        events: Events of its searches by kind.
+    """
+
+    samples: list[load.Sample]
+    attempts: int
+    events: Mapping[str, int]
+
+    @property
+    def summary(self) -> load.Summary:
+        """Latencies and outcomes."""
+        return load.Summary.of(self.samples)
+
+    def extra_load(self, ranges: int) -> float:
+        """Returns attempts beyond one for each range, as a share."""
+        return self.attempts / (len(self.samples) * ranges) - 1.0
+
+
+class Sides:
+    """A deployment whose first hosts run one policy and the rest the other."""
+
+    def __init__(self, context: cases.Context) -> None:
+        self._context = context
+        self.service = SERVICES[context.shape.name]
+        path = _with_work(context.shape_path, context.folder)
+        self.deployment = deployments.Deployment(
+            context.folder, path, context.base_port
+        )
+        [shape] = [
+            s for s in self.deployment.shape.services if s.name == self.service
+        ]
+        self.ranges = shape.instances
+        names = [h.name for h in self.deployment.shape.entry_hosts()]
+        half = len(names) // 2
+        self._hosts = {POLICIES[0]: names[:half], POLICIES[1]: names[half:]}
+
+    def start(self, **plan: Any) -> Self:
+        """Starts everything and warms it up; `plan` goes to the workspace."""
+        self.deployment.start(
+            service=self.service,
+            host_settings={
+                name: f'\n[routing]\npolicy = "{policy}"\n'
+                for policy, names in self._hosts.items()
+                for name in names
+            },
+        )
+        self.deployment.apply_workspace(
+            WORKSPACE, "member-a", self.service, timeout_ms=TIMEOUT_MS, **plan
+        )
+        self.offer(WARM_UP_S)
+        return self
+
+    def stop(self) -> None:
+        """Stops everything."""
+        self.deployment.stop()
+
+    def control(self, **faults: Any) -> None:
+        """Sets how all upstreams of the service misbehave."""
+        for placed in self.deployment.shape.upstreams():
+            if placed.shape.name == self.service:
+                self.deployment.control_upstream(placed.upstream.name, **faults)
+
+    def offer(
+        self, duration_s: float, *beside: Coroutine[Any, Any, Any]
+    ) -> dict[str, Side]:
+        """Offers the same load to both sides, with other work beside it."""
+        before = {policy: self._counts(policy) for policy in POLICIES}
+        samples = loops.run(self._offer(duration_s, beside))
+        sides = {}
+        for policy, got in zip(POLICIES, samples, strict=True):
+            counts = self._counts(policy)
+            grown = {k: v - before[policy].get(k, 0) for k, v in counts.items()}
+            attempts = grown.pop(_ATTEMPTS, 0)
+            sides[policy] = Side(got, attempts, grown)
+        return sides
+
+    async def _offer(
+        self, duration_s: float, beside: Iterable[Coroutine[Any, Any, Any]]
+    ) -> list[list[load.Sample]]:
+        tasks = [asyncio.create_task(work) for work in beside]
+        loads = (
+            load.offer(
+                load.LoadPlan(
+                    self._callers(policy),
+                    WORKSPACE,
+                    RATE_PER_S,
+                    duration_s,
+                    self._context.seed,
+                    TIMEOUT_MS,
+                    _LIMIT,
+                )
+            )
+            for policy in POLICIES
+        )
+        samples = await asyncio.gather(*loads)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        return list(samples)
+
+    def _callers(self, policy: str) -> list[str]:
+        return [
+            self.deployment.caller(host)
+            for host in self.deployment.shape.entry_hosts()
+            if host.name in self._hosts[policy]
+        ]
+
+    def _counts(self, policy: str) -> dict[str, int]:
+        counts: dict[str, int] = {}
+        for caller in self._callers(policy):
+            text = httpcalls.get(caller, "/metrics").body
+            for family in parser.text_string_to_metric_families(text):
+                for sample in family.samples:
+                    name = {
+                        _ATTEMPTS: _ATTEMPTS,
+                        _EVENTS: sample.labels.get("event"),
+                    }.get(sample.name)
+                    if name is not None:
+                        counts[name] = counts.get(name, 0) + int(sample.value)
+        return counts
+
+
+def figures(side: Side, ranges: int) -> dict[str, float]:
+    """Returns the figures of one side."""
+    summary = side.summary
+    return {
+        "requests": summary.requests,
+        "ran": summary.ran,
+        "full": summary.full,
+        "p50_ms": summary.p50_ms,
+        "p99_ms": summary.p99_ms,
+        "p999_ms": summary.p999_ms,
+        "extra_load": side.extra_load(ranges),
+        **{name: float(count) for name, count in side.events.items() if count},
+    }
+
+
+def _with_work(path: pathlib.Path, folder: pathlib.Path) -> pathlib.Path:
+    """Writes the shape with longer work, against the machine's own noise."""
+    text = path.read_text(encoding="utf-8")
+    longer = re.sub(
+        r"^connect_ms = .*$",
+        lambda found: f"{found[0]}\nwork_ms = {_WORK_MS}",
+        text,
+        flags=re.MULTILINE,
+    )
+    made = folder / path.name
+    made.write_text(longer, encoding="utf-8")
+    return made
+
+
+def violations(
+    sides: Sides, side: Side, published: frozenset[int] = frozenset({1})
+) -> int:
+    """Counts answers that are mixed, or state false coverage or hits."""
+    paths = sorted(sides.deployment.folder.glob("*.jsonl"))
+    history = history_lib.History(
+        calls=[_call(sample) for sample in side.samples],
+        upstream_events=history_lib.upstream_events(paths),
+        index_versions=published,
+    )
+    checks = (
+        checkers.one_snapshot,
+        checkers.true_coverage,
+        checkers.whole_and_own,
+        checkers.not_run_is_true,
+    )
+    found = [item for check in checks for item in check(history)]
+    for violation in found[:_MOST_SHOWN]:
+        log.error("%s: %s", *violation)
+    return len(found)
+
+
+def _call(sample: load.Sample) -> history_lib.Call:
+    return history_lib.Call(
+        sample.sent_ms,
+        sample.sent_ms + sample.latency_ms,
+        "",
+        "search",
+        sample.text,
+        _LIMIT,
+        "",
+        sample.status,
+        sample.body,
+        "",
+    )
--- a/standins/deployments.py
+++ b/standins/deployments.py
@@ -1,6 +1,6 @@
 """Starts and stops whole deployments as real processes."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 import contextlib
 import os
 import pathlib
@@ -65,6 +65,7 @@
         service: str | None = None,
         hosts: int = shapes.ENTRY_HOSTS,
         one_process_each: bool = False,
+        host_settings: Mapping[str, str] | None = None,
     ) -> Self:
         """Starts everything and waits until all hosts know each other.
 
@@ -75,6 +76,7 @@
             hosts: How many entry hosts are started.
             one_process_each: Each upstream has a process of its own also if
                 a service is given.
+            host_settings: More TOML for hosts, by name.
         """
         if self.shape.proxied:
             self._launch_standin("proxy", "proxy")
@@ -85,7 +87,8 @@
             self.start_upstream(name, members)
         self._hosts = self.shape.entry_hosts()[:hosts]
         for host in self._hosts:
-            self.start_host(host, settings_extra)
+            own = (host_settings or {}).get(host.name, "")
+            self.start_host(host, settings_extra + own)
         self.wait_ready()
         return self
 
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -51,6 +51,7 @@
         silent_share: Share of connections that go silent when made.
         silent_after: Requests after which such connections go silent; 0 at
             once.
+        silence_open: Share of the open connections that go silent now.
         wrong_echo: Answers carry the snapshot of another version.
         poison_crashes: Whether `CRASH_TEXT` in a request ends the process.
     """
@@ -63,6 +64,7 @@
     lie_load: int
     silent_share: float
     silent_after: int
+    silence_open: float
     wrong_echo: bool
     poison_crashes: bool
 
@@ -165,6 +167,7 @@
         """Changes what it holds and how it misbehaves."""
         change = msgspec.json.decode(await request.read(), type=Control)
         self._control.update(change)
+        self._silence_open(self._control.pop("silence_open", 0.0))
         self._recorder.add(
             "control",
             upstream=self._name,
@@ -197,6 +200,12 @@
         if delay_ms:
             await asyncio.sleep(delay_ms / _MS_PER_S)
 
+    def _silence_open(self, share: float) -> None:
+        for connection in self._connections.values():
+            if self._rng.random() < share:
+                connection.goes_silent = True
+                connection.requests = self._control.get("silent_after", 0)
+
     def _accept(self, transport: asyncio.Transport) -> _Connection:
         self._connections = {
             known: connection
