--- a/greengagedale/__main__.py
+++ b/greengagedale/__main__.py
@@ -8,6 +8,7 @@
 import greengagedale
 from greengagedale import exceptions
 from greengagedale.commands import act
+from greengagedale.commands import change
 from greengagedale.commands import explain
 from greengagedale.commands import locate
 from greengagedale.commands import query
@@ -30,6 +31,7 @@
 app.command("act")(act.act)
 app.command("status")(status.status)
 app.command("explain")(explain.explain)
+app.command("change")(change.change)
 app.add_typer(settings.app, name="settings")
 app.add_typer(template.app, name="template")
 app.add_typer(workspace.app, name="workspace")
@@ -59,7 +61,7 @@
 def main() -> None:
     """Runs the command line; errors end it with one friendly message."""
     try:
-        app()
+        app(prog_name="greengagedale")
     except exceptions.GreengagedaleError as error:
         typer.echo(f"Error: {error}", err=True)
         sys.exit(EXIT_ERROR)
--- a/greengagedale/config/settings.py
+++ b/greengagedale/config/settings.py
@@ -39,6 +39,7 @@
     """Other hosts that are known before the platform answers."""
 
     seeds: list[options.Endpoint] = []
+    advertised_endpoint: options.Endpoint | None = None
     timeout_ms: options.DurationMs = 300
     max_bytes_per_s: options.Count = 1800
 
@@ -60,6 +61,12 @@
     most_keys: options.Count = 50_000
 
 
+class ConfigurationSettings(Section):
+    """How changes of configuration are accepted."""
+
+    accept_timeout_ms: options.DurationMs = 10_000
+
+
 class UpstreamsSettings(Section):
     """How upstreams are used."""
 
@@ -74,6 +81,20 @@
     retry_share: options.Share = 0.1
 
 
+class LimitsSettings(Section):
+    """What may run at once; `none` stands for no limit.
+
+    Attributes:
+        admission: How requests are admitted.
+        concurrency: How the limit of each upstream follows what it does.
+        canary: When one sub-request of a search goes ahead of the others.
+    """
+
+    admission: Literal["fair", "none"] = "fair"
+    concurrency: Literal["gradient", "aimd", "fixed", "none"] = "aimd"
+    canary: Literal["always", "after_deaths", "suspected"] = "after_deaths"
+
+
 class ShutdownSettings(Section):
     """How the host leaves."""
 
@@ -101,7 +122,9 @@
     peers: PeersSettings = PeersSettings()
     callers: CallersSettings = CallersSettings()
     actions: ActionsSettings = ActionsSettings()
+    configuration: ConfigurationSettings = ConfigurationSettings()
     upstreams: UpstreamsSettings = UpstreamsSettings()
+    limits: LimitsSettings = LimitsSettings()
     routing: RoutingSettings = RoutingSettings()
     shutdown: ShutdownSettings = ShutdownSettings()
     drain: DrainSettings = DrainSettings()
--- a/greengagedale/daemons.py
+++ b/greengagedale/daemons.py
@@ -9,11 +9,15 @@
 
 from aiohttp import web
 
+from greengagedale import acceptance
 from greengagedale import actions
 from greengagedale import clocks
+from greengagedale import collection
 from greengagedale import configuration
+from greengagedale import configuration_metrics
 from greengagedale import directory as directory_lib
 from greengagedale import dispatches
+from greengagedale import distribution
 from greengagedale import drain_watch
 from greengagedale import fleet_metrics
 from greengagedale import forwarding
@@ -27,6 +31,7 @@
 from greengagedale.idempotency import claims
 from greengagedale.idempotency import tables
 from greengagedale.idempotency import tickets
+from greengagedale.limits import assembly
 from greengagedale.membership import drains as drains_lib
 from greengagedale.membership import news
 from greengagedale.operators import http_server as operators_http
@@ -40,7 +45,6 @@
 from greengagedale.routing import loads as loads_lib
 from greengagedale.routing import policies
 from greengagedale.routing import tacticians
-from greengagedale.upstreams import base as upstreams_base
 from greengagedale.upstreams import http as upstreams_http
 from greengagedale.upstreams import observed
 
@@ -75,7 +79,10 @@
     clock = clocks.MonotonicClock()
     metrics = metrics_lib.Metrics()
     store = platform_http.HttpStore.from_config(
-        settings.platform.endpoint, settings.platform.timeout_ms, metrics
+        settings.platform.endpoint,
+        settings.platform.timeout_ms,
+        metrics,
+        client_name=settings.host.name,
     )
     stack.push_async_callback(store.close)
     board = news.Board(clock)
@@ -91,39 +98,61 @@
         settings.upstreams.spare_connections,
     )
     stack.push_async_callback(plain_transport.close)
-    transport = observed.ObservedTransport(plain_transport, drains)
+    observed_transport = observed.ObservedTransport(plain_transport, drains)
     peers = grpc_client.GrpcTransport.from_config(settings.peers.timeout_ms)
     stack.push_async_callback(peers.close)
-    holder = configuration.Holder()
-    reader = configuration.Reader(
-        store, holder, settings.platform.watch_wait_ms
+    holder = configuration.Holder(clock)
+    held_metrics = configuration_metrics.ConfigurationMetrics.from_config(
+        metrics, holder
+    )
+    collector = collection.Collector(store, held_metrics)
+    stack.push_async_callback(collector.close)
+    writer = acceptance.Writer.from_config(
+        settings, store, holder, collector, held_metrics
     )
-    rng = random.Random()
     directory = directory_lib.Directory.from_config(
-        settings, board, peers, clock, rng
+        settings, board, peers, clock, random.Random()
     )
     metrics.registry.register(
         fleet_metrics.MembershipCollector(
             lambda: directory.counts, directory.hosts_by_state
         )
     )
+    limits = assembly.Limits.from_config(
+        settings.limits,
+        observed_transport,
+        holder,
+        drains.is_leaving,
+        board,
+        _wall_ms,
+        settings.host.name,
+        lambda: [
+            settings.host.name,
+            *(status.name for status in directory.alive.values()),
+        ],
+        clock,
+        metrics,
+    )
+    transport = limits.transport
     loads = loads_lib.LoadTracker(clock)
     policy = leaving.LeavingFilter(
-        policies.from_config(settings.routing, loads, rng), drains.is_leaving
+        policies.from_config(settings.routing, loads, random.Random()),
+        drains.is_leaving,
     )
     tactician = tacticians.Tactician.from_config(settings.routing, policy)
     action_runner = _action_runner(
-        settings, store, holder, directory, peers, transport, policy, metrics
+        settings, store, holder, directory, peers, limits, policy, metrics
     )
     stack.push_async_callback(action_runner.finish)
     host = hosts.Host(
         settings,
         holder,
-        configuration.Writer(store, reader, holder),
+        writer,
         searches.SearchRunner(
             transport, tactician, loads, holder.services.get, clock, metrics
         ),
         action_runner,
+        limits.admitter,
         directory,
         peers,
         clock,
@@ -140,16 +169,20 @@
         lambda: [status.name for status in directory.alive.values()],
         settings.drain.poll_interval_ms,
     )
+    follower = distribution.Follower.from_config(
+        settings, store, peers, holder, lambda: directory.alive, held_metrics
+    )
     background = [
         watch.follow_platform(),
         watch.poll(),
         directory.run(datagrams, host.status),
-        reader.follow_catalog(),
-        reader.follow_services(),
+        follower.run(),
         _follow_hosts(settings, store, directory),
     ]
     for work in background:
-        stack.push_async_callback(_stop_task, asyncio.create_task(work))
+        task = asyncio.create_task(work)
+        task.add_done_callback(_log_failure)
+        stack.push_async_callback(_stop_task, task)
     await _listen(settings, host, shutdown, stack)
     return host
 
@@ -160,24 +193,26 @@
     holder: configuration.Holder,
     directory: directory_lib.Directory,
     peers: peers_base.PeerTransport,
-    transport: upstreams_base.UpstreamTransport,
+    limits: assembly.Limits,
     policy: policies.RoutingPolicy,
     metrics: metrics_lib.Metrics,
 ) -> actions.ActionRunner:
     clock = clocks.MonotonicClock()
     incarnation = secrets.token_hex(_INCARNATION_BYTES)
     issuer = tickets.Issuer(settings.host.name, incarnation)
-    limits = tables.Limits(
+    key_limits = tables.Limits(
         settings.actions.most_keys,
         settings.actions.ticket_life_ms,
         settings.actions.retention_ms,
     )
     return actions.ActionRunner(
         issuer,
-        tables.KeyTable(limits),
+        tables.KeyTable(key_limits),
         claims.PlatformClaims(store, issuer, clock),
         forwarding.PeerForwarder(directory, peers, clock),
-        dispatches.Dispatcher(holder, transport, policy, clock, metrics),
+        dispatches.Dispatcher(
+            holder, limits.transport, policy, clock, metrics, limits.admitter
+        ),
         clock,
         metrics,
     )
@@ -230,6 +265,11 @@
     return int(time.time() * _MS_PER_S)
 
 
+def _log_failure(task: asyncio.Task[None]) -> None:
+    if not task.cancelled() and task.exception() is not None:
+        log.error("background work ended", exc_info=task.exception())
+
+
 async def _stop_task(task: asyncio.Task[None]) -> None:
     task.cancel()
     with contextlib.suppress(asyncio.CancelledError):
--- /dev/null
+++ b/greengagedale/limits/admission.py
@@ -0,0 +1,275 @@
+"""Decides which requests run now, which wait and which are refused.
+
+One `Admission` serves one service of one host. Work is counted in units of
+one sub-request, so a search takes as many units as it has ranges and gives
+them back one by one. Every refusal is made at once: on arrival if the queue
+is full or the request can't be served before its deadline, later only if the
+estimate made on arrival turns out wrong.
+"""
+
+import dataclasses
+import enum
+import random
+from typing import NamedTuple
+
+from greengagedale.limits import fairness
+
+MIN_RETRY_AFTER_MS = 50
+MAX_RETRY_AFTER_MS = 10_000
+_JITTER = (0.75, 1.5)
+_SMOOTHING = 0.1
+_WAIT_MARGIN = 2.0
+_DEVIATIONS = 2.0
+
+
+class Cause(enum.StrEnum):
+    """Why a request was refused."""
+
+    QUEUE_FULL = "queue_full"
+    TOO_LATE = "too_late"
+    WAITED_OUT = "waited_out"
+
+
+class Ticket(NamedTuple):
+    """A request that asks to run.
+
+    Attributes:
+        request_id: Identifier of the request.
+        workspace: Workspace whose queue it joins.
+        weight: Weight of the workspace.
+        units: Sub-requests that it fans out to.
+        queue_length: Requests of the workspace that may wait.
+        deadline_ms: When its answer is due, by the clock of the process.
+    """
+
+    request_id: str
+    workspace: str
+    weight: float
+    units: int
+    queue_length: int
+    deadline_ms: float
+
+
+class Admit(NamedTuple):
+    """Decision: run this request now."""
+
+    request_id: str
+
+
+class Refuse(NamedTuple):
+    """Decision: tell the caller to come back later."""
+
+    request_id: str
+    cause: Cause
+    retry_after_ms: int
+
+
+Decision = Admit | Refuse
+
+
+@dataclasses.dataclass(slots=True)
+class _Open:
+    workspace: str
+    units: int
+
+
+class Admission:
+    """Admits the requests of one service on one host."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self._queue: fairness.FairQueue[Ticket] = fairness.FairQueue()
+        self._waiting: dict[str, Ticket] = {}
+        self._open: dict[str, _Open] = {}
+        self._open_units = 0
+        self._admit_gap_ms: float | None = None
+        self._admitted_ms = 0.0
+        self._run_ms: float | None = None
+        self._run_deviation_ms = 0.0
+        self._open_of: dict[str, int] = {}
+        self._weights: dict[str, float] = {}
+
+    @property
+    def open_units(self) -> int:
+        """Sub-requests of admitted requests that have not ended."""
+        return self._open_units
+
+    @property
+    def waiting(self) -> int:
+        """Requests that wait."""
+        return len(self._queue)
+
+    def arrive(
+        self, ticket: Ticket, capacity: int, now_ms: float
+    ) -> list[Decision]:
+        """Takes in a new request; no decision about it means that it waits.
+
+        Args:
+            ticket: The request.
+            capacity: Sub-requests that may run at once.
+            now_ms: The time.
+        """
+        refused = self._refuse_on_arrival(ticket, capacity, now_ms)
+        if refused is not None:
+            return [refused]
+        entry = fairness.Entry(ticket.request_id, float(ticket.units), ticket)
+        self._queue.push(ticket.workspace, ticket.weight, entry)
+        self._waiting[ticket.request_id] = ticket
+        return self.advance(capacity, now_ms, ticket.request_id)
+
+    def advance(
+        self, capacity: int, now_ms: float, arrived: str | None = None
+    ) -> list[Decision]:
+        """Admits what fits now, in fair order.
+
+        Args:
+            capacity: Sub-requests that may run at once.
+            now_ms: The time.
+            arrived: A request that has not waited at all: it may run even
+                if only a partial answer can be had before its deadline.
+        """
+        decisions: list[Decision] = []
+        crowded = len(self._queue) > 1
+        while (head := self._queue.peek()) is not None:
+            run_ms = self._expected_run_ms()
+            needed_ms = 0.0 if head.item_id == arrived else run_ms
+            late = now_ms + needed_ms > head.item.deadline_ms
+            if not late and not self._fits(head.item, capacity):
+                break
+            self._queue.pop()
+            del self._waiting[head.item_id]
+            if late:
+                decisions.append(self._refuse(head.item, Cause.WAITED_OUT))
+            else:
+                decisions.append(self._admit(head.item))
+        admitted = sum(isinstance(item, Admit) for item in decisions)
+        if admitted:
+            self._note_pace(admitted, crowded, now_ms)
+        return decisions
+
+    def give_up_ms(self, ticket: Ticket) -> float:
+        """Returns the time from which waiting on is of no use."""
+        return ticket.deadline_ms - self._expected_run_ms()
+
+    def give_up(self, request_id: str) -> list[Decision]:
+        """Refuses a request that still waits."""
+        ticket = self._waiting.get(request_id)
+        if ticket is None:
+            return []
+        self.forget(request_id)
+        return [self._refuse(ticket, Cause.WAITED_OUT)]
+
+    def forget(self, request_id: str) -> None:
+        """Drops a request that waits, as its caller has gone."""
+        ticket = self._waiting.pop(request_id, None)
+        if ticket is not None:
+            self._queue.remove(ticket.workspace, request_id)
+
+    def end_unit(self, request_id: str) -> bool:
+        """Takes in that a sub-request ended; False if none was open."""
+        held = self._open.get(request_id)
+        if held is None or held.units == 0:
+            return False
+        held.units -= 1
+        self._give_back(held.workspace, 1)
+        return True
+
+    def end(self, request_id: str, took_ms: float) -> None:
+        """Takes in that an admitted request ended.
+
+        Args:
+            request_id: The request.
+            took_ms: Time from its admission to its end.
+        """
+        held = self._open.pop(request_id, None)
+        if held is None:
+            return
+        if held.units:
+            self._give_back(held.workspace, held.units)
+        if self._run_ms is not None:
+            off_ms = abs(took_ms - self._run_ms)
+            self._run_deviation_ms = _smoothed(self._run_deviation_ms, off_ms)
+        self._run_ms = _smoothed(self._run_ms, took_ms)
+
+    def _refuse_on_arrival(
+        self, ticket: Ticket, capacity: int, now_ms: float
+    ) -> Refuse | None:
+        ahead = self._queue.length_of(ticket.workspace)
+        if ahead >= ticket.queue_length:
+            return self._refuse(ticket, Cause.QUEUE_FULL)
+        if self._runs_at_once(ticket, ahead, capacity):
+            return None
+        wait_ms = self._expected_wait_ms(ticket, ahead)
+        due_ms = now_ms + wait_ms * _WAIT_MARGIN + self._expected_run_ms()
+        if due_ms > ticket.deadline_ms:
+            return self._refuse(ticket, Cause.TOO_LATE)
+        return None
+
+    def _runs_at_once(self, ticket: Ticket, ahead: int, capacity: int) -> bool:
+        if ahead == 0 and self._is_small(ticket, capacity):
+            return True
+        return not self._queue and self._fits(ticket, capacity)
+
+    def _expected_wait_ms(self, ticket: Ticket, ahead: int) -> float:
+        others = self._queue.waiting_weight() - (ticket.weight if ahead else 0)
+        turns = (ahead + 1) * (ticket.weight + others) / ticket.weight
+        turns = min(turns, len(self._queue) + 1)
+        return turns * (self._admit_gap_ms or 0.0)
+
+    def _expected_run_ms(self) -> float:
+        if self._run_ms is None:
+            return 0.0
+        return self._run_ms + _DEVIATIONS * self._run_deviation_ms
+
+    def _fits(self, ticket: Ticket, capacity: int) -> bool:
+        if not self._open or self._open_units + ticket.units <= capacity:
+            return True
+        return self._is_small(ticket, capacity)
+
+    def _is_small(self, ticket: Ticket, capacity: int) -> bool:
+        """Tells whether a workspace has less than its share of what runs."""
+        others = sum(
+            weight
+            for name, weight in self._weights.items()
+            if name != ticket.workspace
+        )
+        part = capacity * ticket.weight / (ticket.weight + others)
+        held = self._open_of.get(ticket.workspace, 0)
+        return bool(others) and held + ticket.units <= part
+
+    def _give_back(self, workspace: str, units: int) -> None:
+        self._open_units -= units
+        self._open_of[workspace] -= units
+        if self._open_of[workspace] == 0:
+            del self._open_of[workspace]
+            del self._weights[workspace]
+
+    def _admit(self, ticket: Ticket) -> Admit:
+        workspace = ticket.workspace
+        self._open[ticket.request_id] = _Open(workspace, ticket.units)
+        self._open_units += ticket.units
+        held = self._open_of.get(workspace, 0)
+        self._open_of[workspace] = held + ticket.units
+        self._weights[workspace] = ticket.weight
+        return Admit(ticket.request_id)
+
+    def _note_pace(self, admitted: int, crowded: bool, now_ms: float) -> None:
+        if crowded:
+            gap_ms = (now_ms - self._admitted_ms) / admitted
+            part = 1.0 - (1.0 - _SMOOTHING) ** admitted
+            self._admit_gap_ms = _smoothed(self._admit_gap_ms, gap_ms, part)
+        self._admitted_ms = now_ms
+
+    def _refuse(self, ticket: Ticket, cause: Cause) -> Refuse:
+        ahead = self._queue.length_of(ticket.workspace)
+        backlog_ms = self._expected_wait_ms(ticket, ahead)
+        backlog_ms += self._expected_run_ms()
+        after_ms = backlog_ms * self._rng.uniform(*_JITTER)
+        bounded_ms = max(MIN_RETRY_AFTER_MS, min(MAX_RETRY_AFTER_MS, after_ms))
+        return Refuse(ticket.request_id, cause, int(bounded_ms))
+
+
+def _smoothed(
+    old: float | None, sample: float, part: float = _SMOOTHING
+) -> float:
+    return sample if old is None else old + part * (sample - old)
--- a/greengagedale/peers/grpc_client.py
+++ b/greengagedale/peers/grpc_client.py
@@ -6,12 +6,19 @@
 from grpc import aio
 import msgspec
 
+from greengagedale import configuration
 from greengagedale import records
 from greengagedale.membership import messages
 from greengagedale.peers import base
 from greengagedale.peers import wire
 
 _MS_PER_S = 1000.0
+# A host that was replaced is reached again soon after it listens.
+_OPTIONS = (
+    ("grpc.initial_reconnect_backoff_ms", 100),
+    ("grpc.min_reconnect_backoff_ms", 100),
+    ("grpc.max_reconnect_backoff_ms", 500),
+)
 
 
 class GrpcTransport(base.PeerTransport):
@@ -52,6 +59,33 @@
             request.left_ms / _MS_PER_S,
         )
 
+    async def catalog(
+        self, endpoint: str, known_revision: int
+    ) -> base.SharedCatalog | None:
+        """Asks a host for its catalog, without the content if it is known."""
+        return await self._ask(
+            endpoint, wire.CATALOG, known_revision, base.SharedCatalog | None
+        )
+
+    async def documents(
+        self, endpoint: str, names: list[str]
+    ) -> dict[str, bytes] | None:
+        """Asks a host for documents; it may send only some of them."""
+        return await self._ask(
+            endpoint, wire.DOCUMENTS, names, dict[str, bytes]
+        )
+
+    async def services(
+        self, endpoint: str, known: dict[str, int]
+    ) -> list[configuration.StoredService] | None:
+        """Asks a host for services of higher versions than the known."""
+        return await self._ask(
+            endpoint,
+            wire.SERVICES,
+            known,
+            list[configuration.StoredService] | None,
+        )
+
     async def close(self) -> None:
         """Closes all connections."""
         for channel in self._channels.values():
@@ -68,7 +102,7 @@
     ) -> Any:
         channel = self._channels.get(endpoint)
         if channel is None:
-            channel = aio.insecure_channel(endpoint)
+            channel = aio.insecure_channel(endpoint, options=_OPTIONS)
             self._channels[endpoint] = channel
         call = channel.unary_unary(wire.path_of(method))
         try:
--- a/tests/test_connectors.py
+++ b/tests/test_connectors.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 from aiohttp import web
+import pytest
 
 from greengagedale import connectors
 from greengagedale import loops
@@ -56,3 +57,18 @@
 
 def test_cancelled_connects_do_not_harm_other_connections():
     loops.run(cancel_many_then_fetch())
+
+
+async def test_connections_that_do_not_open_fail_in_time(monkeypatch):
+    async def never(*args, **options):
+        await asyncio.Event().wait()
+
+    loop = asyncio.get_running_loop()
+    connector = connectors.DirectConnector(limit=0)
+    monkeypatch.setattr(loop, "create_connection", never)
+    timeout = aiohttp.ClientTimeout(sock_connect=0.02)
+    async with aiohttp.ClientSession(
+        connector=connector, timeout=timeout
+    ) as session:
+        with pytest.raises(aiohttp.ConnectionTimeoutError):
+            await session.get("http://127.0.0.1:1/")
