Cancels find a connection that works, so slots come back

Cause: with slots shared over hosts, a search over connections gone silent ended partial with "overloaded": the cancel of a silent attempt went out on another silent connection, timed out after 1 s and its slot stayed taken. Ruled out: the upstream's queue, which was empty. Change: a cancel has 100 ms, and its further tries take new connections.

--- a/bench/sides.py
+++ b/bench/sides.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Coroutine, Iterable, Mapping
+import contextlib
 import logging
 import pathlib
 import re
@@ -134,7 +135,8 @@
         samples = await asyncio.gather(*loads)
         for task in tasks:
             task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
         return list(samples)
 
     def _callers(self, policy: str) -> list[str]:
--- a/greengagedale/upstreams/channels.py
+++ b/greengagedale/upstreams/channels.py
@@ -76,9 +76,14 @@
         self._idle: list[Channel] = []
         self._is_warming = False
 
-    def take(self) -> Channel:
-        """Returns the channel that was used last, or a new one."""
-        channel = self._idle.pop() if self._idle else self._new()
+    def take(self, fresh: bool = False) -> Channel:
+        """Returns the channel that was used last, or a new one.
+
+        Args:
+            fresh: Whether it must be a new one.
+        """
+        use_idle = self._idle and not fresh
+        channel = self._idle.pop() if use_idle else self._new()
         self._warm_if_short()
         return channel
 
--- a/greengagedale/upstreams/http.py
+++ b/greengagedale/upstreams/http.py
@@ -21,6 +21,8 @@
 _STATUS_OK = 200
 _MS_PER_S = 1000.0
 _HEALTH_TIMEOUT_S = 1.0
+_CANCEL_TIMEOUT_S = 0.1
+_CANCEL_TRIES = 4
 _SPARE_CONNECTIONS = 2
 _REFUSALS = {
     "draining": outcomes.Reason.DRAINING,
@@ -118,8 +120,22 @@
     async def cancel(self, upstream: base.Upstream, attempt_id: str) -> bool:
         """Asks an upstream to stop an attempt; True once it confirms."""
         body = wire.CancelBody(attempt_id=attempt_id)
-        got = await self._post(upstream, "/v1/cancel", body, _HEALTH_TIMEOUT_S)
-        return isinstance(got, _Reply) and got.status == _STATUS_OK
+        data = wire.encode(body)
+        for number in range(_CANCEL_TRIES):
+            # An idle connection may be silent too; a new one rarely is.
+            got = await self._call(
+                upstream,
+                "POST",
+                "/v1/cancel",
+                data,
+                _CANCEL_TIMEOUT_S,
+                fresh=number > 0,
+            )
+            if isinstance(got, _Reply):
+                return got.status == _STATUS_OK
+            if got.reason is outcomes.Reason.CONNECT_FAILED:
+                return False
+        return False
 
     async def health(self, upstream: base.Upstream) -> base.Health | None:
         """Asks an upstream about itself; None if it does not say."""
@@ -169,13 +185,14 @@
         path: str,
         data: bytes | None,
         timeout_s: float | None,
+        fresh: bool = False,
     ) -> _Reply | outcomes.AttemptEnd:
         """Makes one call on a channel of its own.
 
         The channel is used again only if the whole answer has come.
         """
         pool = self._pool(upstream)
-        channel = pool.take()
+        channel = pool.take(fresh)
         url = f"http://{upstream.endpoint}{path}"
         reply: _Reply | None = None
         try:
