--- a/greengagedale/query/fanout.py
+++ b/greengagedale/query/fanout.py
@@ -23,7 +23,6 @@
 _MOST_ROUNDS = 6
 _ROUND_DELAY_MS = 10.0
 _MOST_RESTARTS = 3
-_MOST_DOUBLINGS = 10
 _MOST_LEFT_OUT = 0.1
 
 
@@ -221,12 +220,7 @@
             self._timers.add(due_ms, timers.Kind.PROGRESS, part, attempt)
 
     def _progress_ms(self, part: parts.Part) -> float:
-        """Returns the progress limit, which doubles with replacements.
-
-        So an upstream that is slow rather than silent can answer in the end.
-        """
-        doublings = min(part.replaced, _MOST_DOUBLINGS)
-        return self._timings.progress_ms * (1 << doublings)
+        return self._timings.progress_ms * part.patience
 
     def _answered(
         self,
@@ -411,6 +405,7 @@
         """Gives up an attempt that another one can stand in for."""
         others: list[Command] = []
         if len(part.open) == 1:
+            part.patience *= 2
             others = self._replace(part, attempt, now_ms)
             if not others:
                 again_ms = now_ms + self._progress_ms(part)
@@ -427,7 +422,6 @@
         self, part: parts.Part, attempt: attempts.Attempt, now_ms: float
     ) -> list[Command]:
         """Sends another attempt, if need be to the same upstream."""
-        part.replaced += 1
         if not self._has_untried(part):
             part.tried = {attempt.upstream}
         if not self._has_untried(part):
