--- a/greengagedale/config/settings.py
+++ b/greengagedale/config/settings.py
@@ -72,6 +72,7 @@
 
     connect_timeout_ms: options.DurationMs = 200
     spare_connections: options.Count = 2
+    idle_check_ms: options.DurationMs = 5000
 
 
 class RoutingSettings(Section):
--- a/greengagedale/daemons.py
+++ b/greengagedale/daemons.py
@@ -178,6 +178,7 @@
         directory.run(datagrams, host.status),
         follower.run(),
         _follow_hosts(settings, store, directory),
+        _check_idle(settings, plain_transport),
     ]
     for work in background:
         task = asyncio.create_task(work)
@@ -248,6 +249,15 @@
         await web.TCPSite(runner, settings.host.address, port).start()
 
 
+async def _check_idle(
+    settings: settings_lib.Settings, transport: upstreams_http.HttpTransport
+) -> None:
+    """Probes connections that went silent while no request used them."""
+    while True:
+        await asyncio.sleep(settings.upstreams.idle_check_ms / _MS_PER_S)
+        await transport.check_idle()
+
+
 async def _follow_hosts(
     settings: settings_lib.Settings,
     store: platform_base.ObjectStore,
