Hedges go only where a slot is free

Cause: with slots shared over hosts, a hedge could wait in the gate's queue and delay first attempts. Change: the tracker passes on the gate's free slots; a hedge without room is tried again half a quantile later, its token unspent. First attempts still choose by cost and wait at the gate.

--- a/greengagedale/daemons.py
+++ b/greengagedale/daemons.py
@@ -134,12 +134,15 @@
         metrics,
     )
     transport = limits.transport
-    loads = loads_lib.LoadTracker(clock)
+    gate = limits.gate
+    loads = loads_lib.LoadTracker(clock, gate.free_slots if gate else None)
     policy = leaving.LeavingFilter(
         policies.from_config(settings.routing, loads, random.Random()),
         drains.is_leaving,
     )
-    tactician = tacticians.Tactician.from_config(settings.routing, policy)
+    tactician = tacticians.Tactician.from_config(
+        settings.routing, policy, loads
+    )
     action_runner = _action_runner(
         settings, store, holder, directory, peers, limits, policy, metrics
     )
--- a/greengagedale/query/fanout.py
+++ b/greengagedale/query/fanout.py
@@ -5,7 +5,7 @@
 wants `on_timer` to be called.
 """
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 import itertools
 from typing import Literal, NamedTuple
 
@@ -189,8 +189,11 @@
                 return commands
         return commands + self._finish_if_done(now_ms)
 
-    def _send(self, part: parts.Part, now_ms: float) -> list[Command]:
-        upstream = self._tactics.policy.choose(part.entry.upstreams, part.avoid)
+    def _send(
+        self, part: parts.Part, now_ms: float, full: Collection[str] = ()
+    ) -> list[Command]:
+        avoid = part.avoid.union(full)
+        upstream = self._tactics.policy.choose(part.entry.upstreams, avoid)
         if upstream is None:
             return []
         attempt = attempts.Attempt(
@@ -385,20 +388,35 @@
             return []
         budget = self._tactics.hedge_budget
         if not budget.has_token(now_ms):
-            self._note(now_ms, events.What.HEDGE_DENIED, part, "", "budget")
-            again_ms = now_ms + self._timings.hedge_ms / 2
-            kind = timers.Kind.HEDGE
-            if again_ms >= progress_ms:
-                again_ms, kind = progress_ms, timers.Kind.PROGRESS
-            self._timers.add(again_ms, kind, part, attempt)
+            self._postpone_hedge(part, attempt, "budget", now_ms)
+            return []
+        # A hedge that waits for a slot would only delay first attempts.
+        has_room = self._tactics.has_room
+        full = [name for name in part.entry.upstreams if not has_room(name)]
+        sent = self._send(part, now_ms, full)
+        if not sent:
+            self._postpone_hedge(part, attempt, "no_slot", now_ms)
             return []
+        budget.spend()
         self._timers.add(progress_ms, timers.Kind.PROGRESS, part, attempt)
-        sent = self._send(part, now_ms)
-        if sent:
-            budget.spend()
-            self._note_sent(now_ms, events.What.HEDGE, part, sent, "quantile")
+        self._note_sent(now_ms, events.What.HEDGE, part, sent, "quantile")
         return sent
 
+    def _postpone_hedge(
+        self,
+        part: parts.Part,
+        attempt: attempts.Attempt,
+        reason: str,
+        now_ms: float,
+    ) -> None:
+        self._note(now_ms, events.What.HEDGE_DENIED, part, "", reason)
+        progress_ms = attempt.sent_ms + self._progress_ms(part)
+        again_ms = now_ms + self._timings.hedge_ms / 2
+        kind = timers.Kind.HEDGE
+        if again_ms >= progress_ms:
+            again_ms, kind = progress_ms, timers.Kind.PROGRESS
+        self._timers.add(again_ms, kind, part, attempt)
+
     def _without_progress(
         self, part: parts.Part, attempt: attempts.Attempt, now_ms: float
     ) -> list[Command]:
--- a/greengagedale/query/tactics.py
+++ b/greengagedale/query/tactics.py
@@ -1,5 +1,6 @@
 """How a search goes after its answer beyond first attempts."""
 
+from collections.abc import Callable
 from typing import NamedTuple, Self
 
 from greengagedale.query import holdings as holdings_lib
@@ -50,6 +51,7 @@
         hedge_budget: Pays for hedges.
         retry_budget: Pays for retries.
         adaptive: False for one attempt a range and nothing else.
+        has_room: Whether an upstream takes one more attempt without a wait.
     """
 
     policy: policies.RoutingPolicy
@@ -58,6 +60,7 @@
     hedge_budget: budgets.TokenBudget
     retry_budget: budgets.TokenBudget
     adaptive: bool = True
+    has_room: Callable[[str], bool] = lambda upstream: True
 
     @classmethod
     def plain(cls, policy: policies.RoutingPolicy) -> Self:
--- a/greengagedale/routing/loads.py
+++ b/greengagedale/routing/loads.py
@@ -1,5 +1,7 @@
 """What this host has at each upstream, and how that went lately."""
 
+from collections.abc import Callable
+
 from greengagedale import clocks
 from greengagedale.routing import views
 
@@ -28,8 +30,20 @@
     attempt that succeeds clears it.
     """
 
-    def __init__(self, clock: clocks.Clock) -> None:
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        free_slots: Callable[[str], int] | None = None,
+    ) -> None:
+        """Makes an empty tracker.
+
+        Args:
+            clock: The clock that failures are timed by.
+            free_slots: Says how many more attempts an upstream takes; none
+                without limits.
+        """
         self._clock = clock
+        self._free_slots = free_slots
         self._loads: dict[str, _Load] = {}
 
     def in_flight(self, upstream: str) -> int:
@@ -38,9 +52,10 @@
         return load.in_flight if load else 0
 
     def free_slots(self, upstream: str) -> int:
-        """Returns a number without bound: limits are kept elsewhere."""
-        del upstream
-        return _UNLIMITED_SLOTS
+        """Returns how many more attempts this host may send now."""
+        if self._free_slots is None:
+            return _UNLIMITED_SLOTS
+        return self._free_slots(upstream)
 
     def latency_ms(self, upstream: str) -> float | None:
         """Returns the average latency, high for a while after failures."""
--- a/greengagedale/routing/policies.py
+++ b/greengagedale/routing/policies.py
@@ -54,9 +54,7 @@
         usable = [
             name
             for name in replicas
-            if name not in avoid
-            and not view.is_leaving(name)
-            and view.free_slots(name) > 0
+            if name not in avoid and not view.is_leaving(name)
         ]
         if len(usable) < 2:
             return usable[0] if usable else None
--- a/greengagedale/routing/tacticians.py
+++ b/greengagedale/routing/tacticians.py
@@ -9,6 +9,7 @@
 from greengagedale.retry import budgets
 from greengagedale.routing import latencies as latencies_lib
 from greengagedale.routing import policies
+from greengagedale.routing import views
 
 _LEAST_QUANTILE = 0.9
 _MOST_QUANTILE = 0.995
@@ -24,10 +25,12 @@
     def __init__(
         self,
         policy: policies.RoutingPolicy,
+        view: views.UpstreamView,
         retry_share: float,
         adaptive: bool,
     ) -> None:
         self._policy = policy
+        self._view = view
         self._retry_share = retry_share
         self._adaptive = adaptive
         self._plain = tactics_lib.Tactics.plain(policy)
@@ -40,10 +43,11 @@
         cls,
         settings: settings_lib.RoutingSettings,
         policy: policies.RoutingPolicy,
+        view: views.UpstreamView,
     ) -> Self:
         """Makes the tactician that the settings name."""
         adaptive = settings.policy == "adaptive"
-        return cls(policy, settings.retry_share, adaptive)
+        return cls(policy, view, settings.retry_share, adaptive)
 
     def tactics(self, search: fanout.Search) -> tactics_lib.Tactics:
         """Returns the tactics for a search."""
@@ -65,6 +69,7 @@
             self._holdings.setdefault(search.service, holdings_lib.Holdings()),
             budgets.TokenBudget(share, _HEDGE_TOKENS),
             self._retries.setdefault(search.workspace, self._retry_budget()),
+            has_room=lambda upstream: self._view.free_slots(upstream) > 0,
         )
 
     def _retry_budget(self) -> budgets.TokenBudget:
--- a/tests/query/test_tail.py
+++ b/tests/query/test_tail.py
@@ -120,6 +120,15 @@
     assert 0 < sent <= 0.02 * 200 * 4
 
 
+def test_no_hedge_goes_where_it_would_wait_for_a_slot(answered_but_one):
+    used = tactics_with()
+    driven = answered_but_one(used._replace(has_room=lambda name: False))
+    driven.run_to(QUANTILE_MS)
+    assert len(driven.sent) == 4
+    assert driven.count(events.What.HEDGE_DENIED) == 1
+    assert used.hedge_budget.has_token(QUANTILE_MS)
+
+
 def test_failed_attempt_is_retried_elsewhere(answered_but_one):
     driven = answered_but_one(tactics_with())
     failed = driven.sent[0]
