Generated bad input at every adapter; connection limits of upstreams

Cause: bad input was tried by hand only, the upstream stand-in took any number of connections, and faults struck upstreams that did not run.

--- a/proofs/nemesis.py
+++ b/proofs/nemesis.py
@@ -120,7 +120,8 @@
     def target(
         self, deployment: deployments.Deployment, rng: random.Random
     ) -> str:
-        return rng.choice(deployment.shape.upstreams()).upstream.name
+        names = [p.upstream.name for p in deployment.shape.upstreams()]
+        return rng.choice([n for n in names if n in deployment.processes])
 
 
 class KillUpstream(_UpstreamFault):
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -215,6 +215,10 @@
             for known, connection in self._connections.items()
             if not known.is_closing()
         }
+        if len(self._connections) >= self._shape.connections:
+            self._recorder.add("refused_connection", upstream=self._name)
+            transport.abort()
+            raise web.HTTPServiceUnavailable
         made = self._connections[transport] = _Connection(
             self._rng.random() < self._control.get("silent_share", 0)
         )
--- /dev/null
+++ b/tests/integration/test_bad_input.py
@@ -0,0 +1,135 @@
+"""Generated bad input at every adapter: typed refusals, nothing stuck."""
+
+import json
+import socket
+
+import grpc
+from hypothesis import HealthCheck
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+import pytest
+
+from greengagedale import exceptions
+from greengagedale.config import settings as settings_lib
+from greengagedale.peers import wire as peers_wire
+from standins import httpcalls
+
+EXAMPLES = settings(
+    max_examples=60,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=[HealthCheck.function_scoped_fixture],
+)
+JSON = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats(allow_nan=False)
+    | st.text(max_size=20),
+    lambda inner: (
+        st.lists(inner, max_size=4)
+        | st.dictionaries(
+            st.sampled_from(["text", "limit", "timeout_ms", "key", "target"])
+            | st.text(max_size=8),
+            inner,
+            max_size=5,
+        )
+    ),
+    max_leaves=12,
+)
+BODIES = st.binary(max_size=200) | JSON.map(lambda v: json.dumps(v).encode())
+TYPED = range(200, 504)
+SEARCH = "/v1/workspaces/search-a/search"
+
+
+@pytest.fixture
+def caller(shared_deployment):
+    return shared_deployment.caller(shared_deployment.host(1))
+
+
+@pytest.fixture
+def serves_on(shared_deployment, caller):
+    def check():
+        answer = httpcalls.call("POST", caller, SEARCH, {"text": "after"})
+        assert answer.body["outcome"] == "ran"
+        assert all(
+            p.poll() is None for p in shared_deployment.processes.values()
+        )
+
+    return check
+
+
+@EXAMPLES
+@given(body=BODIES, path=st.sampled_from(["search", "act"]))
+def test_callers_get_typed_answers(caller, serves_on, body, path):
+    answer = httpcalls.call(
+        "POST", caller, f"/v1/workspaces/search-a/{path}", body
+    )
+    assert answer.status in TYPED
+    assert answer.status != 500
+    assert answer.body.get("error") or answer.body.get("outcome")
+
+
+@EXAMPLES
+@given(body=BODIES, kind=st.sampled_from(["templates", "workspaces"]))
+def test_operators_get_typed_answers(shared_deployment, body, kind):
+    operator = shared_deployment.operator(shared_deployment.host(2))
+    answer = httpcalls.call("PUT", operator, f"/v1/{kind}/fuzzed", body)
+    assert answer.status in TYPED
+    assert answer.status != 500
+    assert answer.body.get("error") or answer.body.get("outcome")
+
+
+@EXAMPLES
+@given(raw=st.binary(min_size=1, max_size=300))
+def test_raw_bytes_end_in_an_answer_or_a_closed_connection(caller, raw):
+    address, _, port = caller.rpartition(":")
+    with socket.create_connection((address, int(port)), timeout=5) as sent:
+        sent.sendall(raw)
+        sent.shutdown(socket.SHUT_WR)
+        while sent.recv(4096):
+            pass
+
+
+@EXAMPLES
+@given(
+    raw=st.binary(max_size=200),
+    method=st.sampled_from(
+        [
+            peers_wire.MEMBERS,
+            peers_wire.EXPLAIN,
+            peers_wire.ACT,
+            peers_wire.CATALOG,
+            peers_wire.DOCUMENTS,
+            peers_wire.SERVICES,
+        ]
+    ),
+)
+def test_peers_refuse_malformed_messages(shared_deployment, raw, method):
+    host = shared_deployment.host(3)
+    with grpc.insecure_channel(f"{host.address}:{host.peer_port}") as channel:
+        call = channel.unary_unary(peers_wire.path_of(method))
+        try:
+            call(raw, timeout=5)
+        except grpc.RpcError as error:
+            assert error.code() is grpc.StatusCode.INVALID_ARGUMENT
+
+
+@EXAMPLES
+@given(
+    config=st.dictionaries(
+        st.sampled_from(["host", "platform", "peers", "callers", "limits"])
+        | st.text(max_size=8),
+        JSON,
+        max_size=5,
+    )
+)
+def test_settings_are_checked_or_refused(config):
+    with pytest.raises(exceptions.ConfigError) as caught:
+        settings_lib.Settings.from_config(config)
+    assert caught.value.mistakes
+
+
+def test_hosts_serve_on_after_all_that(serves_on):
+    serves_on()
