--- a/greengagedale/daemons.py
+++ b/greengagedale/daemons.py
@@ -51,6 +51,7 @@
 log = logging.getLogger(__name__)
 
 _HOST_LIST_S = 1.0
+_HOST_LIST_CROWD = 50
 _MS_PER_S = 1000.0
 _INCARNATION_BYTES = 6
 
@@ -134,12 +135,15 @@
         metrics,
     )
     transport = limits.transport
-    loads = loads_lib.LoadTracker(clock)
+    gate = limits.gate
+    loads = loads_lib.LoadTracker(clock, gate.free_slots if gate else None)
     policy = leaving.LeavingFilter(
         policies.from_config(settings.routing, loads, random.Random()),
         drains.is_leaving,
     )
-    tactician = tacticians.Tactician.from_config(settings.routing, policy)
+    tactician = tacticians.Tactician.from_config(
+        settings.routing, policy, loads
+    )
     action_runner = _action_runner(
         settings, store, holder, directory, peers, limits, policy, metrics
     )
@@ -178,6 +182,7 @@
         directory.run(datagrams, host.status),
         follower.run(),
         _follow_hosts(settings, store, directory),
+        _check_idle(settings, plain_transport),
     ]
     for work in background:
         task = asyncio.create_task(work)
@@ -248,6 +253,15 @@
         await web.TCPSite(runner, settings.host.address, port).start()
 
 
+async def _check_idle(
+    settings: settings_lib.Settings, transport: upstreams_http.HttpTransport
+) -> None:
+    """Probes connections that went silent while no request used them."""
+    while True:
+        await asyncio.sleep(settings.upstreams.idle_check_ms / _MS_PER_S)
+        await transport.check_idle()
+
+
 async def _follow_hosts(
     settings: settings_lib.Settings,
     store: platform_base.ObjectStore,
@@ -258,7 +272,9 @@
         if not isinstance(listed, platform_base.Unavailable):
             endpoints = [item.peer_endpoint for item in listed]
             directory.hint([*settings.peers.seeds, *endpoints])
-        await asyncio.sleep(_HOST_LIST_S)
+        # The fleet together asks no more often than a small one does.
+        crowd = max(1.0, len(directory.alive) / _HOST_LIST_CROWD)
+        await asyncio.sleep(_HOST_LIST_S * crowd)
 
 
 def _wall_ms() -> int:
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -51,7 +51,9 @@
         silent_share: Share of connections that go silent when made.
         silent_after: Requests after which such connections go silent; 0 at
             once.
+        silence_open: Share of the open connections that go silent now.
         wrong_echo: Answers carry the snapshot of another version.
+        swap_answers: Each search gets the answer of the one before.
         poison_crashes: Whether `CRASH_TEXT` in a request ends the process.
     """
 
@@ -63,7 +65,9 @@
     lie_load: int
     silent_share: float
     silent_after: int
+    silence_open: float
     wrong_echo: bool
+    swap_answers: bool
     poison_crashes: bool
 
 
@@ -97,6 +101,7 @@
         self._slots = asyncio.Semaphore(placed.upstream.slots)
         self._most_waiting = placed.upstream.slots * _QUEUE_PER_SLOT
         self._present = 0
+        self._last_reply: wire.SearchReply | None = None
         self._tasks: dict[str, asyncio.Task[Any]] = {}
         self._connections: dict[asyncio.Transport, _Connection] = {}
         self._control: Control = {"holdings": holdings}
@@ -121,7 +126,7 @@
             self._crash_if_poisoned(body["text"])
             await self._work()
             self._note("answer", body, holding=holding)
-            return _json(self._search_reply(body, holding))
+            return _json(self._answer(self._search_reply(body, holding)))
         finally:
             self._leave(body["attempt_id"])
 
@@ -165,6 +170,7 @@
         """Changes what it holds and how it misbehaves."""
         change = msgspec.json.decode(await request.read(), type=Control)
         self._control.update(change)
+        self._silence_open(self._control.pop("silence_open", 0.0))
         self._recorder.add(
             "control",
             upstream=self._name,
@@ -197,6 +203,12 @@
         if delay_ms:
             await asyncio.sleep(delay_ms / _MS_PER_S)
 
+    def _silence_open(self, share: float) -> None:
+        for connection in self._connections.values():
+            if self._rng.random() < share:
+                connection.goes_silent = True
+                connection.requests = self._control.get("silent_after", 0)
+
     def _accept(self, transport: asyncio.Transport) -> _Connection:
         self._connections = {
             known: connection
@@ -260,6 +272,11 @@
             work_ms *= 10
         await asyncio.sleep(work_ms / _MS_PER_S)
 
+    def _answer(self, reply: wire.SearchReply) -> wire.SearchReply:
+        before, self._last_reply = self._last_reply, reply
+        swap = self._control.get("swap_answers") and before is not None
+        return before if swap else reply
+
     def _search_reply(
         self, body: wire.SearchBody, holding: Holding
     ) -> wire.SearchReply:
