--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -53,6 +53,7 @@
             once.
         silence_open: Share of the open connections that go silent now.
         wrong_echo: Answers carry the snapshot of another version.
+        swap_answers: Each search gets the answer of the one before.
         poison_crashes: Whether `CRASH_TEXT` in a request ends the process.
     """
 
@@ -66,6 +67,7 @@
     silent_after: int
     silence_open: float
     wrong_echo: bool
+    swap_answers: bool
     poison_crashes: bool
 
 
@@ -99,6 +101,7 @@
         self._slots = asyncio.Semaphore(placed.upstream.slots)
         self._most_waiting = placed.upstream.slots * _QUEUE_PER_SLOT
         self._present = 0
+        self._last_reply: wire.SearchReply | None = None
         self._tasks: dict[str, asyncio.Task[Any]] = {}
         self._connections: dict[asyncio.Transport, _Connection] = {}
         self._control: Control = {"holdings": holdings}
@@ -123,7 +126,7 @@
             self._crash_if_poisoned(body["text"])
             await self._work()
             self._note("answer", body, holding=holding)
-            return _json(self._search_reply(body, holding))
+            return _json(self._answer(self._search_reply(body, holding)))
         finally:
             self._leave(body["attempt_id"])
 
@@ -269,6 +272,11 @@
             work_ms *= 10
         await asyncio.sleep(work_ms / _MS_PER_S)
 
+    def _answer(self, reply: wire.SearchReply) -> wire.SearchReply:
+        before, self._last_reply = self._last_reply, reply
+        swap = self._control.get("swap_answers") and before is not None
+        return before if swap else reply
+
     def _search_reply(
         self, body: wire.SearchBody, holding: Holding
     ) -> wire.SearchReply:
