--- a/greengagedale/query/fanout.py
+++ b/greengagedale/query/fanout.py
@@ -5,7 +5,7 @@
 wants `on_timer` to be called.
 """
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 import itertools
 from typing import Literal, NamedTuple
 
@@ -20,7 +20,7 @@
 from greengagedale.query import timers
 
 RETRY_AFTER_MS = 200
-_MOST_ROUNDS = 4
+_MOST_ROUNDS = 6
 _ROUND_DELAY_MS = 10.0
 _MOST_RESTARTS = 3
 _MOST_LEFT_OUT = 0.1
@@ -167,10 +167,9 @@
 
     def _begin(self, now_ms: float) -> list[Command]:
         tactics = self._tactics
-        gone = tactics.holdings.refusing(self._pinned.snapshot, now_ms)
+        refusing = tactics.holdings.refusing(self._pinned.snapshot, now_ms)
         self._parts = [
-            parts.Part(entry, gone & frozenset(entry.upstreams))
-            for entry in self._pinned.ranges
+            parts.Part(entry, refusing) for entry in self._pinned.ranges
         ]
         self._unsettled = len(self._parts)
         tactics.hedge_budget.earn(len(self._parts))
@@ -190,8 +189,11 @@
                 return commands
         return commands + self._finish_if_done(now_ms)
 
-    def _send(self, part: parts.Part, now_ms: float) -> list[Command]:
-        upstream = self._tactics.policy.choose(part.entry.upstreams, part.avoid)
+    def _send(
+        self, part: parts.Part, now_ms: float, full: Collection[str] = ()
+    ) -> list[Command]:
+        avoid = part.avoid.union(full)
+        upstream = self._tactics.policy.choose(part.entry.upstreams, avoid)
         if upstream is None:
             return []
         attempt = attempts.Attempt(
@@ -254,10 +256,11 @@
             result.field if dropped else end.reason,
         )
         if end.reason is outcomes.Reason.SNAPSHOT_GONE:
-            part.gone |= {attempt.upstream}
-            self._tactics.holdings.refuse(
-                attempt.snapshot, attempt.upstream, now_ms
-            )
+            part.gone.add(attempt.upstream)
+            if self._tactics.adaptive:
+                self._tactics.holdings.refuse(
+                    attempt.snapshot, attempt.upstream, now_ms
+                )
         if part.open:
             return []
         return self._retry(part, end.reason, end.retry_after_ms, now_ms)
@@ -305,27 +308,38 @@
             return self._settle(part)
         part.waiting = True
         part.tried.clear()
+        part.gone.clear()
         self._timers.add(due_ms, timers.Kind.ROUND, part)
         return []
 
-    def _without_replica(
-        self, part: parts.Part, now_ms: float
-    ) -> list[Command]:
-        """Restarts if no replica has the snapshot; gives up otherwise."""
-        if part.is_gone:
-            part.reason = outcomes.Reason.SNAPSHOT_GONE
+    def _next_round(self, part: parts.Part, now_ms: float) -> list[Command]:
+        if part.reason is outcomes.Reason.SNAPSHOT_GONE:
             pinned = self._restart_map(now_ms)
             if pinned is not None:
                 return self._restart(pinned, part, now_ms)
-        return self._settle(part)
+        return self._retry(part, "next_round", 0.0, now_ms)
+
+    def _without_replica(
+        self, part: parts.Part, now_ms: float
+    ) -> list[Command]:
+        """Restarts if no replica has the snapshot and another is listed.
+
+        With none listed the replicas may still be loading this one, or this
+        host has yet to hear of the next: after a while it looks again.
+        """
+        if not (part.is_gone and self._tactics.adaptive):
+            return self._settle(part)
+        part.reason = outcomes.Reason.SNAPSHOT_GONE
+        pinned = self._restart_map(now_ms)
+        if pinned is not None:
+            return self._restart(pinned, part, now_ms)
+        return self._wait_round(part, 0.0, now_ms)
 
     def _settle(self, part: parts.Part) -> list[Command]:
         self._unsettled -= 1
         return []
 
     def _restart_map(self, now_ms: float) -> snapshots.PinnedMap | None:
-        if not self._tactics.adaptive:
-            return None
         self._given_up.add(self._pinned.snapshot)
         left_ms = self._search.deadline_ms - now_ms
         needed_ms = min(self._timings.hedge_ms, self._timings.progress_ms)
@@ -352,7 +366,7 @@
                 return self._stop_early(now_ms)
             case timers.Timer(kind=timers.Kind.ROUND, part=parts.Part() as p):
                 p.waiting = False
-                return self._retry(p, "next_round", 0.0, now_ms)
+                return self._next_round(p, now_ms)
             case timers.Timer(
                 kind=timers.Kind.HEDGE,
                 part=parts.Part() as p,
@@ -374,20 +388,35 @@
             return []
         budget = self._tactics.hedge_budget
         if not budget.has_token(now_ms):
-            self._note(now_ms, events.What.HEDGE_DENIED, part, "", "budget")
-            again_ms = now_ms + self._timings.hedge_ms / 2
-            kind = timers.Kind.HEDGE
-            if again_ms >= progress_ms:
-                again_ms, kind = progress_ms, timers.Kind.PROGRESS
-            self._timers.add(again_ms, kind, part, attempt)
+            self._postpone_hedge(part, attempt, "budget", now_ms)
+            return []
+        # A hedge that waits for a slot would only delay first attempts.
+        has_room = self._tactics.has_room
+        full = [name for name in part.entry.upstreams if not has_room(name)]
+        sent = self._send(part, now_ms, full)
+        if not sent:
+            self._postpone_hedge(part, attempt, "no_slot", now_ms)
             return []
+        budget.spend()
         self._timers.add(progress_ms, timers.Kind.PROGRESS, part, attempt)
-        sent = self._send(part, now_ms)
-        if sent:
-            budget.spend()
-            self._note_sent(now_ms, events.What.HEDGE, part, sent, "quantile")
+        self._note_sent(now_ms, events.What.HEDGE, part, sent, "quantile")
         return sent
 
+    def _postpone_hedge(
+        self,
+        part: parts.Part,
+        attempt: attempts.Attempt,
+        reason: str,
+        now_ms: float,
+    ) -> None:
+        self._note(now_ms, events.What.HEDGE_DENIED, part, "", reason)
+        progress_ms = attempt.sent_ms + self._progress_ms(part)
+        again_ms = now_ms + self._timings.hedge_ms / 2
+        kind = timers.Kind.HEDGE
+        if again_ms >= progress_ms:
+            again_ms, kind = progress_ms, timers.Kind.PROGRESS
+        self._timers.add(again_ms, kind, part, attempt)
+
     def _without_progress(
         self, part: parts.Part, attempt: attempts.Attempt, now_ms: float
     ) -> list[Command]:
