--- a/proofs/__main__.py
+++ b/proofs/__main__.py
@@ -4,6 +4,8 @@
 from collections.abc import Iterator
 import itertools
 import pathlib
+import signal
+import sys
 import tempfile
 import time
 from typing import Annotated, NamedTuple
@@ -46,6 +48,8 @@
     ] = None,
 ) -> None:
     """Run traffic under faults and check the histories."""
+    # So that SIGTERM, too, stops the processes of the run.
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(number))
     counts: collections.Counter[str] = collections.Counter()
     failed = []
     for done in _runs(minutes, seed, shape.split(","), run_s):
@@ -87,7 +91,9 @@
         )
         try:
             deployment.start(service=service, one_process_each=True)
-            plan = runs.RunPlan(service, seed, run_s, nemesis.ALL, 2)
+            plan = runs.RunPlan(
+                service, seed, run_s, nemesis.ALL, 2, index_changes=True
+            )
             history = runs.run(deployment, plan)
         finally:
             deployment.stop()
@@ -104,6 +110,7 @@
             ),
             *(f"change {c.outcome or 'none'}" for c in history.changes),
             *(f"upstream {e.event}" for e in history.upstream_events),
+            *("index version" for _ in history.index_versions),
         ]
     )
 
--- a/proofs/runs.py
+++ b/proofs/runs.py
@@ -1,6 +1,7 @@
 """One run: a deployment, traffic and faults, and the history of it all."""
 
 import asyncio
+import contextlib
 from typing import NamedTuple
 
 import aiohttp
@@ -10,10 +11,12 @@
 from proofs import nemesis
 from proofs import traffic as traffic_lib
 from standins import deployments
+from standins import indexes
 
 _CALLERS = 6
 _OPERATORS = 2
 _SETTLE_S = 1.5
+_PUBLISH_EVERY_S = 3.0
 
 
 class RunPlan(NamedTuple):
@@ -26,6 +29,7 @@
         faults: Kinds of faults; none for a quiet run.
         streams: How many faults may be in place at once.
         search_share: Share of searches among requests; the rest are actions.
+        index_changes: Whether new index versions come, with splits and merges.
     """
 
     service: str
@@ -34,6 +38,7 @@
     faults: tuple[type[nemesis.Fault], ...]
     streams: int = 1
     search_share: float = 0.5
+    index_changes: bool = False
 
 
 def run(
@@ -57,6 +62,9 @@
     deployment: deployments.Deployment, plan: RunPlan
 ) -> history_lib.History:
     striker = nemesis.Nemesis(deployment)
+    publisher = indexes.IndexPublisher(
+        deployment.shape, plan.service, plan.seed
+    )
     stop = asyncio.Event()
     connector = aiohttp.TCPConnector(limit=0)
     async with aiohttp.ClientSession(connector=connector) as session:
@@ -76,6 +84,8 @@
                         plan.seed + number,
                     )
                 )
+            if plan.index_changes:
+                tasks.create_task(_publish_until(stop, publisher))
             for number in range(_CALLERS):
                 tasks.create_task(traffic.call_until(stop, number))
             for number in range(_OPERATORS):
@@ -92,6 +102,16 @@
         traffic.changes,
         traffic.observations,
         striker.windows,
-        frozenset({1}),
+        frozenset(range(1, publisher.newest.index_version + 1)),
         known,
     )
+
+
+async def _publish_until(
+    stop: asyncio.Event, publisher: indexes.IndexPublisher
+) -> None:
+    """Publishes one version after another; faults may hold some back."""
+    while not stop.is_set():
+        await asyncio.sleep(_PUBLISH_EVERY_S)
+        with contextlib.suppress(OSError, RuntimeError):
+            await asyncio.to_thread(publisher.publish)
--- a/standins/indexes.py
+++ b/standins/indexes.py
@@ -1,5 +1,6 @@
 """Publishes new versions of a service's index, with splits and merges."""
 
+import contextlib
 import random
 from typing import NamedTuple
 
@@ -40,14 +41,29 @@
         options: IndexOptions | None = None,
     ) -> None:
         self._platform = shape.platform_endpoint
+        self._listens = {
+            placed.upstream.name: placed.listen for placed in shape.upstreams()
+        }
         self._service = shape.initial_service(service)
         self._rng = random.Random(seed)
         self._options = options or IndexOptions()
         self._maps = list(self._service.maps)
         self.published = list(self._maps)
 
+    @property
+    def newest(self) -> snapshots.Snapshot:
+        """The newest snapshot that upstreams or the platform may know."""
+        return self._maps[-1].snapshot
+
     def publish(self) -> snapshots.Snapshot:
-        """Publishes one more version and drops the oldest."""
+        """Publishes one more version and drops the oldest.
+
+        Upstreams that are down miss it.
+
+        Raises:
+            OSError: The platform does not answer.
+            RuntimeError: The platform refuses.
+        """
         self._maps.append(self._next_map())
         if self._options.publish_first:
             self._list()
@@ -81,7 +97,7 @@
         return snapshots.PinnedMap(snapshot, tuple(entries))
 
     def _load(self) -> None:
-        for name, upstream in self._service.upstreams.items():
+        for name in self._service.upstreams:
             holdings = [
                 upstream_lib.Holding(*pinned.snapshot, *entry.key_range)
                 for pinned in self._maps
@@ -89,11 +105,14 @@
                 if name in entry.upstreams
             ]
             body = {"holdings": holdings}
-            httpcalls.call("POST", upstream.endpoint, "/control", body)
+            with contextlib.suppress(OSError):
+                httpcalls.call("POST", self._listens[name], "/control", body)
 
     def _list(self) -> None:
         path = f"/v1/objects/{services.KIND_SERVICE}/{self._service.name}"
-        held = httpcalls.get(self._platform, path).body
+        held = httpcalls.get(self._platform, path)
+        if held.status != httpcalls.STATUS_OK:
+            raise RuntimeError(f"{path}: {held}")
         listed = self._service._replace(
             maps=tuple(self._maps[-self._options.kept :])
         )
@@ -102,7 +121,7 @@
             self._platform,
             path,
             services.to_object(listed),
-            headers={"If-Match": str(held["version"])},
+            headers={"If-Match": str(held.body["version"])},
         )
         if answer.status != httpcalls.STATUS_OK:
             raise RuntimeError(f"{path}: {answer}")
