--- a/greengagedale/limits/gated.py
+++ b/greengagedale/limits/gated.py
@@ -12,11 +12,11 @@
 from greengagedale.catalog import services
 from greengagedale.limits import concurrency
 from greengagedale.limits import gate as gate_lib
-from greengagedale.limits import passing
 from greengagedale.query import attempts
 from greengagedale.query import ranges
 from greengagedale.query import snapshots
 from greengagedale.upstreams import base
+from greengagedale.upstreams import passing
 
 _MS_PER_S = 1000.0
 _CANCEL_UNCONFIRMED_S = 2.0
--- a/greengagedale/limits/guarded.py
+++ b/greengagedale/limits/guarded.py
@@ -15,11 +15,11 @@
 from greengagedale import metrics as metrics_lib
 from greengagedale import outcomes
 from greengagedale.limits import gated
-from greengagedale.limits import passing
 from greengagedale.limits import quarantine
 from greengagedale.membership import news
 from greengagedale.query import attempts
 from greengagedale.upstreams import base
+from greengagedale.upstreams import passing
 from greengagedale.upstreams import probes
 
 NEWS_KIND = "quarantine"
