Wire a host in small steps; names that say what they are

Cause: the function that starts a host had grown to a hundred lines, and two modules were named assembly.

--- a/greengagedale/acceptance.py
+++ b/greengagedale/acceptance.py
@@ -7,10 +7,10 @@
 import random
 from typing import Self
 
-from greengagedale import assembly
 from greengagedale import clocks
 from greengagedale import collection
 from greengagedale import configuration
+from greengagedale import configuration_assembly
 from greengagedale import configuration_metrics
 from greengagedale.catalog import catalogs
 from greengagedale.catalog import edits
@@ -82,8 +82,8 @@
         self._clock = clock
         self._rng = rng
         self._metrics = metrics
-        self._assembler = assembly.Assembler(holder)
-        self._source = assembly.PlatformSource(store)
+        self._assembler = configuration_assembly.Assembler(holder)
+        self._source = configuration_assembly.PlatformSource(store)
         self._lock = asyncio.Lock()
         self._seen: collections.deque[str] = collections.deque(
             maxlen=_IDS_REMEMBERED
@@ -228,9 +228,9 @@
             built = await self._assembler.assemble(
                 found.stored.value, self._source
             )
-            if isinstance(built, assembly.Incomplete):
+            if isinstance(built, configuration_assembly.Incomplete):
                 return _Again("platform_down", "documents can't be read")
-            if isinstance(built, assembly.Unreadable):
+            if isinstance(built, configuration_assembly.Unreadable):
                 return configuration.NotAccepted("unreadable", built.detail)
             newest = _Newest(found.stored.version, built)
         held = self._holder.current.revision
--- a/greengagedale/daemons.py
+++ b/greengagedale/daemons.py
@@ -6,6 +6,7 @@
 import random
 import secrets
 import time
+from typing import NamedTuple
 
 from aiohttp import web
 
@@ -31,7 +32,7 @@
 from greengagedale.idempotency import claims
 from greengagedale.idempotency import tables
 from greengagedale.idempotency import tickets
-from greengagedale.limits import assembly
+from greengagedale.limits import assembly as limits_assembly
 from greengagedale.membership import drains as drains_lib
 from greengagedale.membership import news
 from greengagedale.operators import http_server as operators_http
@@ -45,6 +46,7 @@
 from greengagedale.routing import loads as loads_lib
 from greengagedale.routing import policies
 from greengagedale.routing import tacticians
+from greengagedale.upstreams import base as upstreams_base
 from greengagedale.upstreams import http as upstreams_http
 from greengagedale.upstreams import observed
 
@@ -72,11 +74,57 @@
     log.info("stopped")
 
 
+class _Base(NamedTuple):
+    """What the other parts of a host are built on.
+
+    Attributes:
+        settings: Settings of the host.
+        clock: Clock of the process.
+        metrics: Metrics of the process.
+        store: The platform.
+        peers: Reaches other hosts.
+        transport: Reaches upstreams, and watches for signs that they leave.
+        drains: Which upstreams are leaving.
+        board: News for and from other hosts.
+        directory: The other hosts.
+        holder: Configuration and services in force.
+        held_metrics: Metrics of configuration.
+    """
+
+    settings: settings_lib.Settings
+    clock: clocks.Clock
+    metrics: metrics_lib.Metrics
+    store: platform_base.ObjectStore
+    peers: peers_base.PeerTransport
+    transport: upstreams_base.UpstreamTransport
+    drains: drains_lib.Drains
+    board: news.Board
+    directory: directory_lib.Directory
+    holder: configuration.Holder
+    held_metrics: configuration_metrics.ConfigurationMetrics
+
+    def live_hosts(self) -> list[str]:
+        """Returns the names of all healthy hosts, this one first."""
+        alive = self.directory.alive.values()
+        return [self.settings.host.name, *(status.name for status in alive)]
+
+
 async def _start(
     settings: settings_lib.Settings,
     shutdown: shutdowns.Shutdown,
     stack: contextlib.AsyncExitStack,
 ) -> hosts.Host:
+    base = _base(settings, stack)
+    limits = _limits(base)
+    host = _host(base, limits, stack)
+    await _start_background(base, limits, host, stack)
+    await _listen(settings, host, shutdown, stack)
+    return host
+
+
+def _base(
+    settings: settings_lib.Settings, stack: contextlib.AsyncExitStack
+) -> _Base:
     clock = clocks.MonotonicClock()
     metrics = metrics_lib.Metrics()
     store = platform_http.HttpStore.from_config(
@@ -93,24 +141,37 @@
         _wall_ms,
         lambda source: metrics.drain_signals.labels(source).inc(),
     )
-    plain_transport = upstreams_http.HttpTransport.from_config(
+    transport = upstreams_http.HttpTransport.from_config(
         settings.host.data_centre,
         settings.upstreams.connect_timeout_ms,
         settings.upstreams.spare_connections,
     )
-    stack.push_async_callback(plain_transport.close)
-    observed_transport = observed.ObservedTransport(plain_transport, drains)
+    stack.push_async_callback(transport.close)
     peers = grpc_client.GrpcTransport.from_config(settings.peers.timeout_ms)
     stack.push_async_callback(peers.close)
     holder = configuration.Holder(clock)
-    held_metrics = configuration_metrics.ConfigurationMetrics.from_config(
-        metrics, holder
-    )
-    collector = collection.Collector(store, held_metrics)
-    stack.push_async_callback(collector.close)
-    writer = acceptance.Writer.from_config(
-        settings, store, holder, collector, held_metrics
+    return _Base(
+        settings,
+        clock,
+        metrics,
+        store,
+        peers,
+        observed.ObservedTransport(transport, drains),
+        drains,
+        board,
+        _directory(settings, board, peers, clock, metrics),
+        holder,
+        configuration_metrics.ConfigurationMetrics.from_config(metrics, holder),
     )
+
+
+def _directory(
+    settings: settings_lib.Settings,
+    board: news.Board,
+    peers: peers_base.PeerTransport,
+    clock: clocks.Clock,
+    metrics: metrics_lib.Metrics,
+) -> directory_lib.Directory:
     directory = directory_lib.Directory.from_config(
         settings, board, peers, clock, random.Random()
     )
@@ -119,108 +180,136 @@
             lambda: directory.counts, directory.hosts_by_state
         )
     )
-    limits = assembly.Limits.from_config(
-        settings.limits,
-        observed_transport,
-        holder,
-        drains.is_leaving,
-        board,
+    return directory
+
+
+def _limits(base: _Base) -> limits_assembly.Limits:
+    return limits_assembly.Limits.from_config(
+        base.settings.limits,
+        base.transport,
+        base.holder,
+        base.drains.is_leaving,
+        base.board,
         _wall_ms,
-        settings.host.name,
-        lambda: [
-            settings.host.name,
-            *(status.name for status in directory.alive.values()),
-        ],
-        clock,
-        metrics,
+        base.settings.host.name,
+        base.live_hosts,
+        base.clock,
+        base.metrics,
     )
-    transport = limits.transport
+
+
+def _host(
+    base: _Base,
+    limits: limits_assembly.Limits,
+    stack: contextlib.AsyncExitStack,
+) -> hosts.Host:
     gate = limits.gate
-    loads = loads_lib.LoadTracker(clock, gate.free_slots if gate else None)
+    loads = loads_lib.LoadTracker(base.clock, gate.free_slots if gate else None)
+    routing = base.settings.routing
     policy = leaving.LeavingFilter(
-        policies.from_config(settings.routing, loads, random.Random()),
-        drains.is_leaving,
+        policies.from_config(routing, loads, random.Random()),
+        base.drains.is_leaving,
     )
-    tactician = tacticians.Tactician.from_config(
-        settings.routing, policy, loads
-    )
-    action_runner = _action_runner(
-        settings, store, holder, directory, peers, limits, policy, metrics
+    search_runner = searches.SearchRunner(
+        limits.transport,
+        tacticians.Tactician.from_config(routing, policy, loads),
+        loads,
+        base.holder.services.get,
+        base.clock,
+        base.metrics,
     )
+    action_runner = _action_runner(base, limits, policy)
     stack.push_async_callback(action_runner.finish)
-    host = hosts.Host(
-        settings,
-        holder,
-        writer,
-        searches.SearchRunner(
-            transport, tactician, loads, holder.services.get, clock, metrics
-        ),
+    return hosts.Host(
+        base.settings,
+        base.holder,
+        _writer(base, stack),
+        search_runner,
         action_runner,
         limits.admitter,
-        directory,
-        peers,
-        clock,
-        metrics,
+        base.directory,
+        base.peers,
+        base.clock,
+        base.metrics,
+    )
+
+
+def _writer(base: _Base, stack: contextlib.AsyncExitStack) -> acceptance.Writer:
+    collector = collection.Collector(base.store, base.held_metrics)
+    stack.push_async_callback(collector.close)
+    return acceptance.Writer.from_config(
+        base.settings, base.store, base.holder, collector, base.held_metrics
     )
+
+
+def _action_runner(
+    base: _Base,
+    limits: limits_assembly.Limits,
+    policy: policies.RoutingPolicy,
+) -> actions.ActionRunner:
+    incarnation = secrets.token_hex(_INCARNATION_BYTES)
+    issuer = tickets.Issuer(base.settings.host.name, incarnation)
+    key_limits = tables.Limits(
+        base.settings.actions.most_keys,
+        base.settings.actions.ticket_life_ms,
+        base.settings.actions.retention_ms,
+    )
+    return actions.ActionRunner(
+        issuer,
+        tables.KeyTable(key_limits),
+        claims.PlatformClaims(base.store, issuer, base.clock),
+        forwarding.PeerForwarder(base.directory, base.peers, base.clock),
+        dispatches.Dispatcher(
+            base.holder,
+            limits.transport,
+            policy,
+            base.clock,
+            base.metrics,
+            limits.admitter,
+        ),
+        base.clock,
+        base.metrics,
+    )
+
+
+async def _start_background(
+    base: _Base,
+    limits: limits_assembly.Limits,
+    host: hosts.Host,
+    stack: contextlib.AsyncExitStack,
+) -> None:
+    settings = base.settings
     own = f"{settings.host.address}:{settings.host.peer_port}"
-    datagrams = await udp.UdpTransport.from_config(own, directory.receive)
+    datagrams = await udp.UdpTransport.from_config(own, base.directory.receive)
     stack.push_async_callback(datagrams.close)
     watch = drain_watch.DrainWatch(
-        drains,
-        lambda: holder.services,
-        transport,
+        base.drains,
+        lambda: base.holder.services,
+        limits.transport,
         settings.host.name,
-        lambda: [status.name for status in directory.alive.values()],
+        lambda: [status.name for status in base.directory.alive.values()],
         settings.drain.poll_interval_ms,
     )
     follower = distribution.Follower.from_config(
-        settings, store, peers, holder, lambda: directory.alive, held_metrics
+        settings,
+        base.store,
+        base.peers,
+        base.holder,
+        lambda: base.directory.alive,
+        base.held_metrics,
     )
     background = [
         watch.follow_platform(),
         watch.poll(),
-        directory.run(datagrams, host.status),
+        base.directory.run(datagrams, host.status),
         follower.run(),
-        _follow_hosts(settings, store, directory),
-        _check_idle(settings, plain_transport),
+        _follow_hosts(settings, base.store, base.directory),
+        _check_idle(settings, base.transport),
     ]
     for work in background:
         task = asyncio.create_task(work)
         task.add_done_callback(_log_failure)
         stack.push_async_callback(_stop_task, task)
-    await _listen(settings, host, shutdown, stack)
-    return host
-
-
-def _action_runner(
-    settings: settings_lib.Settings,
-    store: platform_base.ObjectStore,
-    holder: configuration.Holder,
-    directory: directory_lib.Directory,
-    peers: peers_base.PeerTransport,
-    limits: assembly.Limits,
-    policy: policies.RoutingPolicy,
-    metrics: metrics_lib.Metrics,
-) -> actions.ActionRunner:
-    clock = clocks.MonotonicClock()
-    incarnation = secrets.token_hex(_INCARNATION_BYTES)
-    issuer = tickets.Issuer(settings.host.name, incarnation)
-    key_limits = tables.Limits(
-        settings.actions.most_keys,
-        settings.actions.ticket_life_ms,
-        settings.actions.retention_ms,
-    )
-    return actions.ActionRunner(
-        issuer,
-        tables.KeyTable(key_limits),
-        claims.PlatformClaims(store, issuer, clock),
-        forwarding.PeerForwarder(directory, peers, clock),
-        dispatches.Dispatcher(
-            holder, limits.transport, policy, clock, metrics, limits.admitter
-        ),
-        clock,
-        metrics,
-    )
 
 
 async def _listen(
@@ -254,7 +343,7 @@
 
 
 async def _check_idle(
-    settings: settings_lib.Settings, transport: upstreams_http.HttpTransport
+    settings: settings_lib.Settings, transport: upstreams_base.UpstreamTransport
 ) -> None:
     """Probes connections that went silent while no request used them."""
     while True:
--- a/greengagedale/distribution.py
+++ b/greengagedale/distribution.py
@@ -8,8 +8,8 @@
 
 import msgspec
 
-from greengagedale import assembly
 from greengagedale import configuration
+from greengagedale import configuration_assembly
 from greengagedale import configuration_metrics
 from greengagedale.catalog import catalogs
 from greengagedale.catalog import services
@@ -83,8 +83,8 @@
         self._wait_ms = wait_ms
         self._rng = rng
         self._metrics = metrics
-        self._assembler = assembly.Assembler(holder)
-        self._platform = assembly.PlatformSource(store)
+        self._assembler = configuration_assembly.Assembler(holder)
+        self._platform = configuration_assembly.PlatformSource(store)
         self._platform_revision = 0
 
     @classmethod
@@ -190,14 +190,14 @@
         self,
         value: bytes,
         origin: str,
-        source: assembly.DocumentSource | None = None,
+        source: configuration_assembly.DocumentSource | None = None,
     ) -> bool:
         """Puts a catalog in force; False if it is worth another try."""
         result = await self._assembler.assemble(value, source or self._platform)
-        if isinstance(result, assembly.Incomplete):
+        if isinstance(result, configuration_assembly.Incomplete):
             self._metrics.rejected.labels("incomplete").inc()
             return False
-        if isinstance(result, assembly.Unreadable):
+        if isinstance(result, configuration_assembly.Unreadable):
             self._metrics.rejected.labels("unreadable").inc()
             log.error("catalog from %s is not used: %s", origin, result.detail)
             return True
@@ -249,7 +249,7 @@
         shared = await self._peers.catalog(endpoint, known_revision)
         if shared is None:
             return
-        source = assembly.PeerSource(self._peers, endpoint)
+        source = configuration_assembly.PeerSource(self._peers, endpoint)
         if shared.value and not await self._take(
             shared.value, FROM_PEER, source
         ):
--- a/greengagedale/query/fanout.py
+++ b/greengagedale/query/fanout.py
@@ -223,7 +223,7 @@
             self._timers.add(due_ms, timers.Kind.PROGRESS, part, attempt)
 
     def _progress_ms(self, part: parts.Part) -> float:
-        return self._timings.progress_ms * part.patience
+        return self._timings.progress_ms * part.progress_factor
 
     def _answered(
         self,
@@ -423,7 +423,7 @@
         """Gives up an attempt that another one can stand in for."""
         others: list[Command] = []
         if len(part.open) == 1:
-            part.patience *= 2
+            part.progress_factor *= 2
             others = self._replace(part, attempt, now_ms)
             if not others:
                 again_ms = now_ms + self._progress_ms(part)
--- a/greengagedale/query/parts.py
+++ b/greengagedale/query/parts.py
@@ -20,8 +20,8 @@
         reason: Why there is no answer, as far as is known.
         rounds: How often all replicas have been tried.
         waiting: Whether a next round is due later.
-        patience: How many times the usual time without progress is allowed;
-            doubles with each attempt given up, so that a range whose
+        progress_factor: Multiple of the usual time without progress that is
+            allowed; doubles with each attempt given up, so that a range whose
             replicas are all slow still gets its answer.
     """
 
@@ -30,7 +30,7 @@
         "gone",
         "hits",
         "open",
-        "patience",
+        "progress_factor",
         "reason",
         "rounds",
         "tried",
@@ -56,7 +56,7 @@
         self.reason = outcomes.Reason.DEADLINE
         self.rounds = 0
         self.waiting = False
-        self.patience = 1
+        self.progress_factor = 1
 
     @property
     def is_settled(self) -> bool:
