Accepted changes are looked up in every version of the catalog

Cause: the long runs made more than 200 changes, and the catalog keeps 200; older ones were unknown by design, which the run took for lost. Ruled out: hosts that don't answer; at the end all four answered with the same revision. Change: the platform's record of all catalog versions is read instead.

--- a/proofs/history.py
+++ b/proofs/history.py
@@ -4,11 +4,13 @@
 """
 
 from collections.abc import Iterable
+import itertools
 import pathlib
 from typing import Any, NamedTuple
 
 import msgspec
 
+from greengagedale.catalog import catalogs
 from standins import records
 
 
@@ -160,3 +162,28 @@
         if "upstream" in line
     ]
     return sorted(events)
+
+
+def change_ids(path: pathlib.Path) -> frozenset[str]:
+    """Reads which changes came into the catalog and were not overwritten.
+
+    The catalog keeps recent changes only, so all its versions are read.
+
+    Args:
+        path: Record of the platform.
+    """
+    windows = [
+        [
+            item["change_id"]
+            for item in msgspec.json.decode(line["value"])["changes"]
+        ]
+        for line in records.read(path)
+        if line["event"] == "write" and line["kind"] == catalogs.KIND_CATALOG
+    ]
+    kept = set(itertools.chain.from_iterable(windows))
+    overwritten = {
+        before[-1]
+        for before, after in itertools.pairwise(windows)
+        if before[-1] not in after
+    }
+    return frozenset(kept - overwritten)
--- a/proofs/runs.py
+++ b/proofs/runs.py
@@ -94,7 +94,6 @@
             await asyncio.sleep(plan.duration_s)
             stop.set()
         await asyncio.sleep(_SETTLE_S)
-        known = await traffic.known_changes()
     paths = sorted(deployment.folder.glob("*.jsonl"))
     return history_lib.History(
         traffic.calls,
@@ -103,7 +102,7 @@
         traffic.observations,
         striker.windows,
         frozenset(range(1, publisher.newest.index_version + 1)),
-        known,
+        history_lib.change_ids(deployment.folder / "platform.jsonl"),
     )
 
 
--- a/proofs/traffic.py
+++ b/proofs/traffic.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-import itertools
 import random
 import time
 from typing import Any, NamedTuple
@@ -29,7 +28,6 @@
 _LIMIT = 10
 _DOCUMENT_KEYS = 1 << 32
 _OPERATOR_TIMEOUT_S = 8.0
-_FOLLOW_UP_S = 30.0
 
 
 class Located(NamedTuple):
@@ -102,32 +100,6 @@
             await asyncio.gather(*(self._observe(h) for h in self._hosts))
             await asyncio.sleep(_OBSERVE_EVERY_S)
 
-    async def known_changes(self) -> frozenset[str]:
-        """Returns the accepted changes that are in the catalog.
-
-        Raises:
-            TimeoutError: No host answers, so it can't be told.
-        """
-        accepted = [c for c in self.changes if c.outcome == "accepted"]
-        answers = [await self._follow_up(c.change_id) for c in accepted]
-        return frozenset(
-            change.change_id
-            for change, outcome in zip(accepted, answers, strict=True)
-            if outcome == "accepted"
-        )
-
-    async def _follow_up(self, change_id: str) -> str:
-        """Returns what hosts say of a change, once one knows."""
-        path = f"/v1/changes/{change_id}"
-        async with asyncio.timeout(_FOLLOW_UP_S):
-            for host in itertools.cycle(self._hosts):
-                answer = await self._ask("GET", _operator(host), path)
-                outcome = (answer or {}).get("outcome", "")
-                if outcome in ("accepted", "not_accepted"):
-                    return outcome
-                await asyncio.sleep(_OBSERVE_EVERY_S)
-        return ""
-
     async def _locate(self, rng: random.Random) -> Located:
         for host in rng.sample(self._hosts, len(self._hosts)):
             asked_s = time.monotonic()
--- a/tests/proofs/test_checkers.py
+++ b/tests/proofs/test_checkers.py
@@ -1,11 +1,14 @@
 """Each checker finds the fault that it is for, and nothing in good runs."""
 
+import json
+
 import pytest
 
 from greengagedale.query import ranges
 from proofs import checkers
 from proofs import history as history_lib
 from standins import contents
+from standins import records
 
 LOW, HIGH = ranges.split_evenly(ranges.KEY_SPACE, 2)
 LIMIT = 5
@@ -207,3 +210,17 @@
     killed = history_lib.FaultWindow(0, 20, "kill", "h")
     history = GOOD._replace(calls=[call], faults=[killed])
     assert checkers.shutdown_cuts_nothing(history) == []
+
+
+def test_changes_are_read_from_all_versions_of_the_catalog(tmp_path):
+    path = tmp_path / "platform.jsonl"
+    recorder = records.Recorder.from_config(path)
+    for window in (["a"], ["a", "b"], ["b", "c"], ["c", "e"], ["c", "f"]):
+        changes = [{"change_id": name, "revision": 1} for name in window]
+        recorder.add(
+            "write",
+            kind="catalog",
+            name="main",
+            value=json.dumps({"changes": changes}),
+        )
+    assert history_lib.change_ids(path) == {"a", "b", "c", "f"}
