--- a/tests/proofs/test_points.py
+++ b/tests/proofs/test_points.py
@@ -1,4 +1,4 @@
-"""Each point of the brief holds under its fault, and not without its mechanism.
+"""Each point holds under its fault, and not without its mechanism.
 
 Every scenario runs twice over real processes behind the fault proxy: with
 the product as it is, where no check may be red, and with the protecting
@@ -129,7 +129,7 @@
 
 
 class Scenario(NamedTuple):
-    """A point of the brief, its fault and its mechanism."""
+    """A point, its fault and its mechanism."""
 
     checker: checkers.Checker
     mutation: str
