Overhead waits for the bare fan-out; memory with 40 connections

Cause: the load began before the bare fan-out listened, which flattered the host, and memory with many connections was not measured. Measured: not yet on a quiet machine.

--- a/bench/overhead.py
+++ b/bench/overhead.py
@@ -6,6 +6,7 @@
 from bench import cases
 from standins import bare
 from standins import deployments
+from standins import httpcalls
 from standins import load
 
 _SERVICES = {"kodklubben": "enrolment", "tuners": "booking"}
@@ -15,6 +16,8 @@
 _MOST_P50_RATIO = 1.25
 _LEAST_RATE_RATIO = 0.7
 _KIB_PER_MIB = 1024
+_CONNECTIONS = 40
+_CONNECTED = f"\n[upstreams]\nspare_connections = {_CONNECTIONS}\n"
 
 
 class Overhead(cases.Case):
@@ -34,6 +37,13 @@
             yield from _rows(self.name, context, deployment)
         finally:
             deployment.stop()
+        deployment = context.deployment("connections")
+        try:
+            deployment.start(_CONNECTED, service=service, hosts=1)
+            deployment.apply_workspace("bench", "member-a", service)
+            yield _connected_row(self.name, context, deployment, service)
+        finally:
+            deployment.stop()
 
 
 def _rows(
@@ -70,6 +80,39 @@
     )
 
 
+def _connected_row(
+    name: str,
+    context: cases.Context,
+    deployment: deployments.Deployment,
+    service: str,
+) -> cases.Row:
+    """Measures memory with idle connections to every upstream."""
+    host = deployment.host(1)
+    pid = deployment.processes[host.name].pid
+    placed = deployment.shape.upstreams()
+    wanted = _CONNECTIONS * sum(p.shape.name == service for p in placed)
+    path = "/v1/workspaces/bench/search"
+    descriptors = pathlib.Path(f"/proc/{pid}/fd")
+
+    def connected() -> bool:
+        # Searches make the host open its connections.
+        httpcalls.call("POST", deployment.caller(host), path, {"text": "a"})
+        return len(list(descriptors.iterdir())) >= wanted
+
+    deployments.wait_until(connected, f"{wanted} connections")
+    figures = {
+        "connections": float(wanted),
+        "connected_mib": resident_mib(pid),
+    }
+    return cases.Row(
+        name,
+        deployment.shape.name,
+        f"host, {_CONNECTIONS} connections an upstream",
+        context.seed,
+        figures,
+    )
+
+
 def _measure(endpoint: str, context: cases.Context) -> dict[str, float]:
     summaries = []
     for rate_per_s in (_QUIET_RATE_PER_S, _FULL_RATE_PER_S):
--- a/standins/deployments.py
+++ b/standins/deployments.py
@@ -12,6 +12,7 @@
 import urllib.request
 
 from greengagedale.catalog import services
+from standins import bare
 from standins import httpcalls
 from standins import records
 from standins import shapes
@@ -95,8 +96,10 @@
         return self
 
     def start_bare(self, service: str) -> None:
-        """Starts the bare fan-out over a service."""
+        """Starts the bare fan-out over a service; waits until it answers."""
         self._launch_standin("bare", "bare", "--service", service)
+        endpoint = bare.endpoint_of(self.shape)
+        wait_until(lambda: _answers(endpoint), "the bare fan-out")
 
     def _upstream_groups(
         self, service: str | None, one_process_each: bool
@@ -284,3 +287,11 @@
         self.processes[name] = subprocess.Popen(
             [sys.executable, *command], stdout=log, stderr=log
         )
+
+
+def _answers(endpoint: str) -> bool:
+    try:
+        httpcalls.get(endpoint, "/")
+    except OSError:
+        return False
+    return True
