--- a/bench/capacities.py
+++ b/bench/capacities.py
@@ -11,7 +11,6 @@
 from standins import httpcalls
 from standins import shapes
 
-SERVICES = {"kodklubben": "enrolment", "tuners": "booking"}
 WORK_MS = 250.0
 _SPREAD = 0.25
 _MS_PER_S = 1000.0
@@ -38,7 +37,7 @@
         """Makes the deployment for one policy of a case."""
         folder = context.folder / name
         folder.mkdir(parents=True)
-        service = SERVICES[context.shape.name]
+        service = context.shape.main_service
         path = _slowed(context.shape_path, folder, service)
         deployment = deployments.Deployment(folder, path, context.base_port)
         [shape] = [s for s in deployment.shape.services if s.name == service]
--- a/bench/drain.py
+++ b/bench/drain.py
@@ -9,7 +9,6 @@
 from standins import deployments
 from standins import load
 
-_SERVICES = {"kodklubben": "enrolment", "tuners": "booking"}
 _RATE_PER_S = 20.0
 _BEFORE_S = 2.0
 _BOUND_MS = 2000.0
@@ -24,7 +23,7 @@
 
     def run(self, context: cases.Context) -> Iterable[cases.Row]:
         """Measures each signal, with the platform up and down."""
-        service = _SERVICES[context.shape.name]
+        service = context.shape.main_service
         deployment = context.deployment()
         try:
             deployment.start(service=service)
--- a/bench/hosts.py
+++ b/bench/hosts.py
@@ -8,7 +8,6 @@
 from bench import cases
 from standins import deployments
 
-_SERVICES = {"kodklubben": "enrolment", "tuners": "booking"}
 _HARMED = 2
 _FREEZE_S = 10.0
 _BOUND_MS = 2000.0
@@ -35,7 +34,7 @@
 
     def run(self, context: cases.Context) -> Iterable[cases.Row]:
         """Measures one harm after another on one deployment."""
-        service = _SERVICES[context.shape.name]
+        service = context.shape.main_service
         deployment = context.deployment(proxied=True)
         try:
             deployment.start(service=service)
--- a/bench/overhead.py
+++ b/bench/overhead.py
@@ -9,7 +9,6 @@
 from standins import httpcalls
 from standins import load
 
-_SERVICES = {"kodklubben": "enrolment", "tuners": "booking"}
 _QUIET_RATE_PER_S = 20.0
 _FULL_RATE_PER_S = 600.0
 _TIMEOUT_MS = 20_000
@@ -28,7 +27,7 @@
 
     def run(self, context: cases.Context) -> Iterable[cases.Row]:
         """Measures the bare fan-out first, then the host."""
-        service = _SERVICES[context.shape.name]
+        service = context.shape.main_service
         deployment = context.deployment()
         try:
             deployment.start(service=service, hosts=1)
--- a/bench/poison.py
+++ b/bench/poison.py
@@ -74,7 +74,7 @@
 def _measure(
     context: cases.Context, policy: str, settings: str
 ) -> dict[str, float]:
-    service = capacities.SERVICES[context.shape.name]
+    service = context.shape.main_service
     deployment = context.deployment(policy.replace(" ", "-"))
     names = [
         placed.upstream.name
--- a/bench/rolling.py
+++ b/bench/rolling.py
@@ -14,7 +14,6 @@
 from greengagedale import outcomes
 from standins import deployments
 
-_SERVICES = {"kodklubben": "enrolment", "tuners": "booking"}
 _CLIENTS = 12
 _ACTION_SHARE = 0.2
 _TIMEOUT_MS = 5000
@@ -41,7 +40,7 @@
 
     def run(self, context: cases.Context) -> Iterable[cases.Row]:
         """Measures a quiet time first, then the replacement."""
-        service = _SERVICES[context.shape.name]
+        service = context.shape.main_service
         deployment = context.deployment()
         try:
             deployment.start(service=service)
--- a/bench/sides.py
+++ b/bench/sides.py
@@ -21,7 +21,6 @@
 log = logging.getLogger(__name__)
 
 POLICIES = ("plain", "adaptive")
-SERVICES = {"kodklubben": "enrolment", "tuners": "booking"}
 WORKSPACE = "bench"
 TIMEOUT_MS = 4000
 RATE_PER_S = 40.0
@@ -61,7 +60,7 @@
 
     def __init__(self, context: cases.Context) -> None:
         self._context = context
-        self.service = SERVICES[context.shape.name]
+        self.service = context.shape.main_service
         path = _with_work(context.shape_path, context.folder)
         self.deployment = deployments.Deployment(
             context.folder, path, context.base_port
--- a/bench/unsafe.py
+++ b/bench/unsafe.py
@@ -21,7 +21,6 @@
 from greengagedale.retry import resends
 from standins import deployments
 
-_SERVICES = {"kodklubben": "enrolment", "tuners": "booking"}
 _WORKSPACE = "bench"
 _PATH = f"/v1/workspaces/{_WORKSPACE}/act"
 _RATE_PER_S = 100.0
@@ -61,7 +60,7 @@
 
     def run(self, context: cases.Context) -> Iterable[cases.Row]:
         """Mixes all policies in one run, under one sequence of faults."""
-        service = _SERVICES[context.shape.name]
+        service = context.shape.main_service
         deployment = deployments.Deployment(
             context.folder, context.shape_path, context.base_port, proxied=True
         )
--- a/greengagedale/limits/concurrency.py
+++ b/greengagedale/limits/concurrency.py
@@ -156,13 +156,22 @@
         return self._bounds.low
 
 
-class AimdLimit(Limit):
-    """Additive increase while in use, multiplicative decrease on queueing."""
+class _CutLimit(Limit):
+    """A limit that is cut at most once in a latency's time."""
 
     def __init__(self, bounds: Bounds) -> None:
         super().__init__(bounds)
         self._cut_until_ms = 0.0
 
+    def _cut(self, factor: float, latency_ms: float, now_ms: float) -> None:
+        if now_ms >= self._cut_until_ms:
+            self._move_to(self._value * factor)
+            self._cut_until_ms = now_ms + latency_ms
+
+
+class AimdLimit(_CutLimit):
+    """Additive increase while in use, multiplicative decrease on queueing."""
+
     def _adapt(
         self, end: End, latency_ms: float, in_flight: int, now_ms: float
     ) -> None:
@@ -174,27 +183,16 @@
         elif in_flight >= self.value:
             self._move_to(self._value + _AIMD_RAISE / max(1.0, self._value))
 
-    def _cut(self, factor: float, latency_ms: float, now_ms: float) -> None:
-        if now_ms >= self._cut_until_ms:
-            self._move_to(self._value * factor)
-            self._cut_until_ms = now_ms + latency_ms
 
-
-class GradientLimit(Limit):
+class GradientLimit(_CutLimit):
     """Follows the ratio of latency without queueing to recent latency."""
 
-    def __init__(self, bounds: Bounds) -> None:
-        super().__init__(bounds)
-        self._cut_until_ms = 0.0
-
     def _adapt(
         self, end: End, latency_ms: float, in_flight: int, now_ms: float
     ) -> None:
         """Moves the limit a part of the way to what the gradient asks."""
         if end is not End.ANSWERED:
-            if now_ms >= self._cut_until_ms:
-                self._move_to(self._value * _REFUSAL_CUT)
-                self._cut_until_ms = now_ms + latency_ms
+            self._cut(_REFUSAL_CUT, latency_ms, now_ms)
             return
         gradient = _QUEUEING / max(_QUEUEING, self._latency.inflation())
         wanted = max(_GRADIENT_FLOOR, gradient) * self._value
--- a/proofs/__main__.py
+++ b/proofs/__main__.py
@@ -18,11 +18,6 @@
 from proofs import runs
 from standins import deployments
 
-_SERVICES = {
-    "kodklubben": "enrolment",
-    "tuners": "booking",
-    "small": "places",
-}
 _S_PER_MIN = 60.0
 _EXIT_VIOLATIONS = 1
 
@@ -81,7 +76,6 @@
 
 
 def _one_run(name: str, seed: int, run_s: float) -> SoakRun:
-    service = _SERVICES[name]
     with tempfile.TemporaryDirectory() as folder:
         deployment = deployments.Deployment(
             pathlib.Path(folder),
@@ -89,6 +83,7 @@
             deployments.BASE_PORT,
             proxied=True,
         )
+        service = deployment.shape.main_service
         try:
             deployment.start(service=service, one_process_each=True)
             plan = runs.RunPlan(
--- a/proofs/nemesis.py
+++ b/proofs/nemesis.py
@@ -54,7 +54,15 @@
         return rng.choice(deployment.shape.entry_hosts()).name
 
 
-class KillHost(_HostFault):
+class _ReplacedHostFault(_HostFault):
+    async def heal(
+        self, deployment: deployments.Deployment, target: str
+    ) -> None:
+        """Starts a fresh host of that name."""
+        _restart(deployment, target)
+
+
+class KillHost(_ReplacedHostFault):
     """An entry host is killed and replaced."""
 
     name = "kill"
@@ -65,12 +73,6 @@
         """Kills the host."""
         deployment.kill(target)
 
-    async def heal(
-        self, deployment: deployments.Deployment, target: str
-    ) -> None:
-        """Starts a fresh host of that name."""
-        _restart(deployment, target)
-
 
 class FreezeHost(_HostFault):
     """An entry host is stopped for a while and goes on."""
@@ -90,7 +92,7 @@
         deployment.signal(target, signal.SIGCONT)
 
 
-class StopHost(_HostFault):
+class StopHost(_ReplacedHostFault):
     """An entry host is shut down gracefully and replaced."""
 
     name = "stop"
@@ -109,12 +111,6 @@
                 raise TimeoutError(f"{target} did not end")
             await asyncio.sleep(_POLL_S)
 
-    async def heal(
-        self, deployment: deployments.Deployment, target: str
-    ) -> None:
-        """Starts a fresh host of that name."""
-        _restart(deployment, target)
-
 
 class _UpstreamFault(Fault):
     def target(
--- a/standins/shapes.py
+++ b/standins/shapes.py
@@ -84,6 +84,11 @@
         except pydantic.ValidationError as error:
             raise SystemExit(f"{path}: {error}") from error
 
+    @property
+    def main_service(self) -> str:
+        """The service that is measured: the first one of the file."""
+        return self.services[0].name
+
     @property
     def platform_endpoint(self) -> str:
         """Where the platform listens."""
