The object API's interface and client move to the package store

Cause: the package platform is wanted for the adapter of the users' platform, and the interface that the rest of the product uses belongs to the product. Change: base, http and wire move; names follow. No behaviour changes.

--- a/greengagedale/acceptance.py
+++ b/greengagedale/acceptance.py
@@ -16,7 +16,7 @@
 from greengagedale.catalog import edits
 from greengagedale.catalog import settlements
 from greengagedale.config import settings as settings_lib
-from greengagedale.platform import base as platform_base
+from greengagedale.store import base as store_base
 
 log = logging.getLogger(__name__)
 
@@ -56,7 +56,7 @@
 
     def __init__(
         self,
-        store: platform_base.ObjectStore,
+        store: store_base.ObjectStore,
         holder: configuration.Holder,
         collector: collection.Collector,
         timeout_ms: int,
@@ -93,7 +93,7 @@
     def from_config(
         cls,
         settings: settings_lib.Settings,
-        store: platform_base.ObjectStore,
+        store: store_base.ObjectStore,
         holder: configuration.Holder,
         collector: collection.Collector,
         metrics: configuration_metrics.ConfigurationMetrics,
@@ -220,9 +220,9 @@
         found = await self._store.get(
             catalogs.KIND_CATALOG, catalogs.CATALOG_NAME
         )
-        if isinstance(found, platform_base.Unavailable):
+        if isinstance(found, store_base.Unavailable):
             return _Again("platform_down", found.detail)
-        if isinstance(found, platform_base.Missing):
+        if isinstance(found, store_base.Missing):
             newest = _Newest(0, catalogs.EMPTY)
         else:
             built = await self._assembler.assemble(
@@ -255,11 +255,11 @@
             newest.configuration.encoded.catalog,
             newest.version,
         )
-        if isinstance(written, platform_base.Written):
+        if isinstance(written, store_base.Written):
             return None
-        if isinstance(written, platform_base.Conflict):
+        if isinstance(written, store_base.Conflict):
             return _Again("conflict", "other changes kept coming")
-        if isinstance(written, platform_base.Unsure):
+        if isinstance(written, store_base.Unsure):
             return _Again("no_reply", written.detail)
         return _Again("platform_down", written.detail)
 
@@ -280,17 +280,17 @@
             prepared.configuration.encoded.catalog,
             version,
         )
-        if isinstance(written, platform_base.Written):
+        if isinstance(written, store_base.Written):
             self._offer(prepared.configuration)
             revision = prepared.configuration.revision
             self._collector.accepted(revision, prepared.configuration)
             return configuration.Accepted(revision)
-        if isinstance(written, platform_base.Unavailable):
+        if isinstance(written, store_base.Unavailable):
             return _Again("platform_down", written.detail)
         # The client library sends a write again when its connection breaks,
         # so that even a conflict can hide that the first one took effect.
         settlement.sent(version)
-        if isinstance(written, platform_base.Unsure):
+        if isinstance(written, store_base.Unsure):
             log.warning("no reply to change %s", change.change_id)
             return _Again("no_reply", written.detail)
         return _Again("conflict", "other changes kept coming")
@@ -302,9 +302,7 @@
             written = await self._store.put(
                 catalogs.KIND_DOCUMENT, name, blob, 0
             )
-            if isinstance(
-                written, platform_base.Written | platform_base.Conflict
-            ):
+            if isinstance(written, store_base.Written | store_base.Conflict):
                 return True
         return False
 
--- a/greengagedale/collection.py
+++ b/greengagedale/collection.py
@@ -5,7 +5,7 @@
 
 from greengagedale import configuration_metrics
 from greengagedale.catalog import catalogs
-from greengagedale.platform import base as platform_base
+from greengagedale.store import base as store_base
 
 log = logging.getLogger(__name__)
 
@@ -21,7 +21,7 @@
 
     def __init__(
         self,
-        store: platform_base.ObjectStore,
+        store: store_base.ObjectStore,
         metrics: configuration_metrics.ConfigurationMetrics,
     ) -> None:
         self._store = store
@@ -42,20 +42,20 @@
     async def collect(self, catalog: catalogs.CatalogObject) -> None:
         """Deletes what is collectable; stops when the platform is down."""
         names = await self._store.names(catalogs.KIND_DOCUMENT)
-        if isinstance(names, platform_base.Unavailable):
+        if isinstance(names, store_base.Unavailable):
             return
         for name in catalogs.collectable(catalog, names):
             found = await self._store.get(catalogs.KIND_DOCUMENT, name)
-            if isinstance(found, platform_base.Missing):
+            if isinstance(found, store_base.Missing):
                 continue
-            if isinstance(found, platform_base.Unavailable):
+            if isinstance(found, store_base.Unavailable):
                 return
             deleted = await self._store.delete(
                 catalogs.KIND_DOCUMENT, name, found.stored.version
             )
-            if isinstance(deleted, platform_base.Unavailable):
+            if isinstance(deleted, store_base.Unavailable):
                 return
-            if isinstance(deleted, platform_base.Written):
+            if isinstance(deleted, store_base.Written):
                 self._metrics.collected.inc()
 
     async def close(self) -> None:
--- a/greengagedale/configuration_assembly.py
+++ b/greengagedale/configuration_assembly.py
@@ -8,7 +8,7 @@
 from greengagedale import exceptions
 from greengagedale.catalog import catalogs
 from greengagedale.peers import base as peers_base
-from greengagedale.platform import base as platform_base
+from greengagedale.store import base as store_base
 
 _PARALLEL_READS = 32
 _NAMES_PER_CALL = 200
@@ -37,7 +37,7 @@
 class PlatformSource(DocumentSource):
     """Documents from the platform."""
 
-    def __init__(self, store: platform_base.ObjectStore) -> None:
+    def __init__(self, store: store_base.ObjectStore) -> None:
         self._store = store
         self._slots = asyncio.Semaphore(_PARALLEL_READS)
 
@@ -47,7 +47,7 @@
         return {
             item.stored.name: item.stored.value
             for item in found
-            if isinstance(item, platform_base.Found)
+            if isinstance(item, store_base.Found)
         }
 
     async def _get(self, name: str) -> object:
--- a/greengagedale/daemons.py
+++ b/greengagedale/daemons.py
@@ -40,12 +40,12 @@
 from greengagedale.peers import grpc_client
 from greengagedale.peers import grpc_server
 from greengagedale.peers import udp
-from greengagedale.platform import base as platform_base
-from greengagedale.platform import http as platform_http
 from greengagedale.routing import leaving
 from greengagedale.routing import loads as loads_lib
 from greengagedale.routing import policies
 from greengagedale.routing import tacticians
+from greengagedale.store import base as store_base
+from greengagedale.store import http as store_http
 from greengagedale.upstreams import base as upstreams_base
 from greengagedale.upstreams import http as upstreams_http
 from greengagedale.upstreams import observed
@@ -94,7 +94,7 @@
     settings: settings_lib.Settings
     clock: clocks.Clock
     metrics: metrics_lib.Metrics
-    store: platform_base.ObjectStore
+    store: store_base.ObjectStore
     peers: peers_base.PeerTransport
     transport: upstreams_base.UpstreamTransport
     drains: drains_lib.Drains
@@ -127,7 +127,7 @@
 ) -> _Base:
     clock = clocks.MonotonicClock()
     metrics = metrics_lib.Metrics()
-    store = platform_http.HttpStore.from_config(
+    store = store_http.HttpStore.from_config(
         settings.platform.endpoint,
         settings.platform.timeout_ms,
         metrics,
@@ -353,12 +353,12 @@
 
 async def _follow_hosts(
     settings: settings_lib.Settings,
-    store: platform_base.ObjectStore,
+    store: store_base.ObjectStore,
     directory: directory_lib.Directory,
 ) -> None:
     while True:
         listed = await store.hosts()
-        if not isinstance(listed, platform_base.Unavailable):
+        if not isinstance(listed, store_base.Unavailable):
             endpoints = [item.peer_endpoint for item in listed]
             directory.hint([*settings.peers.seeds, *endpoints])
         # The fleet together asks no more often than a small one does.
--- a/greengagedale/distribution.py
+++ b/greengagedale/distribution.py
@@ -16,7 +16,7 @@
 from greengagedale.config import settings as settings_lib
 from greengagedale.membership import messages
 from greengagedale.peers import base as peers_base
-from greengagedale.platform import base as platform_base
+from greengagedale.store import base as store_base
 
 log = logging.getLogger(__name__)
 
@@ -54,7 +54,7 @@
 
     def __init__(
         self,
-        store: platform_base.ObjectStore,
+        store: store_base.ObjectStore,
         peers: peers_base.PeerTransport,
         holder: configuration.Holder,
         alive: Alive,
@@ -91,7 +91,7 @@
     def from_config(
         cls,
         settings: settings_lib.Settings,
-        store: platform_base.ObjectStore,
+        store: store_base.ObjectStore,
         peers: peers_base.PeerTransport,
         holder: configuration.Holder,
         alive: Alive,
@@ -148,7 +148,7 @@
             changes = await self._store.watch(
                 catalogs.KIND_CATALOG, cursor, self._wait_ms
             )
-            if isinstance(changes, platform_base.Unavailable):
+            if isinstance(changes, store_base.Unavailable):
                 # The watch may be silent while reads are answered.
                 if await self._read_catalog():
                     backoff.reset()
@@ -173,9 +173,9 @@
         found = await self._store.get(
             catalogs.KIND_CATALOG, catalogs.CATALOG_NAME
         )
-        if isinstance(found, platform_base.Unavailable):
+        if isinstance(found, store_base.Unavailable):
             return False
-        if isinstance(found, platform_base.Missing):
+        if isinstance(found, store_base.Missing):
             self._holder.configuration_known = True
         elif not await self._take(found.stored.value, FROM_PLATFORM):
             return False
@@ -265,7 +265,7 @@
             changes = await self._store.watch(
                 services.KIND_SERVICE, cursor, self._wait_ms
             )
-            if isinstance(changes, platform_base.Unavailable):
+            if isinstance(changes, store_base.Unavailable):
                 await self._services_otherwise()
                 await backoff.wait()
                 continue
@@ -294,18 +294,18 @@
 
     async def _services_from_platform(self) -> None:
         names = await self._store.names(services.KIND_SERVICE)
-        if isinstance(names, platform_base.Unavailable):
+        if isinstance(names, store_base.Unavailable):
             return
         found = [
             await self._store.get(services.KIND_SERVICE, name) for name in names
         ]
-        if any(isinstance(item, platform_base.Unavailable) for item in found):
+        if any(isinstance(item, store_base.Unavailable) for item in found):
             return
         self._take_services(
-            [i.stored for i in found if isinstance(i, platform_base.Found)]
+            [i.stored for i in found if isinstance(i, store_base.Found)]
         )
 
-    def _take_services(self, objects: list[platform_base.StoredObject]) -> None:
+    def _take_services(self, objects: list[store_base.StoredObject]) -> None:
         for item in objects:
             self._take_service(
                 configuration.StoredService(item.name, item.version, item.value)
--- a/greengagedale/idempotency/claims.py
+++ b/greengagedale/idempotency/claims.py
@@ -17,7 +17,7 @@
 from greengagedale import clocks
 from greengagedale.idempotency import tables
 from greengagedale.idempotency import tickets
-from greengagedale.platform import base as platform_base
+from greengagedale.store import base as store_base
 
 KIND_CLAIM = "claims"
 
@@ -88,7 +88,7 @@
 
     def __init__(
         self,
-        store: platform_base.ObjectStore,
+        store: store_base.ObjectStore,
         owner: tickets.Issuer,
         clock: clocks.Clock,
     ) -> None:
@@ -113,13 +113,13 @@
             if self._clock.now_ms() >= deadline_ms:
                 break
             written = await self._create(identity, wanted, deadline_ms)
-            if isinstance(written, platform_base.Written):
+            if isinstance(written, store_base.Written):
                 return Owned()
-            if isinstance(written, platform_base.Unavailable) and not unsure:
+            if isinstance(written, store_base.Unavailable) and not unsure:
                 return NotClaimed()
             unsure = True
             found = await self._store.get(KIND_CLAIM, name_of(identity))
-            if isinstance(found, platform_base.Found):
+            if isinstance(found, store_base.Found):
                 return _owner_of(found.stored.value, wanted)
             await asyncio.sleep(pause_s)
         self._keep(identity, token)
@@ -128,10 +128,10 @@
     async def _create(
         self, identity: tables.Identity, wanted: Claim, deadline_ms: float
     ) -> (
-        platform_base.Written
-        | platform_base.Conflict
-        | platform_base.Unavailable
-        | platform_base.Unsure
+        store_base.Written
+        | store_base.Conflict
+        | store_base.Unavailable
+        | store_base.Unsure
     ):
         name, value = name_of(identity), msgspec.json.encode(wanted)
         left_ms = max(0.0, deadline_ms - self._clock.now_ms())
@@ -139,7 +139,7 @@
             async with asyncio.timeout(left_ms / _MS_PER_S):
                 return await self._store.put(KIND_CLAIM, name, value, 0)
         except TimeoutError:
-            return platform_base.Unsure("no reply until the deadline")
+            return store_base.Unsure("no reply until the deadline")
 
     def _keep(self, identity: tables.Identity, token: str) -> None:
         self._unresolved[identity] = token
--- a/greengagedale/platform/http.py
+++ b/greengagedale/store/http.py
@@ -8,8 +8,8 @@
 
 from greengagedale import connectors
 from greengagedale import metrics as metrics_lib
-from greengagedale.platform import base
-from greengagedale.platform import wire
+from greengagedale.store import base
+from greengagedale.store import wire
 
 log = logging.getLogger(__name__)
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from greengagedale.catalog import services
-from greengagedale.platform import wire
+from greengagedale.store import wire
 from standins import records
 from standins import shapes
 
--- a/tests/idempotency/test_claims.py
+++ b/tests/idempotency/test_claims.py
@@ -8,7 +8,7 @@
 from greengagedale.idempotency import claims
 from greengagedale.idempotency import tables
 from greengagedale.idempotency import tickets
-from greengagedale.platform import base
+from greengagedale.store import base
 
 KEY = tables.Identity("member-a", "family-7")
 OWN = tickets.Issuer("entry-1", "ab")
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -12,10 +12,10 @@
 from greengagedale import shutdowns
 from greengagedale.idempotency import tables
 from greengagedale.membership import drains
-from greengagedale.platform import base as platform_base
-from greengagedale.platform import http as platform_http
 from greengagedale.query import coverage
 from greengagedale.query import echoes
+from greengagedale.store import base as store_base
+from greengagedale.store import http as store_http
 
 
 def accept_any_echo():
@@ -64,14 +64,14 @@
 
 def ignore_conflicts():
     """A write that the platform refuses as a conflict counts as done."""
-    write_result = platform_http._write_result
+    write_result = store_http._write_result
 
     def without_conflicts(got):
         result = write_result(got)
-        refused = isinstance(result, platform_base.Conflict)
-        return platform_base.Written(0) if refused else result
+        refused = isinstance(result, store_base.Conflict)
+        return store_base.Written(0) if refused else result
 
-    platform_http._write_result = without_conflicts
+    store_http._write_result = without_conflicts
 
 
 MUTATIONS = {
--- a/tests/platform/test_http_retries.py
+++ b/tests/store/test_http_retries.py
@@ -3,8 +3,8 @@
 import asyncio
 
 from greengagedale import metrics
-from greengagedale.platform import base
-from greengagedale.platform import http
+from greengagedale.store import base
+from greengagedale.store import http
 
 REPLY = (
     b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
--- a/tests/stores.py
+++ b/tests/stores.py
@@ -5,7 +5,7 @@
 import random
 
 from greengagedale.catalog import catalogs
-from greengagedale.platform import base
+from greengagedale.store import base
 
 
 class FaultyStore(base.ObjectStore):
--- a/tests/test_acceptance.py
+++ b/tests/test_acceptance.py
@@ -17,8 +17,8 @@
 from greengagedale import metrics
 from greengagedale.catalog import catalogs
 from greengagedale.catalog import edits
-from greengagedale.platform import base
-from greengagedale.platform import http
+from greengagedale.store import base
+from greengagedale.store import http
 from standins import change_history
 from standins import platform
 from standins import records
