--- a/greengagedale/__main__.py
+++ b/greengagedale/__main__.py
@@ -1,5 +1,7 @@
 """The command line; each command has its own module in `commands`."""
 
+import importlib
+import signal
 import sys
 from typing import Annotated
 
@@ -7,34 +9,36 @@
 
 import greengagedale
 from greengagedale import exceptions
-from greengagedale.commands import act
-from greengagedale.commands import change
-from greengagedale.commands import explain
-from greengagedale.commands import locate
-from greengagedale.commands import query
-from greengagedale.commands import serve
-from greengagedale.commands import settings
-from greengagedale.commands import status
-from greengagedale.commands import template
-from greengagedale.commands import workspace
 
 EXIT_ERROR = 1
 
+_COMMANDS = (
+    "serve",
+    "locate",
+    "query",
+    "act",
+    "status",
+    "explain",
+    "change",
+)
+_GROUPS = ("settings", "template", "workspace")
+
 app = typer.Typer(
     no_args_is_help=True,
     pretty_exceptions_enable=False,
     help="A query tier over many shards.",
 )
-app.command("serve")(serve.serve)
-app.command("locate")(locate.locate)
-app.command("query")(query.query)
-app.command("act")(act.act)
-app.command("status")(status.status)
-app.command("explain")(explain.explain)
-app.command("change")(change.change)
-app.add_typer(settings.app, name="settings")
-app.add_typer(template.app, name="template")
-app.add_typer(workspace.app, name="workspace")
+
+
+def _add_commands(arguments: list[str]) -> None:
+    """Loads the command that is named, or all if none is."""
+    named = [name for name in arguments[:1] if name in _COMMANDS]
+    for name in named or _COMMANDS:
+        module = importlib.import_module(f"greengagedale.commands.{name}")
+        app.command(name)(getattr(module, name))
+    for name in () if named else _GROUPS:
+        module = importlib.import_module(f"greengagedale.commands.{name}")
+        app.add_typer(module.app, name=name)
 
 
 def _show_version(wanted: bool) -> None:
@@ -60,6 +64,9 @@
 
 def main() -> None:
     """Runs the command line; errors end it with one friendly message."""
+    # Until a host has read its settings there is nothing to read again.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    _add_commands(sys.argv[1:])
     try:
         app(prog_name="greengagedale")
     except exceptions.GreengagedaleError as error:
--- a/greengagedale/clocks.py
+++ b/greengagedale/clocks.py
@@ -20,6 +20,14 @@
         return time.monotonic() * 1000.0
 
 
+class BootClock(Clock):
+    """A steady clock that goes on while the machine is suspended."""
+
+    def now_ms(self) -> float:
+        """Returns the time since the machine started in milliseconds."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000.0
+
+
 class ManualClock(Clock):
     """A clock that moves only when told to."""
 
--- a/greengagedale/commands/serve.py
+++ b/greengagedale/commands/serve.py
@@ -5,9 +5,7 @@
 
 import typer
 
-from greengagedale import daemons
-from greengagedale import logs
-from greengagedale import loops
+from greengagedale.config import gateway as gateway_config
 from greengagedale.config import settings as settings_lib
 
 SettingsPath = Annotated[
@@ -17,7 +15,28 @@
 
 def serve(settings: SettingsPath) -> None:
     """Run an entry host until it gets SIGTERM."""
-    checked = settings_lib.Settings.from_file(settings)
+    read = settings_lib.read_toml(settings)
+    if gateway_config.is_gateway(read):
+        _serve_gateway(settings)
+    else:
+        _serve_searches(settings)
+
+
+def _serve_gateway(path: pathlib.Path) -> None:
+    # Each kind of host loads only what it needs: hosts start often, and
+    # their memory is scarce.
+    from greengagedale import loops
+    from greengagedale.gateway import daemon
+
+    loops.run(daemon.serve(path))
+
+
+def _serve_searches(path: pathlib.Path) -> None:
+    from greengagedale import daemons
+    from greengagedale import logs
+    from greengagedale import loops
+
+    checked = settings_lib.Settings.from_file(path)
     logs.configure(
         checked.host.name, checked.host.data_centre, checked.logs.level
     )
--- a/greengagedale/config/settings.py
+++ b/greengagedale/config/settings.py
@@ -16,6 +16,34 @@
     model_config = pydantic.ConfigDict(extra="forbid", frozen=True, strict=True)
 
 
+class Document(Section):
+    """A whole settings file."""
+
+    @classmethod
+    def from_file(cls, path: pathlib.Path) -> Self:
+        """Reads and checks a settings file.
+
+        Raises:
+            ConfigError: The file can't be read or has mistakes; all of them
+                are listed, each with its key.
+        """
+        return cls.from_config(read_toml(path), subject=str(path))
+
+    @classmethod
+    def from_config(
+        cls, config: dict[str, Any], subject: str = "settings"
+    ) -> Self:
+        """Checks settings that have been read already.
+
+        Raises:
+            ConfigError: There are mistakes; all of them are listed.
+        """
+        try:
+            return cls.model_validate(config)
+        except pydantic.ValidationError as error:
+            raise exceptions.ConfigError(subject, mistakes_of(error)) from error
+
+
 class HostSettings(Section):
     """Who this host is and where it listens."""
 
@@ -115,7 +143,7 @@
     level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
 
 
-class Settings(Section):
+class Settings(Document):
     """All settings of one entry host."""
 
     host: HostSettings
@@ -141,30 +169,6 @@
             )
         return self
 
-    @classmethod
-    def from_file(cls, path: pathlib.Path) -> Self:
-        """Reads and checks a settings file.
-
-        Raises:
-            ConfigError: The file can't be read or has mistakes; all of them
-                are listed, each with its key.
-        """
-        return cls.from_config(_read_toml(path), subject=str(path))
-
-    @classmethod
-    def from_config(
-        cls, config: dict[str, Any], subject: str = "settings"
-    ) -> Self:
-        """Checks settings that have been read already.
-
-        Raises:
-            ConfigError: There are mistakes; all of them are listed.
-        """
-        try:
-            return cls.model_validate(config)
-        except pydantic.ValidationError as error:
-            raise exceptions.ConfigError(subject, mistakes_of(error)) from error
-
 
 def mistakes_of(error: pydantic.ValidationError) -> list[exceptions.Mistake]:
     """Turns the library's report into mistakes with dotted keys."""
@@ -185,7 +189,12 @@
     return message.removeprefix("Value error, ")
 
 
-def _read_toml(path: pathlib.Path) -> dict[str, Any]:
+def read_toml(path: pathlib.Path) -> dict[str, Any]:
+    """Reads a settings file without checking it.
+
+    Raises:
+        ConfigError: It can't be read.
+    """
     try:
         return tomllib.loads(path.read_text(encoding="utf-8"))
     except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
--- /dev/null
+++ b/greengagedale/gateway/calls.py
@@ -0,0 +1,112 @@
+"""Requests as the gateway sees them, and how upstreams answer them."""
+
+import abc
+from collections.abc import Awaitable
+from typing import NamedTuple
+
+from greengagedale import outcomes
+from greengagedale.gateway import entries
+from greengagedale.http1 import messages
+
+
+class Call(NamedTuple):
+    """A caller's request, passed on as it is.
+
+    Attributes:
+        request_id: The caller's id of this attempt of its own.
+        host: Host name without a port, in lower case.
+        path: Path without the query.
+        message: The request as received.
+        received_ms: When it began to arrive, by the clock of the process.
+        deadline_ms: When the caller stops waiting, by the same clock; None
+            if it did not say.
+    """
+
+    request_id: str
+    host: str
+    path: str
+    message: messages.Request
+    received_ms: float
+    deadline_ms: float | None
+
+
+class Load(NamedTuple):
+    """What an upstream says of its load; it may lag or mislead.
+
+    Attributes:
+        running: Requests that run.
+        waiting: Requests that wait.
+        slots: Requests that it can run at once.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+
+
+class Answer(NamedTuple):
+    """A whole answer of an upstream that ran the request.
+
+    Attributes:
+        status: As the upstream gave it.
+        signature: The upstream's signature; an answer without one is not a
+            success.
+        headers: To be passed on.
+        body: As the upstream gave it.
+        load: The upstream's load, if told.
+        is_leaving: Whether the upstream closes the connection after it.
+    """
+
+    status: int
+    signature: str | None
+    headers: messages.Headers
+    body: bytes
+    load: Load | None
+    is_leaving: bool
+
+    @property
+    def is_success(self) -> bool:
+        """Whether it may be passed on as a success."""
+        return self.status // 100 == 2 and self.signature is not None
+
+
+class Gathered(NamedTuple):
+    """The merged answer of a fan-out.
+
+    Attributes:
+        signatures: Signatures of the parts that are in it.
+        missing: Number of shards that are not.
+        body: The greatest records, greatest first.
+    """
+
+    signatures: tuple[str, ...]
+    missing: int
+    body: bytes
+
+
+class Attempt(NamedTuple):
+    """One send of a call to one upstream.
+
+    Attributes:
+        call: What to send.
+        upstream: Where to.
+        left_ms: Time that the upstream is told it has.
+        is_repeatable: Whether the request may run more than once.
+    """
+
+    call: Call
+    upstream: entries.Upstream
+    left_ms: float
+    is_repeatable: bool
+
+
+class UpstreamLink(abc.ABC):
+    """Carries attempts to upstreams.
+
+    Nothing is raised for what upstreams or the network do. Cancelling a send
+    closes its connection, which stops most upstreams.
+    """
+
+    @abc.abstractmethod
+    def send(self, attempt: Attempt) -> Awaitable[Answer | outcomes.AttemptEnd]:
+        """Sends an attempt and returns how it ended."""
--- /dev/null
+++ b/greengagedale/gateway/daemon.py
@@ -0,0 +1,318 @@
+"""The process of an entry host that passes opaque requests on."""
+
+import asyncio
+import contextlib
+import logging
+import pathlib
+import random
+import signal
+import time
+from typing import NamedTuple, Self
+
+from greengagedale import clocks
+from greengagedale import logs
+from greengagedale import metrics as metrics_lib
+from greengagedale.config import gateway as config
+from greengagedale.gateway import edge as edge_lib
+from greengagedale.gateway import entries
+from greengagedale.gateway import exchange as exchange_lib
+from greengagedale.gateway import fetches
+from greengagedale.gateway import fleet as fleet_lib
+from greengagedale.gateway import pacing
+from greengagedale.gateway import pools as pools_lib
+from greengagedale.gateway import reader as reader_lib
+from greengagedale.gateway import registry as registry_lib
+from greengagedale.gateway import runner as runner_lib
+from greengagedale.gateway import scores as scores_lib
+from greengagedale.gateway import splits
+from greengagedale.gateway import stopping
+from greengagedale.http1 import messages
+from greengagedale.http1 import server
+from greengagedale.platform import callers
+from greengagedale.platform import link as link_lib
+from greengagedale.platform import store as store_lib
+
+log = logging.getLogger(__name__)
+
+# Hosts that are counted on before they are heard of, so that the first ones
+# to start don't spend what belongs to all.
+LEAST_HOSTS = 4
+# Part of an upstream's connections that hosts share; the rest is left for
+# hosts that start before others have let go.
+CONNECTIONS_SHARE = 0.85
+# Part of the burst of extra attempts that hosts share; the rest is for what
+# a host that was killed had spent before.
+BURST_SHARE = 0.9
+_UPKEEP_S = 0.5
+_FLUSH_S = 0.05
+_MS_PER_S = 1000.0
+
+
+async def serve(path: pathlib.Path) -> None:
+    """Runs a host until it has left after SIGTERM or SIGINT."""
+    settings = config.GatewaySettings.from_file(path)
+    handler = logs.configure_buffered(
+        settings.host.name, settings.host.data_centre, settings.logs.level
+    )
+    host = GatewayHost.from_config(settings)
+    signals = stopping.Signals.listen(lambda: _reload(path))
+    async with contextlib.AsyncExitStack() as stack:
+        stack.callback(handler.flush_some)
+        _keep(stack, _flush(handler))
+        await host.start(stack)
+        log.info(
+            "serving",
+            extra={"settings": settings.model_dump(exclude={"logs"})},
+        )
+        await signals.stop_asked()
+        await host.leave(settings.shutdown.grace_s)
+    log.info("stopped")
+    handler.flush_some()
+
+
+class _OwnState(edge_lib.OwnState):
+    """What a host says of itself."""
+
+    def __init__(
+        self,
+        settings: config.GatewaySettings,
+        registry: registry_lib.Registry,
+    ) -> None:
+        self._settings = settings
+        self._registry = registry
+        self._incarnation = int(time.time() * _MS_PER_S)
+        self._beat = 0
+        self.reader: reader_lib.Reader | None = None
+        self.is_leaving = False
+
+    def get(self) -> fleet_lib.HostState:
+        """Returns what is true now."""
+        self._beat += 1
+        settings = self._settings
+        return fleet_lib.HostState(
+            settings.host.name,
+            self._incarnation,
+            self._beat,
+            settings.host.data_centre,
+            settings.gateway.caller_endpoint,
+            settings.gateway.peer_endpoint,
+            self._registry.is_ready,
+            self.is_leaving,
+            -1.0 if self.reader is None else self.reader.read_age_ms,
+        )
+
+    def outlive(self, incarnation: int) -> None:
+        """Takes in that an earlier life of this host is still heard of."""
+        if incarnation > self._incarnation:
+            log.warning(
+                "an earlier life has a later incarnation",
+                extra={"incarnation": incarnation, "own": self._incarnation},
+            )
+            self._incarnation = incarnation + 1
+
+
+class _Servers(NamedTuple):
+    edge: server.Server
+    others: list[server.Server]
+
+
+class GatewayHost:
+    """One entry host that passes opaque requests on."""
+
+    def __init__(
+        self,
+        settings: config.GatewaySettings,
+        clock: clocks.Clock,
+        rng: random.Random,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._metrics = metrics_lib.Metrics()
+        self._registry = registry_lib.Registry(clock)
+        self._fleet = fleet_lib.Fleet(settings.host.name, clock)
+        self._own = _OwnState(settings, self._registry)
+        self._store = store_lib.PlatformStore.from_config(
+            settings.platform.endpoint,
+            settings.platform.timeout_ms,
+            self._metrics,
+            clock,
+        )
+        self._exchange = exchange_lib.Exchange(
+            self._own.get,
+            self._fleet,
+            self._registry,
+            list(settings.peers.seeds),
+            clock,
+            rng,
+        )
+        self._fleet.on_own_state = self._own.outlive
+        self._reader = reader_lib.Reader(
+            self._store,
+            self._registry,
+            lambda: not self._fleet.has_reader_before(settings.host.name),
+            self._exchange.wake,
+            clock,
+        )
+        self._own.reader = self._reader
+        self._pools = pools_lib.Pools(clock)
+        self._scores = scores_lib.Scores(settings.host.data_centre, clock, rng)
+        retries = settings.retries
+        self._budgets = pacing.Budgets(
+            retries.window_s * _MS_PER_S,
+            retries.ratio,
+            self._burst_share(),
+        )
+        self._tools = fetches.Tools(
+            link_lib.PlatformLink(self._pools, self._most_connections),
+            self._scores,
+            self._registry.of_service,
+            self._registry.disown,
+            clock,
+            self._metrics,
+            set(),
+        )
+        self._edge = edge_lib.Edge(
+            callers.PlatformCallers(),
+            self._registry,
+            runner_lib.Runner(self._tools, self._budgets, splits.Splitter(rng)),
+            clock,
+            self._metrics,
+            logs.RequestLog(clock),
+        )
+        self._servers = self._make_servers()
+
+    @classmethod
+    def from_config(cls, settings: config.GatewaySettings) -> Self:
+        """Makes a host; must be called on a running loop."""
+        return cls(settings, clocks.BootClock(), random.Random())
+
+    async def start(self, stack: contextlib.AsyncExitStack) -> None:
+        """Begins to serve; what it starts ends with the stack."""
+        gateway = self._settings.gateway
+        stack.push_async_callback(self._store.close)
+        stack.callback(self._pools.close)
+        endpoints = [
+            gateway.peer_endpoint,
+            gateway.locate_endpoint,
+            gateway.ready_endpoint,
+            gateway.metrics_endpoint,
+        ]
+        edge, others = self._servers
+        await _listen(stack, edge, gateway.caller_endpoint)
+        for each, endpoint in zip(others, endpoints, strict=True):
+            if endpoint is not None:
+                await _listen(stack, each, endpoint)
+        for work in (
+            self._exchange.run(),
+            self._reader.run(),
+            self._keep_up(),
+        ):
+            _keep(stack, work)
+
+    async def leave(self, grace_s: float) -> None:
+        """Leaves without cutting a request; see `stopping`."""
+        self._own.is_leaving = True
+        self._exchange.wake()
+        log.info("leaving", extra={"running": self._servers.edge.running})
+        await stopping.leave(
+            self._servers.edge, self._edge, grace_s, self._tools.background
+        )
+
+    def _make_servers(self) -> _Servers:
+        codec = callers.PlatformCallers()
+        locator = edge_lib.Locator(
+            codec,
+            self._own,
+            self._fleet,
+            self._settings.gateway.locate_ttl_ms,
+        )
+        handlers: list[server.Handler] = [
+            self._exchange,
+            locator,
+            locator,
+            _MetricsHandler(self._metrics),
+        ]
+        return _Servers(
+            server.Server(self._edge, self._clock),
+            [server.Server(handler, self._clock) for handler in handlers],
+        )
+
+    def _hosts(self) -> int:
+        return max(LEAST_HOSTS, self._fleet.most_seen())
+
+    def _burst_share(self) -> float:
+        return BURST_SHARE * self._settings.retries.burst / self._hosts()
+
+    def _most_connections(self, upstream: entries.Upstream) -> int:
+        table = self._registry.table
+        accepted = table and table.connections.get(upstream.service)
+        if not accepted:
+            return upstream.slots
+        return max(1, int(CONNECTIONS_SHARE * accepted / self._hosts()))
+
+    async def _keep_up(self) -> None:
+        while True:
+            await asyncio.sleep(_UPKEEP_S)
+            self._budgets.set_burst(self._burst_share())
+            lives = {
+                upstream.life for upstream in self._registry.upstreams.values()
+            }
+            self._pools.sweep(lives)
+            self._scores.forget_others(lives)
+
+
+class _MetricsHandler(server.Handler):
+    """Answers all metrics."""
+
+    def __init__(self, metrics: metrics_lib.Metrics) -> None:
+        self._metrics = metrics
+
+    async def handle(self, request: messages.Request) -> messages.Response:
+        """Answers any request with all metrics."""
+        del request
+        return messages.Response(
+            200,
+            ((b"Content-Type", b"text/plain; charset=utf-8"),),
+            self._metrics.exposition(),
+        )
+
+
+async def _listen(
+    stack: contextlib.AsyncExitStack, listener: server.Server, endpoint: str
+) -> None:
+    address, _, port = endpoint.rpartition(":")
+    await listener.start(address, int(port))
+    stack.callback(listener.close)
+
+
+async def _flush(handler: logs.BufferedHandler) -> None:
+    while True:
+        await asyncio.sleep(_FLUSH_S)
+        handler.flush_some()
+
+
+def _keep(
+    stack: contextlib.AsyncExitStack,
+    work: "asyncio._CoroutineLike[None]",
+) -> None:
+    task = asyncio.get_running_loop().create_task(work)
+    task.add_done_callback(_check_end)
+    stack.callback(task.cancel)
+
+
+def _check_end(task: "asyncio.Task[None]") -> None:
+    """Ends the process if work that must go on has failed."""
+    if not task.cancelled() and task.exception() is not None:
+        log.critical("background work ended", exc_info=task.exception())
+        signal.raise_signal(signal.SIGTERM)
+
+
+def _reload(path: pathlib.Path) -> None:
+    """Reads the settings again; only the log level changes while running."""
+    try:
+        settings = config.GatewaySettings.from_file(path)
+    except config.settings.exceptions.ConfigError as error:
+        log.error("settings not reloaded", extra={"reason": str(error)})
+        return
+    logging.getLogger().setLevel(settings.logs.level)
+    log.info("settings reloaded", extra={"level": settings.logs.level})
--- /dev/null
+++ b/greengagedale/gateway/edge.py
@@ -0,0 +1,261 @@
+"""Takes callers' requests: finds the route, runs it, answers and logs."""
+
+import abc
+import dataclasses
+import logging
+
+from greengagedale import clocks
+from greengagedale import logs
+from greengagedale import metrics as metrics_lib
+from greengagedale import outcomes
+from greengagedale.gateway import calls
+from greengagedale.gateway import fetches
+from greengagedale.gateway import fleet as fleet_lib
+from greengagedale.gateway import plans
+from greengagedale.gateway import registry as registry_lib
+from greengagedale.gateway import runner as runner_lib
+from greengagedale.http1 import messages
+from greengagedale.http1 import server
+
+log = logging.getLogger(__name__)
+
+_STATUS_OK = 200
+_STATUS_BAD_REQUEST = 400
+_STATUS_MISSING = 404
+_STATUS_UNAVAILABLE = 503
+# A host without a configuration asks its callers to come back this soon.
+_NOT_READY_RETRY_MS = 200
+# Callers of a host that is about to end go to another one at once.
+_LEAVING_RETRY_MS = 10
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Malformed:
+    """A request that can't be passed on."""
+
+    detail: str
+
+
+class CallerCodec(abc.ABC):
+    """Decodes what callers send and encodes what they are answered."""
+
+    @abc.abstractmethod
+    def decode_call(self, request: messages.Request) -> calls.Call | Malformed:
+        """Decodes a caller's request."""
+
+    @abc.abstractmethod
+    def encode_answer(self, answer: calls.Answer) -> messages.Response:
+        """Passes an upstream's answer on."""
+
+    @abc.abstractmethod
+    def encode_gathered(self, gathered: calls.Gathered) -> messages.Response:
+        """Encodes the merged answer of a fan-out."""
+
+    @abc.abstractmethod
+    def encode_failure(
+        self, outcome: outcomes.NotRun | outcomes.Unknown
+    ) -> messages.Response:
+        """Encodes a request that was not run, or that may have run."""
+
+    @abc.abstractmethod
+    def encode_error(self, status: int, detail: str) -> messages.Response:
+        """Encodes an error that says what is wrong with a request."""
+
+    @abc.abstractmethod
+    def is_resolve(self, request: messages.Request) -> bool:
+        """Tells whether a caller asks where to connect."""
+
+    @abc.abstractmethod
+    def is_ready_check(self, request: messages.Request) -> bool:
+        """Tells whether the platform asks if the host is ready."""
+
+    @abc.abstractmethod
+    def data_centre_asked(self, request: messages.Request) -> str | None:
+        """Returns the data centre of a caller that asks where to connect."""
+
+    @abc.abstractmethod
+    def encode_located(
+        self, endpoints: list[str], ttl_ms: float
+    ) -> messages.Response:
+        """Encodes where callers should connect.
+
+        Args:
+            endpoints: Addresses with ports, best first.
+            ttl_ms: How long the answer may be kept.
+        """
+
+
+class Edge(server.Handler):
+    """Answers callers' requests.
+
+    Attributes:
+        is_refusing: Whether new requests are refused, as the host ends soon.
+    """
+
+    def __init__(
+        self,
+        codec: CallerCodec,
+        registry: registry_lib.Registry,
+        runner: runner_lib.Runner,
+        clock: clocks.Clock,
+        metrics: metrics_lib.Metrics,
+        request_log: logs.RequestLog,
+    ) -> None:
+        self._codec = codec
+        self._registry = registry
+        self._runner = runner
+        self._clock = clock
+        self._metrics = metrics
+        self._request_log = request_log
+        self.is_refusing = False
+
+    def limits(self) -> server.Limits:
+        """Returns the limits of the configuration in force."""
+        table = self._registry.table
+        return server.Limits() if table is None else table.routes.limits
+
+    async def handle(self, request: messages.Request) -> messages.Response:
+        """Answers a caller's request."""
+        call = self._codec.decode_call(request)
+        if isinstance(call, Malformed):
+            log.info("malformed request", extra={"reason": call.detail})
+            self._metrics.refusals.labels("edge", "malformed").inc()
+            return self._codec.encode_error(_STATUS_BAD_REQUEST, call.detail)
+        table = self._registry.table
+        if table is None or not self._registry.is_ready:
+            return self._refuse(
+                call, outcomes.Reason.NOT_READY, _NOT_READY_RETRY_MS
+            )
+        if self.is_refusing:
+            return self._refuse(
+                call, outcomes.Reason.STOPPING, _LEAVING_RETRY_MS
+            )
+        plan = table.find(call.host, call.path)
+        if plan is None:
+            self._metrics.refusals.labels("edge", "no_route").inc()
+            self._request_log.write(
+                "no route",
+                request_id=call.request_id,
+                host_asked=call.host,
+                path=call.path,
+                version=table.version,
+            )
+            return self._codec.encode_error(_STATUS_MISSING, "no such route")
+        return await self._run(call, plan, table.version)
+
+    async def _run(
+        self, call: calls.Call, plan: plans.Plan, version: int
+    ) -> messages.Response:
+        steps: list[fetches.Step] = []
+        outcome: outcomes.Outcome | None = None
+        try:
+            outcome = await self._runner.run(call, plan, steps)
+        finally:
+            self._record(call, plan, version, outcome, steps)
+        if not isinstance(outcome, outcomes.Ran):
+            return self._codec.encode_failure(outcome)
+        if isinstance(outcome.value, calls.Gathered):
+            return self._codec.encode_gathered(outcome.value)
+        return self._codec.encode_answer(outcome.value)
+
+    def _refuse(
+        self, call: calls.Call, reason: outcomes.Reason, retry_after_ms: int
+    ) -> messages.Response:
+        self._metrics.refusals.labels("edge", str(reason)).inc()
+        self._request_log.write(
+            "request refused",
+            request_id=call.request_id,
+            reason=str(reason),
+            version=self._registry.routes_version,
+        )
+        return self._codec.encode_failure(
+            outcomes.NotRun(reason, retry_after_ms)
+        )
+
+    def _record(
+        self,
+        call: calls.Call,
+        plan: plans.Plan,
+        version: int,
+        outcome: outcomes.Outcome | None,
+        steps: list[fetches.Step],
+    ) -> None:
+        took_ms = self._clock.now_ms() - call.received_ms
+        tag = "abandoned" if outcome is None else outcome.tag
+        self._metrics.requests.labels(plan.name, tag).inc()
+        self._metrics.request_latency.record(plan.name, took_ms)
+        self._request_log.write(
+            "request",
+            request_id=call.request_id,
+            route=plan.name,
+            version=version,
+            upstreams_version=self._registry.version,
+            outcome=tag,
+            took_ms=round(took_ms, 1),
+            left_ms=None
+            if call.deadline_ms is None
+            else round(call.deadline_ms - self._clock.now_ms()),
+            detail=_detail(outcome),
+            steps=steps,
+        )
+        if isinstance(outcome, outcomes.NotRun):
+            self._metrics.refusals.labels("gateway", str(outcome.reason)).inc()
+        elif isinstance(outcome, outcomes.Unknown):
+            self._metrics.unknowns.labels(plan.name, str(outcome.reason)).inc()
+
+
+class Locator(server.Handler):
+    """Tells callers where to connect, and the platform whether it is ready."""
+
+    def __init__(
+        self,
+        codec: CallerCodec,
+        own_state: "OwnState",
+        fleet: fleet_lib.Fleet,
+        ttl_ms: float,
+    ) -> None:
+        self._codec = codec
+        self._own_state = own_state
+        self._fleet = fleet
+        self._ttl_ms = ttl_ms
+
+    async def handle(self, request: messages.Request) -> messages.Response:
+        """Answers a caller or the platform."""
+        own = self._own_state.get()
+        if self._codec.is_resolve(request):
+            return self._located(own)
+        if self._codec.is_ready_check(request):
+            is_ready = own.is_ready and not own.is_leaving
+            status = _STATUS_OK if is_ready else _STATUS_UNAVAILABLE
+            return messages.Response(status)
+        return self._codec.encode_error(_STATUS_MISSING, "unknown path")
+
+    def _located(self, own: fleet_lib.HostState) -> messages.Response:
+        serving = self._fleet.serving()
+        if own.is_ready and not own.is_leaving:
+            serving.append(own)
+        if not serving:
+            return self._codec.encode_failure(
+                outcomes.NotRun(outcomes.Reason.NOT_READY, _NOT_READY_RETRY_MS)
+            )
+        endpoints = [state.caller_endpoint for state in serving]
+        return self._codec.encode_located(endpoints, self._ttl_ms)
+
+
+class OwnState(abc.ABC):
+    """What a host says of itself."""
+
+    @abc.abstractmethod
+    def get(self) -> fleet_lib.HostState:
+        """Returns what is true now."""
+
+
+def _detail(outcome: outcomes.Outcome | None) -> str:
+    if outcome is None:
+        return "the caller left"
+    if not isinstance(outcome, outcomes.Ran):
+        return str(outcome.reason)
+    if isinstance(outcome.value, calls.Gathered):
+        parts = len(outcome.value.signatures)
+        return f"{parts} of {parts + outcome.value.missing} parts"
+    return f"status {outcome.value.status}"
--- /dev/null
+++ b/greengagedale/gateway/exchange.py
@@ -0,0 +1,238 @@
+"""Exchanges between hosts: each round, a host and a peer tell each other news.
+
+The asking host says who it is, whom it has heard of and how new its knowledge
+is; the answer carries the same of the other host, and whatever is newer there.
+"""
+
+import asyncio
+from collections.abc import Callable
+import logging
+import random
+from typing import NamedTuple
+
+import msgspec
+
+from greengagedale import clocks
+from greengagedale.gateway import entries
+from greengagedale.gateway import fleet as fleet_lib
+from greengagedale.gateway import plans
+from greengagedale.gateway import registry as registry_lib
+from greengagedale.http1 import client
+from greengagedale.http1 import messages
+from greengagedale.http1 import server
+
+log = logging.getLogger(__name__)
+
+# Time between rounds; news crosses a small fleet in one of them.
+ROUND_MS = 250.0
+# Peers asked in each round; in larger fleets news spreads over a few rounds.
+PEERS_A_ROUND = 3
+# A peer that does not answer for this long is given up on for the round.
+TIMEOUT_MS = 600.0
+_MS_PER_S = 1000.0
+_PATH = b"/peers/exchange"
+_STATUS_OK = 200
+_STATUS_MISSING = 404
+
+
+class Hello(NamedTuple):
+    """What the asking host says.
+
+    Attributes:
+        own: The asking host.
+        others: Hosts that it has heard of.
+        routes_version: Version of its configuration; 0 if it has none.
+        version: How new its list of upstreams is.
+        is_pushing: Whether it only brings news and wants no answer.
+    """
+
+    own: fleet_lib.HostState
+    others: list[fleet_lib.HostState]
+    routes_version: int
+    version: registry_lib.Version
+
+
+class News(NamedTuple):
+    """What the asked host answers.
+
+    Attributes:
+        own: The asked host.
+        others: Hosts that it has heard of.
+        routes: Its configuration if it is newer.
+        routes_revision: Revision of the store that it is as of.
+        version: How new its list of upstreams is.
+        upstreams: All upstreams, if its list is newer.
+        wants_news: Whether the asking host knows something newer.
+    """
+
+    own: fleet_lib.HostState
+    others: list[fleet_lib.HostState]
+    routes: plans.Routes | None
+    routes_revision: int
+    version: registry_lib.Version
+    upstreams: list[entries.Upstream] | None
+
+
+_encode = msgspec.msgpack.encode
+_hello_decoder = msgspec.msgpack.Decoder(Hello)
+_news_decoder = msgspec.msgpack.Decoder(News)
+
+
+class Exchange(server.Handler):
+    """Both sides of the exchanges of one host."""
+
+    def __init__(
+        self,
+        own_state: Callable[[], fleet_lib.HostState],
+        fleet: fleet_lib.Fleet,
+        registry: registry_lib.Registry,
+        seeds: list[str],
+        clock: clocks.Clock,
+        rng: random.Random,
+    ) -> None:
+        """Makes the exchanges of a host.
+
+        Args:
+            own_state: Returns what this host says of itself now.
+            fleet: The other hosts.
+            registry: What this host knows of the platform.
+            seeds: Endpoints of hosts to ask before any is known.
+            clock: Clock of the process.
+            rng: Draws peers.
+        """
+        self._own_state = own_state
+        self._fleet = fleet
+        self._registry = registry
+        self._seeds = seeds
+        self._clock = clock
+        self._rng = rng
+        self._idle: dict[str, client.Connection] = {}
+        self._wake = asyncio.Event()
+
+    async def handle(self, request: messages.Request) -> messages.Response:
+        """Answers another host."""
+        if request.target != _PATH:
+            return messages.Response(_STATUS_MISSING)
+        try:
+            hello = _hello_decoder.decode(request.body)
+        except msgspec.DecodeError as error:
+            log.warning("unreadable exchange", extra={"reason": str(error)})
+            return messages.Response(400)
+        self._hear(hello.own, hello.others)
+        if (
+            hello.routes_version > self._registry.routes_version
+            or hello.version > self._registry.version
+        ):
+            self.wake()
+        return messages.Response(_STATUS_OK, (), _encode(self._news(hello)))
+
+    def wake(self) -> None:
+        """Starts the next round now."""
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Asks peers, round after round."""
+        while True:
+            peers = self._peers()
+            await asyncio.gather(*(self._ask(peer) for peer in peers))
+            self._registry.expire()
+            self._wake.clear()
+            try:
+                async with asyncio.timeout(ROUND_MS / _MS_PER_S):
+                    await self._wake.wait()
+            except TimeoutError:
+                continue
+
+    def _peers(self) -> list[str]:
+        own = self._own_state().peer_endpoint
+        known = {state.peer_endpoint for state in self._fleet.alive()}
+        peers = [*known]
+        self._rng.shuffle(peers)
+        chosen = peers[:PEERS_A_ROUND]
+        # Seeds are asked for as long as they are not known to live, one a
+        # round, so that parts of a fleet that lost each other meet again.
+        seeds = [s for s in self._seeds if s not in known and s != own]
+        states = self._fleet.states()
+        lost = [s.peer_endpoint for s in states if s.peer_endpoint not in known]
+        others = [*seeds, *lost]
+        if not known:
+            return others[: 2 * PEERS_A_ROUND]
+        if others:
+            chosen.append(self._rng.choice(others))
+        return chosen
+
+    async def _ask(self, endpoint: str) -> None:
+        own = self._own_state()
+        hello = Hello(
+            own,
+            self._fleet.alive(),
+            self._registry.routes_version,
+            self._registry.version,
+        )
+        try:
+            async with asyncio.timeout(TIMEOUT_MS / _MS_PER_S):
+                reply = await self._call(endpoint, _encode(hello))
+        except ConnectionRefusedError:
+            self._fleet.note_refused(endpoint)
+            return
+        except OSError as error:
+            log.debug("peer %s did not answer: %r", endpoint, error)
+            return
+        if isinstance(reply, client.Broken) or reply.status != _STATUS_OK:
+            log.debug("exchange with %s failed: %r", endpoint, reply)
+            return
+        try:
+            self._learn(_news_decoder.decode(reply.body))
+        except msgspec.DecodeError as error:
+            log.warning("unreadable news", extra={"reason": str(error)})
+
+    def _news(self, hello: Hello) -> News:
+        held = self._registry
+        table = held.table
+        has_newer = held.routes_version > hello.routes_version
+        return News(
+            self._own_state(),
+            self._fleet.alive(),
+            table.routes if table is not None and has_newer else None,
+            held.routes_revision,
+            held.version,
+            [*held.upstreams.values()]
+            if held.version > hello.version
+            else None,
+        )
+
+    def _learn(self, news: News) -> None:
+        self._hear(news.own, news.others)
+        is_new = False
+        if news.routes is not None:
+            is_new = self._registry.apply_routes(
+                news.routes, news.routes_revision
+            )
+        if news.upstreams is not None:
+            is_new |= self._registry.adopt(news.upstreams, news.version)
+        if is_new:
+            self.wake()
+
+    def _hear(
+        self, own: fleet_lib.HostState, others: list[fleet_lib.HostState]
+    ) -> None:
+        self._fleet.hear(own)
+        for state in others:
+            self._fleet.hear(state)
+
+    async def _call(
+        self, endpoint: str, body: bytes
+    ) -> messages.Reply | client.Broken:
+        connection = self._idle.pop(endpoint, None)
+        if connection is None or not connection.is_usable:
+            address, _, port = endpoint.rpartition(":")
+            connection = await client.Connection.open(
+                address, int(port), TIMEOUT_MS / _MS_PER_S
+            )
+        headers = ((b"host", endpoint.encode()),)
+        reply = await connection.exchange(
+            messages.encode_request(b"POST", _PATH, headers, body)
+        )
+        if connection.is_usable:
+            self._idle[endpoint] = connection
+        return reply
--- /dev/null
+++ b/greengagedale/gateway/fetches.py
@@ -0,0 +1,332 @@
+"""Getting an answer to a call from one service: attempts, hedges, retries."""
+
+import asyncio
+from collections.abc import Callable
+from typing import NamedTuple
+
+from greengagedale import clocks
+from greengagedale import metrics as metrics_lib
+from greengagedale import outcomes
+from greengagedale.gateway import calls
+from greengagedale.gateway import entries
+from greengagedale.gateway import pacing
+from greengagedale.gateway import plans
+from greengagedale.gateway import scores as scores_lib
+from greengagedale.retry import windows
+
+# An attempt that lost a race may end by itself for this long, so that its
+# connection can be used again.
+LOSER_MS = 600.0
+# Pause before an upstream that refused is asked again.
+REFUSED_PAUSE_MS = 25.0
+# Sends that were refused or never arrived, for one request and service.
+MOST_SENDS = 5
+_MS_PER_S = 1000.0
+
+
+class Failure(NamedTuple):
+    """No answer that can be used came from a service.
+
+    Attributes:
+        ends: How the attempts ended.
+        answer: An upstream's own failure, if there was one.
+        reason: Why no more was tried.
+    """
+
+    ends: tuple[outcomes.AttemptEnd, ...]
+    answer: calls.Answer | None
+    reason: outcomes.Reason
+
+
+class Step(NamedTuple):
+    """One thing that was done for a request, for its log line.
+
+    Attributes:
+        at_ms: When, from the arrival of the request.
+        what: What was done.
+        service: Where.
+        upstream: Where.
+        reason: Why, or how it ended.
+    """
+
+    at_ms: float
+    what: str
+    service: str
+    upstream: str
+    reason: str
+
+
+class Tools(NamedTuple):
+    """What all fetches of a host share.
+
+    Attributes:
+        link: Sends attempts.
+        scores: Chooses upstreams.
+        candidates: Returns the upstreams of a service.
+        disown: Called with an upstream whose address is another's.
+        clock: Clock of the process.
+        metrics: Metrics of the process.
+        background: Keeps attempts that run on.
+    """
+
+    link: calls.UpstreamLink
+    scores: scores_lib.Scores
+    candidates: Callable[[str], list[entries.Upstream]]
+    disown: Callable[[entries.Upstream], None]
+    clock: clocks.Clock
+    metrics: metrics_lib.Metrics
+    background: set[asyncio.Task[None]]
+
+
+_Task = asyncio.Task[calls.Answer | outcomes.AttemptEnd]
+
+
+class Fetch:
+    """One call's way to an answer of one service."""
+
+    def __init__(
+        self,
+        tools: Tools,
+        call: calls.Call,
+        plan: plans.Plan,
+        service: str,
+        deadline_ms: float,
+        pace: pacing.Pace,
+        budget: windows.WindowBudget,
+        steps: list[Step],
+    ) -> None:
+        self._tools = tools
+        self._call = call
+        self._plan = plan
+        self._service = service
+        self._deadline_ms = deadline_ms
+        self._pace = pace
+        self._budget = budget
+        self._steps = steps
+        self._running: dict[_Task, entries.Upstream] = {}
+        self._tried: set[str] = set()
+        self._ends: list[outcomes.AttemptEnd] = []
+        self._answer: calls.Answer | None = None
+        self._sends = 0
+        self._arrivals = 0
+        self._number = 0
+
+    @property
+    def was_sent(self) -> bool:
+        """Whether any attempt was begun."""
+        return self._sends > 0
+
+    async def run(self) -> calls.Answer | Failure:
+        """Returns an answer, or why there is none."""
+        problem = self._start("attempt")
+        if problem is not None:
+            return self._failure(problem)
+        hedge_ms = self._tools.clock.now_ms() + self._pace.hedge_ms()
+        try:
+            return await self._race(hedge_ms)
+        except asyncio.CancelledError:
+            self._cancel_running()
+            raise
+
+    def let_go(self) -> None:
+        """Leaves the attempts that still run to end by themselves."""
+        for task, upstream in self._running.items():
+            self._leave(task, upstream)
+        self._running.clear()
+
+    async def _race(self, hedge_ms: float) -> calls.Answer | Failure:
+        clock = self._tools.clock
+        while True:
+            now_ms = clock.now_ms()
+            if now_ms >= self._deadline_ms:
+                self.let_go()
+                return self._failure(outcomes.Reason.DEADLINE)
+            if now_ms >= hedge_ms:
+                hedge_ms = self._hedge(now_ms)
+            until_ms = min(hedge_ms, self._deadline_ms)
+            done, _ = await asyncio.wait(
+                self._running,
+                timeout=max(0.0, until_ms - now_ms) / _MS_PER_S,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            for task in done:
+                result = self._take(task)
+                if result is not None:
+                    self.let_go()
+                    return result
+            if not self._running:
+                problem = await self._again()
+                if problem is not None:
+                    return self._failure(problem)
+                hedge_ms = clock.now_ms() + self._pace.hedge_ms()
+
+    def _hedge(self, now_ms: float) -> float:
+        """Sends a second attempt if it may; returns when to try that again."""
+        if not self._plan.is_idempotent or self._runs() >= (
+            self._plan.max_attempts
+        ):
+            return float("inf")
+        problem = self._start("hedge")
+        if problem is None:
+            return now_ms + self._pace.hedge_ms()
+        if problem is outcomes.Reason.OVERLOADED:
+            return now_ms + self._pace.retry_hedge_ms
+        return float("inf")
+
+    async def _again(self) -> outcomes.Reason | None:
+        """Sends another attempt after all others ended, if it may."""
+        last = self._ends[-1] if self._ends else None
+        if not self._may_repeat():
+            return outcomes.Reason.REJECTED if last is None else last.reason
+        problem = self._start("retry")
+        if problem is outcomes.Reason.NO_REPLICA and self._sends < MOST_SENDS:
+            self._tried.clear()
+            await asyncio.sleep(REFUSED_PAUSE_MS / _MS_PER_S)
+            problem = self._start("retry")
+        return problem
+
+    def _may_repeat(self) -> bool:
+        if self._sends >= MOST_SENDS or self._runs() >= self._plan.max_attempts:
+            return False
+        if self._plan.is_idempotent:
+            return True
+        may_have_run = [e for e in self._ends if e.written and not e.refused]
+        return not may_have_run and self._answer is None
+
+    def _runs(self) -> int:
+        """Counts attempts that run, or may have run."""
+        ended = sum(end.written and not end.refused for end in self._ends)
+        answered = self._answer is not None
+        return len(self._running) + ended + answered
+
+    def _start(self, what: str) -> outcomes.Reason | None:
+        """Begins an attempt; returns why not, if it may not."""
+        tools = self._tools
+        now_ms = tools.clock.now_ms()
+        upstream = tools.scores.choose(
+            tools.candidates(self._service),
+            self._pace.usual_ms(),
+            self._tried,
+        )
+        if upstream is None:
+            return outcomes.Reason.NO_REPLICA
+        if self._arrivals > 0 and not self._budget.take(now_ms):
+            tools.metrics.refusals.labels("budget", what).inc()
+            return outcomes.Reason.OVERLOADED
+        self._arrivals += 1
+        self._sends += 1
+        self._tried.add(upstream.name)
+        if what != "attempt":
+            tools.metrics.retries.labels(what).inc()
+            self._note(now_ms, what, upstream, "")
+        tools.metrics.attempts.labels(self._service).inc()
+        self._number += 1
+        score = tools.scores.of(upstream)
+        score.sent_ms[id(self) + self._number] = now_ms
+        attempt = calls.Attempt(
+            self._call,
+            upstream,
+            self._deadline_ms - now_ms,
+            self._plan.is_idempotent,
+        )
+        task = asyncio.ensure_future(
+            self._send(attempt, score, id(self) + self._number, now_ms)
+        )
+        self._running[task] = upstream
+        return None
+
+    async def _send(
+        self,
+        attempt: calls.Attempt,
+        score: scores_lib.Score,
+        key: int,
+        sent_ms: float,
+    ) -> calls.Answer | outcomes.AttemptEnd:
+        clock = self._tools.clock
+        try:
+            result = await self._tools.link.send(attempt)
+        except asyncio.CancelledError:
+            now_ms = clock.now_ms()
+            if now_ms - sent_ms > self._pace.usual_ms():
+                score.note_latency(
+                    (now_ms - sent_ms) / self._pace.usual_ms(), now_ms
+                )
+            raise
+        finally:
+            score.sent_ms.pop(key, None)
+        self._judge(attempt, score, result, clock.now_ms(), sent_ms)
+        return result
+
+    def _judge(
+        self,
+        attempt: calls.Attempt,
+        score: scores_lib.Score,
+        result: calls.Answer | outcomes.AttemptEnd,
+        now_ms: float,
+        sent_ms: float,
+    ) -> None:
+        """Takes in what an end tells about its upstream."""
+        if isinstance(result, outcomes.AttemptEnd):
+            if scores_lib.is_upstreams_fault(result):
+                score.note_failure(now_ms)
+            if result.reason is outcomes.Reason.NO_REPLICA:
+                self._tools.disown(attempt.upstream)
+            return
+        if result.load is not None:
+            score.note_load(result.load, now_ms)
+        if not result.is_success:
+            score.note_failure(now_ms)
+            return
+        took_ms = now_ms - sent_ms
+        score.note_latency(took_ms / self._pace.usual_ms(), now_ms)
+        self._pace.record(took_ms)
+        self._tools.metrics.attempt_latency.record(self._plan.name, took_ms)
+
+    def _take(self, task: _Task) -> calls.Answer | None:
+        """Takes in the end of an attempt; returns an answer to use."""
+        upstream = self._running.pop(task)
+        result = task.result()
+        now_ms = self._tools.clock.now_ms()
+        if isinstance(result, outcomes.AttemptEnd):
+            if not result.written:
+                # Nothing arrived, so the next send is no extra one.
+                self._arrivals -= 1
+            self._ends.append(result)
+            kind = "refused" if result.refused else "failed"
+            self._tools.metrics.drops.labels(str(result.reason)).inc()
+            self._note(now_ms, kind, upstream, str(result.reason))
+            return None
+        if result.is_success:
+            return result
+        self._note(now_ms, "answered", upstream, str(result.status))
+        self._answer = result
+        is_final = result.status < 500 and result.signature is not None
+        return result if is_final or not self._plan.is_idempotent else None
+
+    def _failure(self, reason: outcomes.Reason) -> Failure:
+        return Failure(tuple(self._ends), self._answer, reason)
+
+    def _leave(self, task: _Task, upstream: entries.Upstream) -> None:
+        background = self._tools.background
+        waiter = asyncio.ensure_future(_end_in_time(task))
+        background.add(waiter)
+        waiter.add_done_callback(background.discard)
+        del upstream
+
+    def _cancel_running(self) -> None:
+        for task in self._running:
+            task.cancel()
+        self._running.clear()
+
+    def _note(
+        self, now_ms: float, what: str, upstream: entries.Upstream, reason: str
+    ) -> None:
+        at_ms = round(now_ms - self._call.received_ms, 1)
+        self._steps.append(
+            Step(at_ms, what, self._service, upstream.name, reason)
+        )
+
+
+async def _end_in_time(task: _Task) -> None:
+    await asyncio.wait([task], timeout=LOSER_MS / _MS_PER_S)
+    task.cancel()
--- /dev/null
+++ b/greengagedale/gateway/pacing.py
@@ -0,0 +1,77 @@
+"""How long attempts on a route usually take, and when to send another."""
+
+from greengagedale.retry import windows
+from greengagedale.routing import latencies
+
+# A hedge goes out after the latency that this share of attempts stays below.
+_HEDGE_QUANTILE = 0.9
+# Before anything was measured, in shares of the route's aim.
+_COLD_USUAL_SHARE = 0.2
+_COLD_HEDGE_SHARE = 0.4
+# Hedges go out no later than this share of the aim, nor sooner than this
+# multiple of the usual latency.
+_LATEST_HEDGE_SHARE = 0.45
+_EARLIEST_HEDGE_FACTOR = 1.5
+_LEAST_MS = 1.0
+
+
+class Pace:
+    """Latencies of the attempts on one route.
+
+    Attributes:
+        retry_hedge_ms: Pause before a hedge that found the budget spent.
+    """
+
+    retry_hedge_ms = 10.0
+
+    def __init__(self, aim_ms: float) -> None:
+        self.aim_ms = aim_ms
+        self._median = latencies.LatencyWindow(0.5)
+        self._late = latencies.LatencyWindow(_HEDGE_QUANTILE)
+
+    def record(self, latency_ms: float) -> None:
+        """Takes in the latency of an answered attempt."""
+        self._median.record(latency_ms)
+        self._late.record(latency_ms)
+
+    def usual_ms(self) -> float:
+        """Returns the usual latency of an attempt."""
+        median_ms = self._median.quantile_ms()
+        if median_ms is None:
+            return max(_LEAST_MS, _COLD_USUAL_SHARE * self.aim_ms)
+        return max(_LEAST_MS, median_ms)
+
+    def hedge_ms(self) -> float:
+        """Returns the age of an attempt at which a hedge is due."""
+        late_ms = self._late.quantile_ms()
+        if late_ms is None:
+            return _COLD_HEDGE_SHARE * self.aim_ms
+        earliest_ms = _EARLIEST_HEDGE_FACTOR * self.usual_ms()
+        latest_ms = _LATEST_HEDGE_SHARE * self.aim_ms
+        return max(earliest_ms, min(late_ms, latest_ms))
+
+
+class Budgets:
+    """Budgets of extra attempts, one a service."""
+
+    def __init__(self, window_ms: float, ratio: float, burst: float) -> None:
+        self._window_ms = window_ms
+        self._ratio = ratio
+        self._burst = burst
+        self._budgets: dict[str, windows.WindowBudget] = {}
+
+    def set_burst(self, burst: float) -> None:
+        """Sets this host's share of the burst, for each service."""
+        self._burst = burst
+        for budget in self._budgets.values():
+            budget.burst = burst
+
+    def of(self, service: str) -> windows.WindowBudget:
+        """Returns the budget of a service."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = windows.WindowBudget(
+                self._window_ms, self._ratio, self._burst
+            )
+            self._budgets[service] = budget
+        return budget
--- /dev/null
+++ b/greengagedale/gateway/records.py
@@ -0,0 +1,19 @@
+"""Merging the records of parts."""
+
+from collections.abc import Iterable
+import heapq
+import itertools
+
+RECORD_BYTES = 16
+
+
+def split(body: bytes) -> list[bytes]:
+    """Cuts a part into records; a shorter remainder is none."""
+    whole = len(body) - len(body) % RECORD_BYTES
+    return [body[i : i + RECORD_BYTES] for i in range(0, whole, RECORD_BYTES)]
+
+
+def greatest(parts: Iterable[bytes], limit: int) -> bytes:
+    """Returns the greatest records of all parts, greatest first."""
+    records = itertools.chain.from_iterable(split(part) for part in parts)
+    return b"".join(heapq.nlargest(limit, records))
--- /dev/null
+++ b/greengagedale/gateway/runner.py
@@ -0,0 +1,214 @@
+"""Runs calls: one service's answer, or the parts of all shards."""
+
+import asyncio
+from typing import NamedTuple
+
+from greengagedale import outcomes
+from greengagedale.gateway import calls
+from greengagedale.gateway import fetches
+from greengagedale.gateway import pacing
+from greengagedale.gateway import plans
+from greengagedale.gateway import records
+from greengagedale.gateway import splits
+
+# An answer with enough parts goes out at this share of the route's aim, so
+# that it reaches the caller within it.
+CUTOFF_SHARE = 0.87
+# Final answers leave this much before the caller's deadline.
+DEADLINE_MARGIN_MS = 12.0
+# When nothing is listed for a service, or all that is refuses.
+RETRY_AFTER_MS = 100
+_MS_PER_S = 1000.0
+
+Result = outcomes.Outcome
+
+
+class _Parts(NamedTuple):
+    answers: list[calls.Answer]
+    failures: list[fetches.Failure]
+
+
+class Runner:
+    """Runs calls on the routes of the configuration in force."""
+
+    def __init__(
+        self,
+        tools: fetches.Tools,
+        budgets: pacing.Budgets,
+        splitter: splits.Splitter,
+    ) -> None:
+        self._tools = tools
+        self._budgets = budgets
+        self._splitter = splitter
+        self._paces: dict[str, pacing.Pace] = {}
+
+    def pace_of(self, plan: plans.Plan) -> pacing.Pace:
+        """Returns the latencies of a route; kept across configurations."""
+        pace = self._paces.get(plan.name)
+        if pace is None:
+            pace = self._paces[plan.name] = pacing.Pace(plan.aim_ms)
+        pace.aim_ms = plan.aim_ms
+        return pace
+
+    async def run(
+        self, call: calls.Call, plan: plans.Plan, steps: list[fetches.Step]
+    ) -> Result:
+        """Runs a call; cancelling it abandons what may be abandoned."""
+        deadline_ms = call.received_ms + plan.timeout_ms
+        if call.deadline_ms is not None:
+            deadline_ms = min(deadline_ms, call.deadline_ms)
+        deadline_ms -= DEADLINE_MARGIN_MS
+        if deadline_ms <= self._tools.clock.now_ms():
+            return outcomes.NotRun(outcomes.Reason.DEADLINE, 0)
+        if plan.fanout is not None:
+            return await self._gather(
+                call, plan, plan.fanout, deadline_ms, steps
+            )
+        return await self._single(call, plan, deadline_ms, steps)
+
+    async def _single(
+        self,
+        call: calls.Call,
+        plan: plans.Plan,
+        deadline_ms: float,
+        steps: list[fetches.Step],
+    ) -> Result:
+        service = self._splitter.choose(plan)
+        fetch = self._fetch(call, plan, service, deadline_ms, steps)
+        task = asyncio.ensure_future(fetch.run())
+        try:
+            result = await asyncio.shield(task)
+        except asyncio.CancelledError:
+            # What may run only once is let run; its caller can't ask again.
+            if plan.is_idempotent or not fetch.was_sent:
+                task.cancel()
+            raise
+        if isinstance(result, calls.Answer):
+            return outcomes.Ran(result)
+        if result.answer is not None and result.answer.signature is not None:
+            return outcomes.Ran(result.answer)
+        return self._without_answer([result])
+
+    async def _gather(
+        self,
+        call: calls.Call,
+        plan: plans.Plan,
+        fanout: plans.Fanout,
+        deadline_ms: float,
+        steps: list[fetches.Step],
+    ) -> Result:
+        candidates = self._tools.candidates
+        held = sum(bool(candidates(shard)) for shard in fanout.shards)
+        if held < fanout.least_parts:
+            return outcomes.NotRun(outcomes.Reason.NO_REPLICA, RETRY_AFTER_MS)
+        made = {
+            asyncio.ensure_future(fetch.run()): fetch
+            for fetch in (
+                self._fetch(call, plan, shard, deadline_ms, steps)
+                for shard in fanout.shards
+            )
+        }
+        cutoff_ms = call.received_ms + CUTOFF_SHARE * plan.aim_ms
+        try:
+            parts = await self._collect(
+                set(made), fanout, cutoff_ms, deadline_ms
+            )
+        except asyncio.CancelledError:
+            for task in made:
+                task.cancel()
+            raise
+        self._let_go(made)
+        if len(parts.answers) < fanout.least_parts:
+            return self._without_answer(
+                parts.failures, is_pending=any(not t.done() for t in made)
+            )
+        missing = len(fanout.shards) - len(parts.answers)
+        self._tools.metrics.search_events.labels(
+            plan.name, "answered", "partial" if missing else "whole"
+        ).inc()
+        return outcomes.Ran(
+            calls.Gathered(
+                tuple(answer.signature or "" for answer in parts.answers),
+                missing,
+                records.greatest(
+                    (answer.body for answer in parts.answers),
+                    fanout.best_records,
+                ),
+            )
+        )
+
+    async def _collect(
+        self,
+        waiting: "set[asyncio.Task[calls.Answer | fetches.Failure]]",
+        fanout: plans.Fanout,
+        cutoff_ms: float,
+        deadline_ms: float,
+    ) -> _Parts:
+        """Waits for parts until the answer should go out."""
+        clock = self._tools.clock
+        parts = _Parts([], [])
+        while waiting:
+            now_ms = clock.now_ms()
+            is_enough = len(parts.answers) >= fanout.least_parts
+            is_hopeless = len(parts.answers) + len(waiting) < fanout.least_parts
+            until_ms = cutoff_ms if is_enough else deadline_ms
+            if is_hopeless or now_ms >= until_ms:
+                break
+            done, waiting = await asyncio.wait(
+                waiting,
+                timeout=(until_ms - now_ms) / _MS_PER_S,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            for task in done:
+                result = task.result()
+                if isinstance(result, calls.Answer) and result.is_success:
+                    parts.answers.append(result)
+                elif isinstance(result, fetches.Failure):
+                    parts.failures.append(result)
+        return parts
+
+    def _let_go(
+        self,
+        made: "dict[asyncio.Task[calls.Answer | fetches.Failure],"
+        " fetches.Fetch]",
+    ) -> None:
+        for task, fetch in made.items():
+            if not task.done():
+                fetch.let_go()
+                task.cancel()
+
+    def _fetch(
+        self,
+        call: calls.Call,
+        plan: plans.Plan,
+        service: str,
+        deadline_ms: float,
+        steps: list[fetches.Step],
+    ) -> fetches.Fetch:
+        budget = self._budgets.of(service)
+        budget.note_request(self._tools.clock.now_ms())
+        return fetches.Fetch(
+            self._tools,
+            call,
+            plan,
+            service,
+            deadline_ms,
+            self.pace_of(plan),
+            budget,
+            steps,
+        )
+
+    def _without_answer(
+        self, failures: list[fetches.Failure], is_pending: bool = False
+    ) -> outcomes.NotRun | outcomes.Unknown:
+        answered = any(failure.answer is not None for failure in failures)
+        late = any(
+            failure.reason is outcomes.Reason.DEADLINE for failure in failures
+        )
+        if is_pending or late:
+            return outcomes.Unknown(outcomes.Reason.DEADLINE)
+        if answered:
+            return outcomes.Unknown(outcomes.Reason.REJECTED)
+        ends = [end for failure in failures for end in failure.ends]
+        reason = failures[-1].reason if failures else outcomes.Reason.NO_REPLICA
+        return outcomes.of_attempts(ends, reason, RETRY_AFTER_MS)
--- /dev/null
+++ b/greengagedale/gateway/scores.py
@@ -0,0 +1,192 @@
+"""How each upstream is doing, as seen from this host, and which to choose."""
+
+from collections.abc import Collection, Iterable
+import random
+
+from greengagedale import clocks
+from greengagedale import outcomes
+from greengagedale.gateway import calls
+from greengagedale.gateway import entries
+
+# Weight of a new sample in the running mean of an upstream's slowness.
+_SMOOTHING = 0.3
+# A slow upstream's mean falls back by half in this time, so that it is tried
+# again; stragglers of the platform last 4 to 9 s.
+_HALF_LIFE_MS = 3000.0
+# Bounds of one sample, in multiples of the usual latency.
+_MOST_SLOWNESS = 20.0
+# What an upstream says of its load is used no longer than this.
+_LOAD_AGE_MS = 400.0
+# How much longer an attempt to another data centre takes, both ways.
+_CROSSING_MS = 3.0
+# An upstream that failed is avoided for this long, doubled for each failure
+# in a row up to the longest pause.
+_FIRST_PAUSE_MS = 150.0
+_LONGEST_PAUSE_MS = 2400.0
+_PAUSE_PENALTY_MS = 10_000.0
+# A cold upstream takes about so much longer (platform: 1.6 for 3 s).
+_COLD_FACTOR = 1.6
+# Scores this close are equal; one of them is drawn.
+_TIE_SHARE = 0.1
+
+
+class Score:
+    """One life of an upstream as this host sees it."""
+
+    __slots__ = (
+        "_as_of_ms",
+        "_load",
+        "_load_ms",
+        "_own_at_load",
+        "_slowness",
+        "cold_until_ms",
+        "failures",
+        "paused_until_ms",
+        "sent_ms",
+    )
+
+    def __init__(self, cold_until_ms: float, now_ms: float) -> None:
+        self.sent_ms: dict[int, float] = {}
+        self.failures = 0
+        self.paused_until_ms = float("-inf")
+        self.cold_until_ms = cold_until_ms
+        self._slowness = 1.0
+        self._as_of_ms = now_ms
+        self._load: calls.Load | None = None
+        self._load_ms = float("-inf")
+        self._own_at_load = 0
+
+    @property
+    def running(self) -> int:
+        """Attempts of this host that have no end yet."""
+        return len(self.sent_ms)
+
+    def slowness(self, now_ms: float) -> float:
+        """Returns how slow it is, in multiples of the usual latency."""
+        age = max(0.0, now_ms - self._as_of_ms) / _HALF_LIFE_MS
+        value = 1.0 + (self._slowness - 1.0) * 0.5**age
+        return value * _COLD_FACTOR if now_ms < self.cold_until_ms else value
+
+    def queue(self, now_ms: float) -> float:
+        """Returns how many requests it runs or holds, as far as is known."""
+        load = self._load
+        if load is None or now_ms - self._load_ms > _LOAD_AGE_MS:
+            return float(self.running)
+        others = max(0, load.running + load.waiting - self._own_at_load)
+        return float(self.running + others)
+
+    def note_latency(self, ratio: float, now_ms: float) -> None:
+        """Takes in an answer's latency over the usual one."""
+        sample = min(_MOST_SLOWNESS, ratio)
+        held = self.slowness(now_ms)
+        if now_ms < self.cold_until_ms:
+            held /= _COLD_FACTOR
+        self._slowness = held + _SMOOTHING * (sample - held)
+        self._as_of_ms = now_ms
+        self.failures = 0
+
+    def note_load(self, load: calls.Load, now_ms: float) -> None:
+        """Takes in what the upstream says of its load."""
+        self._load = load
+        self._load_ms = now_ms
+        self._own_at_load = self.running
+
+    def note_failure(self, now_ms: float) -> None:
+        """Takes in that an attempt failed for a reason of the upstream's."""
+        self.failures += 1
+        pause_ms = _FIRST_PAUSE_MS * 2 ** min(self.failures - 1, 8)
+        self.paused_until_ms = now_ms + min(_LONGEST_PAUSE_MS, pause_ms)
+
+    def oldest_ms(self, now_ms: float) -> float:
+        """Returns the age of the oldest attempt without an end."""
+        return now_ms - min(self.sent_ms.values()) if self.sent_ms else 0.0
+
+
+class Scores:
+    """The scores of all upstreams."""
+
+    def __init__(
+        self, data_centre: str, clock: clocks.Clock, rng: random.Random
+    ) -> None:
+        self._data_centre = data_centre
+        self._clock = clock
+        self._rng = rng
+        self._scores: dict[tuple[str, int], Score] = {}
+
+    def of(self, upstream: entries.Upstream) -> Score:
+        """Returns the score of an upstream's present life."""
+        score = self._scores.get(upstream.life)
+        if score is None:
+            now_ms = self._clock.now_ms()
+            score = Score(now_ms + upstream.warm_up_ms, now_ms)
+            self._scores[upstream.life] = score
+        return score
+
+    def forget_others(self, lives: Collection[tuple[str, int]]) -> None:
+        """Drops the scores of all lives but these and those in use."""
+        self._scores = {
+            life: score
+            for life, score in self._scores.items()
+            if life in lives or score.running
+        }
+
+    def is_paused(self, upstream: entries.Upstream) -> bool:
+        """Tells whether an upstream failed lately and is avoided."""
+        return self._clock.now_ms() < self.of(upstream).paused_until_ms
+
+    def choose(
+        self,
+        upstreams: Iterable[entries.Upstream],
+        usual_ms: float,
+        avoid: Collection[str] = (),
+    ) -> entries.Upstream | None:
+        """Chooses the upstream that is likely to answer first.
+
+        Args:
+            upstreams: To choose among.
+            usual_ms: Usual latency of such an attempt.
+            avoid: Names that are left out.
+        """
+        now_ms = self._clock.now_ms()
+        scored = [
+            (self._expected_ms(upstream, usual_ms, now_ms), upstream)
+            for upstream in upstreams
+            if upstream.name not in avoid
+        ]
+        if not scored:
+            return None
+        best_ms = min(expected_ms for expected_ms, _ in scored)
+        near = [
+            upstream
+            for expected_ms, upstream in scored
+            if expected_ms <= best_ms * (1.0 + _TIE_SHARE)
+        ]
+        return self._rng.choice(near)
+
+    def _expected_ms(
+        self, upstream: entries.Upstream, usual_ms: float, now_ms: float
+    ) -> float:
+        score = self.of(upstream)
+        waiting = max(0.0, score.queue(now_ms) + 1.0 - upstream.slots)
+        rounds = 1.0 + waiting / upstream.slots
+        crowd = 1.0 + 0.25 * score.queue(now_ms) / upstream.slots
+        expected_ms = usual_ms * score.slowness(now_ms) * rounds * crowd
+        if upstream.data_centre != self._data_centre:
+            expected_ms += _CROSSING_MS
+        # An attempt that is overdue shows that the upstream stands still.
+        overdue_ms = score.oldest_ms(now_ms) - 2.0 * usual_ms
+        expected_ms += max(0.0, overdue_ms)
+        if now_ms < score.paused_until_ms:
+            expected_ms += _PAUSE_PENALTY_MS * score.failures
+        return expected_ms
+
+
+def is_upstreams_fault(end: outcomes.AttemptEnd) -> bool:
+    """Tells whether an attempt's end speaks against its upstream."""
+    return end.reason in (
+        outcomes.Reason.CONNECT_FAILED,
+        outcomes.Reason.REPLY_LOST,
+        outcomes.Reason.NO_PROGRESS,
+        outcomes.Reason.NO_REPLICA,
+        outcomes.Reason.OVERLOADED,
+    )
--- /dev/null
+++ b/greengagedale/gateway/source.py
@@ -0,0 +1,96 @@
+"""Where configuration and upstreams come from, whatever its wire details."""
+
+import abc
+import dataclasses
+
+from greengagedale.gateway import entries
+from greengagedale.gateway import plans
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unavailable:
+    """The source did not answer, or refused to."""
+
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HistoryGone:
+    """The source no longer knows what changed since then; list again."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RoutesRead:
+    """The configuration as of a revision; None if there is none.
+
+    Attributes:
+        routes: The configuration, or None if it is missing or unreadable.
+        revision: Watch on from here.
+    """
+
+    routes: plans.Routes | None
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamsListed:
+    """All upstreams as of a revision."""
+
+    upstreams: list[entries.Upstream]
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamChange:
+    """One change of an upstream's entry.
+
+    Attributes:
+        name: Name of the entry.
+        upstream: What it says now; None if it is gone or unreadable.
+    """
+
+    name: str
+    upstream: entries.Upstream | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamsChanged:
+    """What changed up to a revision; may be empty."""
+
+    changes: list[UpstreamChange]
+    revision: int
+
+
+class Source(abc.ABC):
+    """The platform's store, as far as the gateway reads it.
+
+    Revisions rise with each change of anything in the store, and mean the
+    same on every host.
+    """
+
+    @abc.abstractmethod
+    async def list_upstreams(self) -> UpstreamsListed | Unavailable:
+        """Reads all upstreams."""
+
+    @abc.abstractmethod
+    async def watch_upstreams(
+        self, revision: int, wait_ms: int
+    ) -> UpstreamsChanged | HistoryGone | Unavailable:
+        """Waits for changes after a revision, at most for the given time."""
+
+    @abc.abstractmethod
+    async def read_routes(self) -> RoutesRead | Unavailable:
+        """Reads the configuration."""
+
+    @abc.abstractmethod
+    async def watch_routes(
+        self, revision: int, wait_ms: int
+    ) -> RoutesRead | HistoryGone | Unavailable:
+        """Waits for a change after a revision, at most for the given time.
+
+        Without a change the routes are None.
+        """
+
+    @abc.abstractmethod
+    async def close(self) -> None:
+        """Closes all connections."""
--- /dev/null
+++ b/greengagedale/http1/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP/1.1 over the parser library, byte for byte, on both sides."""
--- /dev/null
+++ b/greengagedale/http1/client.py
@@ -0,0 +1,249 @@
+"""One client connection of HTTP/1.1 that carries one request at a time.
+
+An answer counts only if it is whole: framed, or ended by an orderly close.
+What comes at any other moment, or after an answer, belongs to no request; the
+connection is then closed and never used again.
+"""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+from typing import Self, cast
+
+import httptools
+
+from greengagedale.http1 import messages
+
+Accept = Callable[[messages.Reply], bool]
+
+_INFORMATIONAL = range(100, 200)
+_BODILESS = frozenset({204, 304})
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Broken:
+    """No whole answer came.
+
+    Attributes:
+        detail: What ended it.
+        sent: Whether a byte of the request may have reached the server.
+    """
+
+    detail: str
+    sent: bool
+
+
+class Connection(asyncio.Protocol):
+    """A connection to a server.
+
+    Attributes:
+        opened_ms: When it was opened, by the clock of the pool.
+        used_ms: When its last answer came.
+        keep_alive_ms: How long the server keeps it while idle, if it says so.
+        requests: Requests that were sent on it.
+    """
+
+    def __init__(self) -> None:
+        self.opened_ms = 0.0
+        self.used_ms = 0.0
+        self.keep_alive_ms: float | None = None
+        self.requests = 0
+        self._transport: asyncio.Transport | None = None
+        self._parser: httptools.HttpResponseParser | None = None
+        self._future: asyncio.Future[messages.Reply | Broken] | None = None
+        self._accept: Accept = _accept_any
+        self._is_head = False
+        self._is_spoilt = False
+        self._done: messages.Reply | None = None
+        self._begin()
+
+    @classmethod
+    async def open(cls, address: str, port: int, timeout_s: float) -> Self:
+        """Connects.
+
+        Raises:
+            OSError: The connection was refused or took too long
+                (`TimeoutError`).
+        """
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout(timeout_s):
+            _, connection = await loop.create_connection(cls, address, port)
+        return connection
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether another request may be sent on it."""
+        return (
+            self._transport is not None
+            and not self._transport.is_closing()
+            and not self._is_spoilt
+            and self._future is None
+        )
+
+    async def exchange(
+        self,
+        data: bytes,
+        accept: Accept | None = None,
+        is_head: bool = False,
+    ) -> messages.Reply | Broken:
+        """Sends a request and returns its answer.
+
+        Args:
+            data: The whole request.
+            accept: Tells whether an answer belongs to this request; others
+                are passed over and the wait goes on.
+            is_head: Whether the answer has no body whatever it says.
+
+        Cancelling it closes the connection.
+        """
+        if not self.is_usable or self._transport is None:
+            return Broken("the connection is closed", sent=False)
+        future = asyncio.get_running_loop().create_future()
+        self._future = future
+        self._accept = accept or _accept_any
+        self._is_head = is_head
+        self._parser = httptools.HttpResponseParser(self)
+        self._begin()
+        self.requests += 1
+        self._transport.write(data)
+        try:
+            return await future
+        except asyncio.CancelledError:
+            self.abort()
+            raise
+
+    def abort(self) -> None:
+        """Closes the connection at once."""
+        self._is_spoilt = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    def close(self) -> None:
+        """Closes the connection."""
+        self._is_spoilt = True
+        if self._transport is not None:
+            self._transport.close()
+
+    # Called by the event loop.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keeps the transport."""
+        # The loop's own class does not derive from the library's.
+        self._transport = cast(asyncio.Transport, transport)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Ends the request that waits, if there is one."""
+        self._is_spoilt = True
+        self._finish(Broken(repr(exc) if exc else "closed early", sent=True))
+
+    def eof_received(self) -> bool:
+        """Ends an answer that has no length."""
+        self._is_spoilt = True
+        if self._until_eof and self._in_body and self._future is not None:
+            self._complete()
+            self._settle()
+        return False
+
+    def data_received(self, data: bytes) -> None:
+        """Parses input."""
+        if self._future is None or self._parser is None:
+            self.close()
+            return
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
+            self._is_spoilt = True
+            if self._done is None:
+                self._finish(Broken(f"not HTTP: {exc!r}", sent=True))
+                self.close()
+                return
+        self._settle()
+
+    # Called by the parser.
+
+    def on_message_begin(self) -> None:
+        """Starts an answer."""
+        if self._done is not None:
+            self._is_spoilt = True
+        self._begin()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Takes a header."""
+        self._headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        """Finds out how the body is framed."""
+        assert self._parser is not None
+        self._status = self._parser.get_status_code()
+        names = {name for name, _ in self._headers}
+        bodiless = self._status in _BODILESS or self._status in _INFORMATIONAL
+        self._until_eof = not bodiless and names.isdisjoint(
+            (b"content-length", b"transfer-encoding")
+        )
+        self._in_body = True
+        if self._is_head and self._status not in _INFORMATIONAL:
+            self._is_spoilt = True
+            self._complete()
+
+    def on_body(self, body: bytes) -> None:
+        """Takes a piece of the body."""
+        self._body += body
+
+    def on_message_complete(self) -> None:
+        """Takes a whole answer."""
+        assert self._parser is not None
+        if self._status in _INFORMATIONAL:
+            self._begin()
+            return
+        if not self._parser.should_keep_alive():
+            self._is_spoilt = True
+        self._complete()
+
+    def _begin(self) -> None:
+        self._status = 0
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._body = bytearray()
+        self._until_eof = False
+        self._in_body = False
+
+    def _complete(self) -> None:
+        if self._done is not None:
+            return
+        reply = messages.Reply(
+            self._status,
+            tuple(self._headers),
+            bytes(self._body),
+            not self._until_eof,
+        )
+        self._in_body = False
+        if self._accept(reply):
+            self._done = reply
+        else:
+            # An answer to an earlier request; this one's is still to come,
+            # but the connection has shown that it can't be trusted.
+            self._is_spoilt = True
+            self._begin()
+
+    def _settle(self) -> None:
+        """Hands out an answer after all input so far is parsed."""
+        if self._done is None:
+            return
+        done, self._done = self._done, None
+        transport = self._transport
+        if transport is not None and transport.get_write_buffer_size() > 0:
+            # Answered before the request was sent; the rest of its body is
+            # not followed by another request.
+            self._is_spoilt = True
+        self._finish(done)
+        if self._is_spoilt:
+            self.close()
+
+    def _finish(self, result: messages.Reply | Broken) -> None:
+        future, self._future = self._future, None
+        if future is not None and not future.done():
+            future.set_result(result)
+
+
+def _accept_any(reply: messages.Reply) -> bool:
+    del reply
+    return True
--- /dev/null
+++ b/greengagedale/platform/callers.py
@@ -0,0 +1,125 @@
+"""What callers send on this platform, and what they are answered."""
+
+import urllib.parse
+
+import msgspec
+
+from greengagedale import outcomes
+from greengagedale.gateway import calls
+from greengagedale.gateway import edge
+from greengagedale.http1 import messages
+
+_REQUEST_ID = b"request-id"
+# The time that the client still waits, not a point in time.
+_TIME_LEFT = b"deadline-ms"
+_PATH_RESOLVE = "/-/resolve"
+_PATH_READY = "/-/ready"
+_STATUS_OK = 200
+_STATUS_REFUSED = 503
+_STATUS_UNKNOWN = 502
+_STATUS_LATE = 504
+_MS_PER_S = 1000.0
+_MOST_DIGITS = 12
+_JSON = (b"Content-Type", b"application/json")
+
+
+class PlatformCallers(edge.CallerCodec):
+    """The codec of callers on this platform."""
+
+    def decode_call(
+        self, request: messages.Request
+    ) -> calls.Call | edge.Malformed:
+        """Decodes a caller's request."""
+        request_id = request.header(_REQUEST_ID)
+        host = request.header(b"host")
+        if not request_id:
+            return edge.Malformed("the request has no Request-Id")
+        if not host:
+            return edge.Malformed("the request has no Host")
+        path, _, _ = request.target.partition(b"?")
+        if not path.startswith(b"/"):
+            return edge.Malformed("the request's target is not a path")
+        left = request.header(_TIME_LEFT)
+        if left is not None and not (
+            left.isdigit() and len(left) <= _MOST_DIGITS
+        ):
+            return edge.Malformed(
+                "Deadline-Ms is not a whole number of milliseconds"
+            )
+        return calls.Call(
+            request_id.decode("latin-1"),
+            host.decode("latin-1").partition(":")[0].lower(),
+            path.decode("latin-1"),
+            request,
+            request.received_ms,
+            None if left is None else request.received_ms + int(left),
+        )
+
+    def encode_answer(self, answer: calls.Answer) -> messages.Response:
+        """Passes an upstream's answer on."""
+        return messages.Response(answer.status, answer.headers, answer.body)
+
+    def encode_gathered(self, gathered: calls.Gathered) -> messages.Response:
+        """Encodes the merged answer of a fan-out."""
+        return messages.Response(
+            _STATUS_OK,
+            (
+                (
+                    b"Part-Seals",
+                    ", ".join(gathered.signatures).encode("latin-1"),
+                ),
+                (b"Parts-Missing", b"%d" % gathered.missing),
+                (b"Content-Type", b"application/octet-stream"),
+            ),
+            gathered.body,
+        )
+
+    def encode_failure(
+        self,
+        outcome: outcomes.NotRun | outcomes.Unknown,
+    ) -> messages.Response:
+        """Encodes a request that was not run, or that may have run."""
+        body = msgspec.json.encode(
+            {"error": str(outcome.reason), "outcome": outcome.tag}
+        )
+        if isinstance(outcome, outcomes.NotRun):
+            retry_after = b"%.3f" % (outcome.retry_after_ms / _MS_PER_S)
+            return messages.Response(
+                _STATUS_REFUSED, (_JSON, (b"Retry-After", retry_after)), body
+            )
+        is_late = outcome.reason is outcomes.Reason.DEADLINE
+        return messages.Response(
+            _STATUS_LATE if is_late else _STATUS_UNKNOWN, (_JSON,), body
+        )
+
+    def encode_error(self, status: int, detail: str) -> messages.Response:
+        """Encodes an error that says what is wrong with a request."""
+        return messages.Response(
+            status, (_JSON,), msgspec.json.encode({"error": detail})
+        )
+
+    def is_resolve(self, request: messages.Request) -> bool:
+        """Tells whether a caller asks where to connect."""
+        return _path_of(request) == _PATH_RESOLVE
+
+    def is_ready_check(self, request: messages.Request) -> bool:
+        """Tells whether the platform asks if the host is ready."""
+        return _path_of(request) == _PATH_READY
+
+    def data_centre_asked(self, request: messages.Request) -> str | None:
+        """Returns the data centre of a caller that asks where to connect."""
+        _, _, query = request.target.decode("latin-1").partition("?")
+        return next(iter(urllib.parse.parse_qs(query).get("zone", [])), None)
+
+    def encode_located(
+        self, endpoints: list[str], ttl_ms: float
+    ) -> messages.Response:
+        """Encodes where callers should connect."""
+        body = {"addrs": endpoints, "ttl_s": ttl_ms / _MS_PER_S}
+        return messages.Response(
+            _STATUS_OK, (_JSON,), msgspec.json.encode(body)
+        )
+
+
+def _path_of(request: messages.Request) -> str:
+    return request.target.decode("latin-1").partition("?")[0]
--- /dev/null
+++ b/greengagedale/platform/documents.py
@@ -0,0 +1,164 @@
+"""What lies in the platform's store: configurations and upstreams."""
+
+import logging
+from typing import Any
+
+import msgspec
+
+from greengagedale.gateway import entries
+from greengagedale.gateway import plans
+from greengagedale.http1 import server
+
+log = logging.getLogger(__name__)
+
+_STATE_READY = "ready"
+_STATE_DRAINING = "draining"
+_TYPE_IDEMPOTENT = "idempotent"
+
+
+class _Route(msgspec.Struct):
+    name: str
+    host: str
+    # The request's path begins with it; the longest match wins.
+    pathPrefix: str  # noqa: N815
+    # Says only whether requests may run more than once.
+    type: str
+    timeoutMs: float  # noqa: N815
+    # Not a deadline: an answer within it is worth most.
+    targetLatencyMs: float  # noqa: N815
+    # 0 is the highest.
+    priority: int = 0
+    # Upstreams that may run one request, for each shard of a fan-out.
+    maxAttempts: int = 1  # noqa: N815
+    service: str | None = None
+    split: list["_Share"] | None = None
+    # The shards of a fan-out; each is a service.
+    gather: list[str] | None = None
+    # Records wanted, not shards.
+    topK: int = 0  # noqa: N815
+    # A share of the shards, 0 to 1.
+    minCoverage: float = 0.0  # noqa: N815
+
+
+class _Share(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Service(msgspec.Struct):
+    name: str
+    # Of each upstream, from all hosts together.
+    maxConnections: int  # noqa: N815
+
+
+class _Limits(msgspec.Struct):
+    maxHeaderBytes: int  # noqa: N815
+    maxBodyBytes: int  # noqa: N815
+    # From the first byte of a request to the end of its headers.
+    headerTimeoutMs: float  # noqa: N815
+    # Between two requests on a connection.
+    idleTimeoutMs: float  # noqa: N815
+
+
+class _Configuration(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits | None = None
+
+
+class _Entry(msgspec.Struct):
+    service: str
+    address: str
+    zone: str
+    slots: int
+    state: str
+    sequence: int
+    # Start of this life; a restart may keep the entry's name.
+    born: int = 0
+    # How much longer it is slow, not how long it has been up.
+    warmupLeftMs: float = 0.0  # noqa: N815
+
+
+def decode_routes(document: Any) -> plans.Routes | None:
+    """Decodes a configuration; None, with a log line, if it can't be read."""
+    try:
+        read = msgspec.convert(document, _Configuration)
+    except msgspec.ValidationError as error:
+        log.error("unreadable configuration", extra={"reason": str(error)})
+        return None
+    limits = read.limits
+    return plans.Routes(
+        read.version,
+        tuple(_plan(route) for route in read.routes),
+        tuple(
+            plans.ServiceTerms(service.name, service.maxConnections)
+            for service in read.services
+        ),
+        server.Limits()
+        if limits is None
+        else server.Limits(
+            limits.maxHeaderBytes,
+            limits.maxBodyBytes,
+            limits.headerTimeoutMs,
+            limits.idleTimeoutMs,
+        ),
+    )
+
+
+def decode_upstream(name: str, document: Any) -> entries.Upstream | None:
+    """Decodes an upstream's entry; None, with a log line, if it is no good."""
+    try:
+        read = msgspec.convert(document, _Entry)
+        address, port = _endpoint(read.address)
+        if read.state not in (_STATE_READY, _STATE_DRAINING):
+            raise ValueError(f"unknown state {read.state!r}")
+        if read.slots < 1 or not read.service:
+            raise ValueError("no slots or no service")
+    except ValueError as error:
+        log.warning(
+            "unusable upstream entry",
+            extra={"upstream": name, "reason": str(error)},
+        )
+        return None
+    return entries.Upstream(
+        name,
+        read.service,
+        address,
+        port,
+        read.zone,
+        read.slots,
+        read.state == _STATE_DRAINING,
+        read.born,
+        read.sequence,
+        read.warmupLeftMs,
+    )
+
+
+def _plan(route: _Route) -> plans.Plan:
+    shares = route.split or []
+    if route.service is not None:
+        shares = [_Share(route.service, 1.0)]
+    fanout = route.gather and plans.Fanout(
+        tuple(route.gather), route.topK, route.minCoverage
+    )
+    return plans.Plan(
+        route.name,
+        route.host.lower(),
+        route.pathPrefix,
+        # Unknown types are taken for the one that promises less.
+        route.type == _TYPE_IDEMPOTENT,
+        route.timeoutMs,
+        route.targetLatencyMs,
+        route.priority,
+        max(1, route.maxAttempts),
+        tuple(plans.Target(share.service, share.weight) for share in shares),
+        fanout or None,
+    )
+
+
+def _endpoint(text: str) -> tuple[str, int]:
+    address, _, port = text.rpartition(":")
+    if not address or not port.isdigit() or not 0 < int(port) < 1 << 16:
+        raise ValueError(f"not an address with a port: {text!r}")
+    return address, int(port)
--- /dev/null
+++ b/greengagedale/platform/link.py
@@ -0,0 +1,83 @@
+"""Sends attempts to upstreams on this platform."""
+
+from collections.abc import Callable
+
+from greengagedale import outcomes
+from greengagedale.gateway import calls
+from greengagedale.gateway import entries
+from greengagedale.gateway import pools as pools_lib
+from greengagedale.http1 import client
+from greengagedale.http1 import messages
+from greengagedale.platform import upstreams
+
+_KEEP_ALIVE = b"keep-alive"
+_TIMEOUT_FIELD = b"timeout="
+_MS_PER_S = 1000.0
+# A request that must not run twice is lost if its connection turns out to be
+# closed, so it takes only a connection that worked this short a time ago.
+_RECENT_MS = 1000.0
+_ANY_AGE_MS = float("inf")
+
+
+class PlatformLink(calls.UpstreamLink):
+    """Carries attempts over HTTP/1.1, one at a time on a connection."""
+
+    def __init__(
+        self,
+        pools: pools_lib.Pools,
+        most_connections: Callable[[entries.Upstream], int],
+    ) -> None:
+        """Makes a link.
+
+        Args:
+            pools: The connections.
+            most_connections: How many this host may hold to an upstream.
+        """
+        self._pools = pools
+        self._most_connections = most_connections
+
+    async def send(
+        self, attempt: calls.Attempt
+    ) -> calls.Answer | outcomes.AttemptEnd:
+        """Sends an attempt and returns how it ended."""
+        upstream = attempt.upstream
+        pool = self._pools.of(upstream, self._most_connections(upstream))
+        age_ms = _ANY_AGE_MS if attempt.is_repeatable else _RECENT_MS
+        try:
+            connection = await pool.take(age_ms)
+        except OSError:
+            return outcomes.AttemptEnd(
+                outcomes.Reason.CONNECT_FAILED, written=False, refused=False
+            )
+        try:
+            reply = await connection.exchange(
+                upstreams.encode(attempt),
+                lambda reply: upstreams.belongs(attempt.call, reply),
+                attempt.call.message.method == b"HEAD",
+            )
+            if isinstance(reply, messages.Reply):
+                _note_keep_alive(connection, reply)
+        finally:
+            pool.give_back(connection)
+        if isinstance(reply, client.Broken):
+            return outcomes.AttemptEnd(
+                outcomes.Reason.REPLY_LOST, written=reply.sent, refused=False
+            )
+        return upstreams.decode(attempt.call, reply)
+
+
+def _note_keep_alive(
+    connection: client.Connection, reply: messages.Reply
+) -> None:
+    told = reply.header(_KEEP_ALIVE)
+    if told is None:
+        return
+    fields = (field.strip() for field in told.split(b","))
+    values = (
+        field.removeprefix(_TIMEOUT_FIELD)
+        for field in fields
+        if field.startswith(_TIMEOUT_FIELD)
+    )
+    value = next(values, b"")
+    if value.isdigit():
+        connection.keep_alive_ms = int(value) * _MS_PER_S
--- /dev/null
+++ b/greengagedale/platform/store.py
@@ -0,0 +1,243 @@
+"""The client of the platform's store."""
+
+import asyncio
+import logging
+from typing import Any, Self
+
+import msgspec
+
+from greengagedale import clocks
+from greengagedale import metrics as metrics_lib
+from greengagedale.gateway import source
+from greengagedale.http1 import client
+from greengagedale.http1 import messages
+from greengagedale.platform import documents
+
+log = logging.getLogger(__name__)
+
+_UPSTREAMS = "servers"
+_CONFIGURATION = "config"
+_NEWEST_CONFIGURATION = "main"
+_STATUS_OK = 200
+_STATUS_MISSING = 404
+_STATUS_HISTORY_GONE = 410
+_MS_PER_S = 1000.0
+# A watch that found nothing answers when its wait is over; slow stores were
+# seen to take about 300 ms more.
+_WATCH_GRACE_MS = 700.0
+_MOST_IDLE = 2
+
+
+class _Event(msgspec.Struct):
+    # Unlike its name, a whole object: its metadata, and the document in spec.
+    object: dict[str, Any]
+    deleted: bool = False
+
+
+class _Watched(msgspec.Struct):
+    events: list[_Event]
+    storeRevision: int  # noqa: N815
+
+
+class _Listed(msgspec.Struct):
+    items: list[dict[str, Any]]
+    storeRevision: int  # noqa: N815
+    # There are more items; ask again for those after the last name.
+    more: bool = False
+
+
+class PlatformStore(source.Source):
+    """Reads configuration and upstreams from the platform's store."""
+
+    def __init__(
+        self,
+        address: str,
+        port: int,
+        timeout_ms: float,
+        metrics: metrics_lib.Metrics,
+        clock: clocks.Clock,
+    ) -> None:
+        self._address = address
+        self._port = port
+        self._timeout_ms = timeout_ms
+        self._metrics = metrics
+        self._clock = clock
+        self._idle: list[client.Connection] = []
+
+    @classmethod
+    def from_config(
+        cls,
+        endpoint: str,
+        timeout_ms: float,
+        metrics: metrics_lib.Metrics,
+        clock: clocks.Clock,
+    ) -> Self:
+        """Makes a client.
+
+        Args:
+            endpoint: IP number and port of the store.
+            timeout_ms: Longest time for a call, watches apart.
+            metrics: Where calls are counted.
+            clock: Clock of the process.
+        """
+        address, _, port = endpoint.rpartition(":")
+        return cls(address, int(port), timeout_ms, metrics, clock)
+
+    async def list_upstreams(
+        self,
+    ) -> source.UpstreamsListed | source.Unavailable:
+        """Reads all upstreams, page by page."""
+        found: list[dict[str, Any]] = []
+        after = ""
+        while True:
+            query = f"?after={after}" if after else ""
+            got = await self._get("list", _UPSTREAMS + query, _Listed)
+            if isinstance(got, source.Unavailable | source.HistoryGone):
+                return source.Unavailable("the list can't be read")
+            if got is None:
+                return source.Unavailable("the store has no such kind")
+            found += got.items
+            if not got.more or not got.items:
+                break
+            after = _name_of(got.items[-1])
+        decoded = (
+            documents.decode_upstream(_name_of(item), item.get("spec"))
+            for item in found
+        )
+        # A change between two pages is seen again by the next watch.
+        upstreams = [upstream for upstream in decoded if upstream]
+        return source.UpstreamsListed(upstreams, got.storeRevision)
+
+    async def watch_upstreams(
+        self, revision: int, wait_ms: int
+    ) -> source.UpstreamsChanged | source.HistoryGone | source.Unavailable:
+        """Waits for changes after a revision, at most for the given time."""
+        got = await self._watch(_UPSTREAMS, revision, wait_ms)
+        if not isinstance(got, _Watched):
+            return got
+        changes = [_change(event) for event in got.events]
+        return source.UpstreamsChanged(changes, got.storeRevision)
+
+    async def read_routes(self) -> source.RoutesRead | source.Unavailable:
+        """Reads the configuration."""
+        got = await self._get("list", _CONFIGURATION, _Listed)
+        if isinstance(got, source.Unavailable | source.HistoryGone):
+            return source.Unavailable("the configuration can't be read")
+        if got is None:
+            return source.Unavailable("the store has no such kind")
+        return _routes_read(got.items, got.storeRevision)
+
+    async def watch_routes(
+        self, revision: int, wait_ms: int
+    ) -> source.RoutesRead | source.HistoryGone | source.Unavailable:
+        """Waits for a change after a revision, at most for the given time."""
+        got = await self._watch(_CONFIGURATION, revision, wait_ms)
+        if not isinstance(got, _Watched):
+            return got
+        items = [event.object for event in got.events if not event.deleted]
+        return _routes_read(items, got.storeRevision)
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        idle, self._idle = self._idle, []
+        for connection in idle:
+            connection.close()
+
+    async def _watch(
+        self, kind: str, revision: int, wait_ms: int
+    ) -> _Watched | source.HistoryGone | source.Unavailable:
+        got = await self._get(
+            "watch",
+            f"{kind}?watch={revision}&waitMs={wait_ms}",
+            _Watched,
+            wait_ms + _WATCH_GRACE_MS,
+        )
+        return source.Unavailable("missing") if got is None else got
+
+    async def _get(
+        self,
+        operation: str,
+        path: str,
+        reply_type: type[Any],
+        timeout_ms: float | None = None,
+    ) -> Any:
+        data = messages.encode_request(
+            b"GET",
+            b"/-/objects/" + path.encode(),
+            ((b"host", f"{self._address}:{self._port}".encode()),),
+            b"",
+        )
+        try:
+            async with asyncio.timeout(
+                (timeout_ms or self._timeout_ms) / _MS_PER_S
+            ):
+                reply = await self._exchange(data)
+        except OSError as error:
+            reply = client.Broken(repr(error), sent=True)
+        return self._result(operation, reply, reply_type)
+
+    def _result(
+        self,
+        operation: str,
+        reply: messages.Reply | client.Broken,
+        reply_type: type[Any],
+    ) -> Any:
+        if isinstance(reply, client.Broken):
+            self._count(operation, "no_reply")
+            return source.Unavailable(reply.detail)
+        self._count(operation, str(reply.status))
+        if reply.status == _STATUS_MISSING:
+            return None
+        if reply.status == _STATUS_HISTORY_GONE:
+            return source.HistoryGone()
+        if reply.status != _STATUS_OK:
+            return source.Unavailable(f"status {reply.status}")
+        try:
+            return msgspec.json.decode(reply.body, type=reply_type)
+        except msgspec.DecodeError as error:
+            return source.Unavailable(f"unreadable answer: {error}")
+
+    async def _exchange(self, data: bytes) -> messages.Reply | client.Broken:
+        connection = self._take()
+        if connection is None:
+            connection = await client.Connection.open(
+                self._address, self._port, self._timeout_ms / _MS_PER_S
+            )
+        reply = await connection.exchange(data)
+        if connection.is_usable and len(self._idle) < _MOST_IDLE:
+            self._idle.append(connection)
+        else:
+            connection.close()
+        return reply
+
+    def _take(self) -> client.Connection | None:
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_usable:
+                return connection
+        return None
+
+    def _count(self, operation: str, result: str) -> None:
+        self._metrics.platform_calls.labels(operation, result).inc()
+
+
+def _name_of(item: dict[str, Any]) -> str:
+    meta = item.get("meta")
+    name = meta.get("name") if isinstance(meta, dict) else None
+    return name if isinstance(name, str) else ""
+
+
+def _change(event: _Event) -> source.UpstreamChange:
+    name = _name_of(event.object)
+    if event.deleted:
+        return source.UpstreamChange(name, None)
+    decoded = documents.decode_upstream(name, event.object.get("spec"))
+    return source.UpstreamChange(name, decoded)
+
+
+def _routes_read(
+    items: list[dict[str, Any]], revision: int
+) -> source.RoutesRead:
+    newest = [i for i in items if _name_of(i) == _NEWEST_CONFIGURATION]
+    routes = documents.decode_routes(newest[-1].get("spec")) if newest else None
+    return source.RoutesRead(routes, revision)
--- /dev/null
+++ b/greengagedale/platform/upstreams.py
@@ -0,0 +1,118 @@
+"""What upstreams are sent on this platform, and what they answer."""
+
+from greengagedale import outcomes
+from greengagedale.gateway import calls
+from greengagedale.http1 import messages
+
+_REQUEST_ID = b"request-id"
+_TIME_LEFT = b"deadline-ms"
+# Any other upstream that has this address now refuses the request.
+_EXPECTED_UPSTREAM = b"target-instance"
+_SIGNATURE = b"server-seal"
+_NOT_RUN = b"not-executed"
+_LOAD = b"server-load"
+_ENCODING = b"content-encoding"
+_STATUS_OTHER_UPSTREAM = 421
+_STATUS_SUCCESS = 2
+_LOAD_FIELDS = 3
+# These concern one connection only.
+_HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    }
+)
+
+
+def encode(attempt: calls.Attempt) -> bytes:
+    """Encodes an attempt: the caller's request, with the time left."""
+    message = attempt.call.message
+    headers = (
+        *_end_to_end(message.headers, (_TIME_LEFT, _EXPECTED_UPSTREAM)),
+        (_TIME_LEFT, b"%d" % max(1, int(attempt.left_ms))),
+        (_EXPECTED_UPSTREAM, attempt.upstream.name.encode("latin-1")),
+    )
+    return messages.encode_request(
+        message.method, message.target, headers, message.body
+    )
+
+
+def belongs(call: calls.Call, reply: messages.Reply) -> bool:
+    """Tells whether an answer may be to this request.
+
+    Refusals may come without the request's id.
+    """
+    request_id = reply.header(_REQUEST_ID)
+    return request_id is None or request_id.decode("latin-1") == call.request_id
+
+
+def decode(
+    call: calls.Call, reply: messages.Reply
+) -> calls.Answer | outcomes.AttemptEnd:
+    """Decodes an upstream's answer to a request."""
+    if reply.header(_NOT_RUN) is not None:
+        return _refused(outcomes.Reason.OVERLOADED)
+    if reply.status == _STATUS_OTHER_UPSTREAM:
+        return _refused(outcomes.Reason.NO_REPLICA)
+    signature = reply.header(_SIGNATURE)
+    is_success = reply.status // 100 == _STATUS_SUCCESS
+    if is_success and not _is_trustworthy(call, reply, signature):
+        return outcomes.AttemptEnd(
+            outcomes.Reason.REJECTED, written=True, refused=False
+        )
+    return calls.Answer(
+        reply.status,
+        None if signature is None else signature.decode("latin-1"),
+        _end_to_end(reply.headers),
+        reply.body,
+        _load(reply),
+        reply.header(b"connection") == b"close",
+    )
+
+
+def _is_trustworthy(
+    call: calls.Call, reply: messages.Reply, signature: bytes | None
+) -> bool:
+    request_id = reply.header(_REQUEST_ID)
+    return (
+        bool(signature)
+        and request_id is not None
+        and request_id.decode("latin-1") == call.request_id
+        and reply.header(_ENCODING) is None
+    )
+
+
+def _refused(reason: outcomes.Reason) -> outcomes.AttemptEnd:
+    return outcomes.AttemptEnd(reason, written=True, refused=True)
+
+
+def _end_to_end(
+    headers: messages.Headers, more: tuple[bytes, ...] = ()
+) -> messages.Headers:
+    named = {
+        name.strip().lower()
+        for key, value in headers
+        if key == b"connection"
+        for name in value.split(b",")
+    }
+    dropped = _HOP_BY_HOP.union(named, more)
+    return tuple(item for item in headers if item[0] not in dropped)
+
+
+def _load(reply: messages.Reply) -> calls.Load | None:
+    told = reply.header(_LOAD)
+    if told is None:
+        return None
+    fields = told.split(b",")
+    if len(fields) != _LOAD_FIELDS or not all(
+        field.strip().isdigit() for field in fields
+    ):
+        return None
+    return calls.Load(*(int(field) for field in fields))
