An answer without a length that ends with a reset is not whole

Ruled out: the body's framing (only answers without a length were affected) and connection_lost, which gets no error either; the socket's pending error is ECONNRESET exactly on those that were cut.

--- a/greengagedale/http1/client.py
+++ b/greengagedale/http1/client.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections.abc import Callable
 import dataclasses
+import socket
 from typing import Self, cast
 
 import httptools
@@ -139,7 +140,8 @@
     def eof_received(self) -> bool:
         """Ends an answer that has no length."""
         self._is_spoilt = True
-        if self._until_eof and self._in_body and self._future is not None:
+        is_whole = self._until_eof and self._in_body and not self._was_reset()
+        if is_whole and self._future is not None:
             self._complete()
             self._settle()
         return False
@@ -199,6 +201,19 @@
             self._is_spoilt = True
         self._complete()
 
+    def _was_reset(self) -> bool:
+        """Tells whether the end of the input is that of a reset.
+
+        The loop may report a reset that follows data as an orderly end; the
+        socket's pending error tells them apart.
+        """
+        assert self._transport is not None
+        held = self._transport.get_extra_info("socket")
+        return bool(
+            held is not None
+            and held.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        )
+
     def _begin(self) -> None:
         self._status = 0
         self._headers: list[tuple[bytes, bytes]] = []
