--- /dev/null
+++ b/standins/users_upstream.py
@@ -0,0 +1,85 @@
+"""A back end of the users' platform, by its published protocol."""
+
+import asyncio
+import collections
+
+from greengagedale import clocks
+from greengagedale.http1 import messages
+from greengagedale.http1 import server
+
+_MS_PER_S = 1000.0
+
+
+class UsersUpstream(server.Handler):
+    """A back end that runs any request and can be made to misbehave.
+
+    Attributes:
+        name: Its id; requests for another one are refused.
+        mode: `ok`, `full` (refuses), `failing` (runs and fails), `unsigned`
+            (no signature), `foreign` (answers with another request's id) or
+            `lost` (runs and closes the connection).
+        delay_ms: Time that a request runs.
+        runs: Requests that it ran, by id.
+        requests: All requests that came.
+    """
+
+    def __init__(self, name: str, body: bytes = b"") -> None:
+        self.name = name
+        self.body = body
+        self.mode = "ok"
+        self.delay_ms = 0.0
+        self.runs: collections.Counter[str] = collections.Counter()
+        self.requests: list[messages.Request] = []
+        self.port = 0
+        self._server = server.Server(self, clocks.MonotonicClock())
+
+    async def start(self, address: str, port: int) -> None:
+        """Begins to listen."""
+        self.port = port
+        await self._server.start(address, port)
+
+    def close(self) -> None:
+        """Stops at once."""
+        self._server.close()
+
+    def entry(
+        self,
+        service: str,
+        address: str,
+        state: str = "ready",
+        sequence: int = 1,
+    ) -> dict[str, object]:
+        """Returns what it writes to the store."""
+        return {
+            "service": service,
+            "address": f"{address}:{self.port}",
+            "zone": "here",
+            "version": "v1",
+            "slots": 4,
+            "state": state,
+            "warmupLeftMs": 0,
+            "sequence": sequence,
+            "born": 1,
+        }
+
+    async def handle(self, request: messages.Request) -> messages.Response:
+        """Answers a request."""
+        self.requests.append(request)
+        expected = (request.header(b"target-instance") or b"").decode()
+        if expected != self.name:
+            return messages.Response(421)
+        if self.mode == "full":
+            return messages.Response(503, ((b"Not-Executed", b"1"),))
+        request_id = (request.header(b"request-id") or b"").decode()
+        self.runs[request_id] += 1
+        await asyncio.sleep(self.delay_ms / _MS_PER_S)
+        if self.mode == "lost":
+            for connection in list(self._server.connections):
+                connection.close()
+        told = "another" if self.mode == "foreign" else request_id
+        headers = [(b"Request-Id", told.encode()), (b"Server-Load", b"1,0,4")]
+        if self.mode != "unsigned":
+            signature = f"{self.name}.{request_id}"
+            headers.append((b"Server-Seal", signature.encode()))
+        status = 500 if self.mode == "failing" else 200
+        return messages.Response(status, tuple(headers), self.body)
--- /dev/null
+++ b/tests/gateway/test_fleet.py
@@ -0,0 +1,112 @@
+"""Who lives, who is handed out, who reads the store."""
+
+import pytest
+
+from greengagedale import clocks
+from greengagedale.gateway import fleet as fleet_lib
+
+
+@pytest.fixture
+def clock():
+    return clocks.ManualClock(1000.0)
+
+
+@pytest.fixture
+def fleet(clock):
+    return fleet_lib.Fleet("m", clock)
+
+
+def state(name, beat=1, incarnation=1, **fields):
+    values = {
+        "data_centre": "here",
+        "caller_endpoint": f"{name}:1",
+        "peer_endpoint": f"{name}:2",
+        "is_ready": True,
+        "is_leaving": False,
+        "read_age_ms": -1.0,
+        **fields,
+    }
+    return fleet_lib.HostState(
+        name=name, incarnation=incarnation, beat=beat, **values
+    )
+
+
+def serving(fleet):
+    return sorted(item.name for item in fleet.serving())
+
+
+def test_host_is_handed_out_while_it_is_heard(fleet, clock):
+    fleet.hear(state("a"))
+    assert serving(fleet) == ["a"]
+    clock.advance(fleet_lib.LOST_AFTER_MS)
+    assert serving(fleet) == []
+    fleet.hear(state("a", beat=2))
+    assert serving(fleet) == ["a"]
+
+
+def test_old_news_does_not_revive_a_host(fleet, clock):
+    fleet.hear(state("a", beat=5))
+    clock.advance(fleet_lib.LOST_AFTER_MS)
+    fleet.hear(state("a", beat=5))
+    fleet.hear(state("a", beat=4))
+    assert serving(fleet) == []
+
+
+@pytest.mark.parametrize("fields", [{"is_leaving": True}, {"is_ready": False}])
+def test_host_that_leaves_or_is_not_ready_is_not_handed_out(fleet, fields):
+    fleet.hear(state("a"))
+    fleet.hear(state("a", beat=2, **fields))
+    assert serving(fleet) == []
+
+
+def test_refused_connection_takes_a_host_out_at_once(fleet):
+    fleet.hear(state("a"))
+    fleet.note_refused("a:2")
+    assert serving(fleet) == []
+    fleet.hear(state("a", incarnation=2))
+    assert serving(fleet) == ["a"]
+
+
+def test_lost_hosts_still_count_for_budgets(fleet, clock):
+    fleet.hear(state("a"))
+    clock.advance(fleet_lib.LOST_AFTER_MS)
+    assert fleet.most_seen() == 2
+
+
+def test_earlier_life_of_this_host_is_told(fleet):
+    told = []
+    fleet.on_own_state = told.append
+    fleet.hear(state("m", incarnation=9))
+    assert told == [9]
+    assert fleet.alive() == []
+
+
+def test_first_reader_by_name_reads_for_all(fleet):
+    fleet.hear(state("a", read_age_ms=10.0))
+    assert fleet.has_reader_before("m")
+    assert not fleet.has_reader_before("a")
+
+
+def test_reader_without_the_store_is_replaced(fleet, clock):
+    fleet.hear(state("a", read_age_ms=fleet_lib.READER_STALE_MS - 100.0))
+    assert fleet.has_reader_before("m")
+    clock.advance(200.0)
+    assert not fleet.has_reader_before("m")
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"read_age_ms": -1.0},
+        {"read_age_ms": 1.0, "is_leaving": True},
+    ],
+)
+def test_host_that_does_not_read_is_no_reader(fleet, fields):
+    fleet.hear(state("a", **fields))
+    assert not fleet.has_reader_before("m")
+
+
+def test_lost_reader_is_replaced(fleet, clock):
+    fleet.hear(state("a", read_age_ms=0.0))
+    clock.advance(fleet_lib.LOST_AFTER_MS)
+    assert not fleet.has_reader_before("m")
--- /dev/null
+++ b/tests/gateway/test_registry.py
@@ -0,0 +1,141 @@
+"""What a host holds for true only moves forward."""
+
+from gateway_scripts import single
+from gateway_scripts import upstream
+import pytest
+
+from greengagedale import clocks
+from greengagedale.gateway import plans
+from greengagedale.gateway import registry as registry_lib
+from greengagedale.gateway import source
+from greengagedale.http1 import server
+
+
+@pytest.fixture
+def clock():
+    return clocks.ManualClock(10_000.0)
+
+
+@pytest.fixture
+def registry(clock):
+    held = registry_lib.Registry(clock)
+    held.apply_list(source.UpstreamsListed([upstream("a"), upstream("b")], 5))
+    return held
+
+
+def routes(version):
+    return plans.Routes(version, (single(),), (), server.Limits())
+
+
+def change(name, entry, revision):
+    item = source.UpstreamChange(name, entry)
+    return source.UpstreamsChanged([item], revision)
+
+
+def names(registry):
+    return sorted(item.name for item in registry.of_service("s"))
+
+
+def test_configuration_never_reverts(registry):
+    assert registry.apply_routes(routes(4), 6)
+    assert not registry.apply_routes(routes(3), 7)
+    assert not registry.apply_routes(routes(4), 8)
+    assert registry.routes_version == 4
+
+
+def test_host_is_ready_once_it_knows_routes_and_upstreams(clock):
+    held = registry_lib.Registry(clock)
+    assert not held.is_ready
+    held.apply_routes(routes(1), 1)
+    assert not held.is_ready
+    held.apply_list(source.UpstreamsListed([upstream("a")], 2))
+    assert held.is_ready
+
+
+def test_leaving_upstream_gets_no_new_work(registry):
+    leaving = upstream("a", is_leaving=True, sequence=2)
+    registry.apply_changes(change("a", leaving, 6))
+    assert names(registry) == ["b"]
+
+
+def test_removed_upstream_gets_no_new_work(registry):
+    registry.apply_changes(change("a", None, 6))
+    assert names(registry) == ["b"]
+
+
+def test_list_read_again_removes_what_is_not_in_it(registry):
+    registry.apply_list(source.UpstreamsListed([upstream("b")], 9))
+    assert names(registry) == ["b"]
+
+
+def test_older_reading_changes_nothing(registry):
+    registry.apply_changes(change("a", None, 6))
+    registry.apply_list(
+        source.UpstreamsListed([upstream("a"), upstream("b")], 5)
+    )
+    assert names(registry) == ["b"]
+
+
+@pytest.mark.parametrize(
+    ("born_ms", "sequence", "is_taken"),
+    [(1, 1, True), (1, 0, False), (0, 9, False), (2, 0, True)],
+)
+def test_word_of_an_earlier_life_is_not_taken(
+    registry, born_ms, sequence, is_taken
+):
+    entry = upstream("a", is_leaving=True, born_ms=born_ms, sequence=sequence)
+    registry.apply_changes(change("a", entry, 6))
+    assert ("a" not in names(registry)) == is_taken
+
+
+def test_entry_that_vanishes_around_an_outage_is_kept_for_a_while(
+    registry, clock
+):
+    registry.note_trouble()
+    clock.advance(1000.0)
+    registry.apply_changes(change("a", None, 6))
+    assert names(registry) == ["a", "b"]
+    clock.advance(registry_lib.LAPSE_GRACE_MS)
+    assert registry.expire()
+    assert names(registry) == ["b"]
+
+
+def test_entry_that_comes_back_after_an_outage_stays(registry, clock):
+    registry.note_trouble()
+    registry.apply_changes(change("a", None, 6))
+    registry.apply_changes(change("a", upstream("a", sequence=2), 7))
+    clock.advance(2 * registry_lib.LAPSE_GRACE_MS)
+    registry.expire()
+    assert names(registry) == ["a", "b"]
+
+
+def test_leaving_upstream_that_vanishes_in_an_outage_is_gone(registry):
+    leaving = upstream("a", is_leaving=True, sequence=2)
+    registry.apply_changes(change("a", leaving, 6))
+    registry.note_trouble()
+    registry.apply_changes(change("a", None, 7))
+    assert "a" not in registry.upstreams
+
+
+def test_put_off_removal_reaches_peers(registry, clock):
+    """A peer at the same revision takes the list with the later step."""
+    registry.note_trouble()
+    registry.apply_changes(change("a", None, 6))
+    peer = registry_lib.Registry(clock)
+    peer.adopt([*registry.upstreams.values()], registry.version)
+    clock.advance(2 * registry_lib.LAPSE_GRACE_MS)
+    registry.expire()
+    assert peer.adopt([*registry.upstreams.values()], registry.version)
+    assert names(peer) == ["b"]
+
+
+def test_older_list_of_a_peer_is_not_taken(registry):
+    assert not registry.adopt([upstream("z")], registry_lib.Version(4, 3))
+    assert names(registry) == ["a", "b"]
+
+
+def test_disowned_upstream_gets_no_work_until_it_says_more(registry):
+    registry.disown(registry.upstreams["a"])
+    assert names(registry) == ["b"]
+    registry.apply_changes(change("a", upstream("a", born_ms=2), 6))
+    assert names(registry) == ["a", "b"]
--- /dev/null
+++ b/tests/integration/test_gateway.py
@@ -0,0 +1,259 @@
+"""Gateway hosts as processes: the whole path, under what can go wrong."""
+
+import asyncio
+import os
+import signal
+
+from gateway_hosts import ADDRESS
+from gateway_hosts import RECORD
+from gateway_hosts import configuration
+from gateway_hosts import route
+from gateway_hosts import running_site
+import pytest
+
+from greengagedale.http1 import client
+
+IN_FORCE_S = 3.0
+
+
+@pytest.fixture
+async def site(tmp_path):
+    async with running_site(tmp_path) as running:
+        yield running
+
+
+async def until(check, timeout_s=IN_FORCE_S):
+    """Waits until a check, which may be a coroutine, holds."""
+    async with asyncio.timeout(timeout_s):
+        while not await check():
+            await asyncio.sleep(0.05)
+
+
+async def test_search_is_merged_from_all_shards(site):
+    reply = await site.hosts[0].search()
+    assert reply.status == 200
+    assert reply.header(b"parts-missing") == b"0"
+    assert len(reply.header(b"part-seals").split(b",")) == 3
+    expected = b"".join(RECORD % number for number in (12, 11, 10, 2))
+    assert reply.body == expected
+
+
+async def test_callers_are_told_all_hosts(site):
+    for host in site.hosts:
+        await until(lambda host=host: both_told(host, site))
+
+
+async def both_told(host, site):
+    reply = await host.get("/-/resolve?name=a.example&zone=here", "directory")
+    ports = [str(each.ports["http"]).encode() for each in site.hosts]
+    return reply.status == 200 and all(port in reply.body for port in ports)
+
+
+async def test_unsafe_request_whose_answer_is_lost_runs_once(site):
+    site.upstreams["one-0"].mode = "lost"
+    reply = await site.hosts[0].get(
+        "/book/x", method=b"POST", request_id="b1", deadline_ms=2000
+    )
+    assert reply.status == 502
+    assert site.upstreams["one-0"].runs["b1"] == 1
+
+
+async def test_refused_unsafe_request_says_when_to_come_back(site):
+    site.upstreams["one-0"].mode = "full"
+    reply = await site.hosts[0].get(
+        "/book/x", method=b"POST", request_id="b1", deadline_ms=2000
+    )
+    assert reply.status == 503
+    assert float(reply.header(b"retry-after")) > 0.0
+    assert site.upstreams["one-0"].runs["b1"] == 0
+
+
+@pytest.mark.parametrize("mode", ["unsigned", "foreign", "failing", "lost"])
+async def test_answer_that_is_not_good_is_no_part(site, mode):
+    for name in ("s1-0", "s1-1"):
+        site.upstreams[name].mode = mode
+    reply = await site.hosts[0].search()
+    assert reply.status == 200
+    assert reply.header(b"parts-missing") == b"1"
+    assert b"s1" not in reply.header(b"part-seals")
+
+
+async def test_unknown_route_is_404_and_new_one_comes_in_force(site):
+    reply = await site.hosts[1].get("/new/x", request_id="n1")
+    assert reply.status == 404
+    more = [route("new", "/new/", service="s2")]
+    site.store.put("config", "main", configuration(8, more))
+
+    async def is_served():
+        replies = [
+            await host.get("/new/x", request_id="n2") for host in site.hosts
+        ]
+        return all(each.status == 200 for each in replies)
+
+    await until(is_served)
+
+
+async def test_leaving_upstream_gets_no_new_work(site):
+    gone = site.upstreams["s1-0"]
+    entry = gone.entry("s1", ADDRESS, state="draining", sequence=2)
+    site.store.put("servers", "s1-0", entry)
+    await asyncio.sleep(IN_FORCE_S)
+    before = len(gone.requests)
+    for number in range(20):
+        await site.hosts[number % 2].get("/get/x", request_id=f"g{number}")
+    assert len(gone.requests) == before
+
+
+async def test_malformed_entries_harm_nobody(site):
+    for name, document in (("x", None), ("y", {"service": 5}), ("z", "text")):
+        site.store.put("servers", name, document)
+    await asyncio.sleep(0.5)
+    assert (await site.hosts[0].search()).status == 200
+
+
+async def test_sigterm_cuts_no_request(site):
+    """Requests on kept connections go on until their host has left."""
+    leaving, other = site.hosts
+    for upstream in site.upstreams.values():
+        upstream.delay_ms = 300.0
+    statuses, cut = [], []
+
+    async def caller(number):
+        connection = await client.Connection.open(
+            ADDRESS, leaving.ports["http"], 1.0
+        )
+        for step in range(50):
+            reply = await leaving.ask(
+                connection, "/get/x", request_id=f"c{number}-{step}"
+            )
+            if isinstance(reply, client.Broken):
+                cut.append(reply)
+                return
+            statuses.append(reply.status)
+            if not connection.is_usable:
+                return
+
+    callers = [asyncio.create_task(caller(number)) for number in range(8)]
+    await asyncio.sleep(0.4)
+    leaving.signal(signal.SIGTERM)
+    await asyncio.sleep(0.5)
+    assert not await leaving.is_ready()
+    told = await other.get("/-/resolve?name=a.example", "directory")
+    assert str(leaving.ports["http"]).encode() not in told.body
+    await asyncio.gather(*callers)
+    assert await leaving.ended() == 0
+    assert cut == []
+    assert set(statuses) == {200}
+    messages = [line["message"] for line in leaving.lines()]
+    assert messages[-1] == "stopped"
+
+
+async def test_sighup_reads_settings_again_and_ends_nothing(site):
+    host = site.hosts[0]
+    host.signal(signal.SIGHUP)
+    await asyncio.sleep(0.3)
+    assert (await host.search()).status == 200
+    assert any(line["message"] == "settings reloaded" for line in host.lines())
+
+
+async def test_store_outage_changes_nothing_for_callers(site):
+    site.store.mode = "busy"
+    await asyncio.sleep(1.0)
+    for host in site.hosts:
+        assert (await host.search()).status == 200
+
+
+async def test_host_that_starts_in_an_outage_learns_from_a_peer(site):
+    site.store.mode = "silent"
+    host = site.hosts[1]
+    await host.stop()
+    await host.start()
+    await host.ready(5.0)
+    assert (await host.search()).status == 200
+
+
+async def test_host_that_knows_nothing_says_503_and_is_not_handed_out(site):
+    site.store.mode = "busy"
+    for host in site.hosts:
+        await host.stop()
+    host = site.hosts[0]
+    await host.start()
+
+    async def is_up():
+        try:
+            return (await host.search()).status == 503
+        except OSError:
+            return False
+
+    await until(is_up, 8.0)
+    told = await host.get("/-/resolve?name=a.example", "directory")
+    assert told.status == 503
+    assert not await host.is_ready()
+    site.store.mode = "up"
+    await host.ready()
+    assert (await host.search()).status == 200
+
+
+async def test_reader_that_is_killed_is_replaced(site):
+    await site.hosts[0].stop()
+    more = [route("new", "/new/", service="s2")]
+    site.store.put("config", "main", configuration(9, more))
+
+    async def is_served():
+        reply = await site.hosts[1].get("/new/x", request_id="n2")
+        return reply.status == 200
+
+    await until(is_served, 4.0)
+
+
+async def test_forgotten_history_is_read_anew(site):
+    site.store.mode = "gone"
+    more = [route("new", "/new/", service="s2")]
+    site.store.put("config", "main", configuration(9, more))
+
+    async def is_served():
+        reply = await site.hosts[1].get("/new/x", request_id="n2")
+        return reply.status == 200
+
+    await until(is_served, 4.0)
+
+
+async def test_blocked_standard_output_delays_no_request(site):
+    host = site.hosts[0]
+    await host.stop()
+    read_end, write_end = os.pipe()
+    try:
+        await host.start(stdout=write_end)
+        await host.ready()
+        slowest_s = 0.0
+        loop = asyncio.get_running_loop()
+        for number in range(600):
+            started_s = loop.time()
+            await host.get("/get/x", request_id=f"{number:0100d}")
+            slowest_s = max(slowest_s, loop.time() - started_s)
+        assert slowest_s < 0.5
+    finally:
+        os.close(read_end)
+        os.close(write_end)
+
+
+async def test_metrics_are_served(site):
+    await site.hosts[0].search()
+    reply = await site.hosts[0].get("/metrics", "metrics")
+    assert b"greengagedale_requests_total" in reply.body
+    assert b'route="find"' in reply.body
+
+
+async def test_every_request_has_a_line_that_explains_it(site):
+    site.upstreams["s1-0"].mode = "failing"
+    site.upstreams["s1-1"].mode = "failing"
+    await site.hosts[0].search("why-partial")
+    await asyncio.sleep(0.3)
+    lines = [
+        line
+        for line in site.hosts[0].lines()
+        if line.get("request_id") == "why-partial"
+    ]
+    assert len(lines) == 1
+    assert lines[0]["detail"] == "2 of 3 parts"
+    assert any(step[2] == "s1" for step in lines[0]["steps"])
--- /dev/null
+++ b/tests/platform/test_codecs.py
@@ -0,0 +1,273 @@
+"""The platform's words are decoded once, and bad ones do no harm."""
+
+from gateway_scripts import upstream
+from hypothesis import given
+from hypothesis import strategies
+import pytest
+
+from greengagedale import outcomes
+from greengagedale.gateway import calls
+from greengagedale.gateway import edge
+from greengagedale.http1 import messages
+from greengagedale.platform import callers
+from greengagedale.platform import documents
+from greengagedale.platform import upstreams
+
+ENTRY = {
+    "service": "s",
+    "address": "10.0.0.1:80",
+    "zone": "here",
+    "version": "v1",
+    "slots": 5,
+    "state": "ready",
+    "warmupLeftMs": 100,
+    "sequence": 4,
+    "born": 7,
+}
+ROUTE = {
+    "name": "r",
+    "host": "A.example",
+    "pathPrefix": "/a/",
+    "type": "idempotent",
+    "timeoutMs": 500,
+    "targetLatencyMs": 95,
+    "priority": 2,
+    "maxAttempts": 2,
+}
+CONFIGURATION = {
+    "version": 7,
+    "routes": [
+        {**ROUTE, "service": "s"},
+        {**ROUTE, "gather": ["s", "t"], "topK": 5, "minCoverage": 0.75},
+        {
+            **ROUTE,
+            "type": "non_idempotent",
+            "split": [{"service": "s", "weight": 3}],
+        },
+    ],
+    "services": [{"name": "s", "healthPath": "/h", "maxConnections": 41}],
+    "limits": {
+        "maxHeaderBytes": 1,
+        "maxBodyBytes": 2,
+        "headerTimeoutMs": 3,
+        "idleTimeoutMs": 4,
+    },
+}
+anything = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats()
+    | strategies.text(max_size=9),
+    lambda inner: (
+        strategies.lists(inner, max_size=3)
+        | strategies.dictionaries(
+            strategies.text(max_size=9), inner, max_size=3
+        )
+    ),
+    max_leaves=9,
+)
+
+
+def request(headers=(), target=b"/a/b?c", body=b""):
+    return messages.Request(b"GET", target, tuple(headers), body, 1000.0)
+
+
+def reply(headers, status=200, body=b"x"):
+    return messages.Reply(status, tuple(headers), body, True)
+
+
+@pytest.fixture
+def codec():
+    return callers.PlatformCallers()
+
+
+@pytest.fixture
+def call(codec):
+    return codec.decode_call(
+        request(
+            [
+                (b"host", b"A.example:80"),
+                (b"request-id", b"r1"),
+                (b"deadline-ms", b"300"),
+                (b"target-instance", b"forged"),
+                (b"connection", b"x-hop, close"),
+                (b"x-hop", b"1"),
+                (b"x-kept", b"2"),
+            ]
+        )
+    )
+
+
+def test_entry_is_decoded():
+    decoded = documents.decode_upstream("i", ENTRY)
+    assert decoded == upstream(
+        "i",
+        address="10.0.0.1",
+        port=80,
+        slots=5,
+        born_ms=7,
+        sequence=4,
+        warm_up_ms=100.0,
+    )
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"state": "unknown"},
+        {"service": 5},
+        {"service": ""},
+        {"address": "10.0.0.1"},
+        {"address": "10.0.0.1:0"},
+        {"address": None},
+        {"slots": 0},
+        {"slots": "5"},
+        {"sequence": 1.5},
+        {"born": True},
+        {"zone": []},
+    ],
+)
+def test_bad_entry_names_no_upstream(fields):
+    assert documents.decode_upstream("i", {**ENTRY, **fields}) is None
+
+
+@pytest.mark.parametrize("field", ["service", "address", "state", "slots"])
+def test_entry_with_a_field_missing_names_no_upstream(field):
+    cut = {key: value for key, value in ENTRY.items() if key != field}
+    assert documents.decode_upstream("i", cut) is None
+
+
+@given(anything)
+def test_any_document_is_decoded_or_passed_over(document):
+    documents.decode_upstream("i", document)
+    documents.decode_routes(document)
+
+
+@given(strategies.sampled_from(sorted(ENTRY)), anything)
+def test_any_value_of_a_field_is_decoded_or_passed_over(field, value):
+    documents.decode_upstream("i", {**ENTRY, field: value})
+
+
+def test_configuration_is_decoded():
+    routes = documents.decode_routes(CONFIGURATION)
+    single, gathered, split = routes.plans
+    assert routes.version == 7
+    assert single.services == ("s",)
+    assert single.host == "a.example"
+    assert (single.timeout_ms, single.aim_ms) == (500.0, 95.0)
+    assert gathered.fanout.shards == ("s", "t")
+    assert gathered.fanout.least_parts == 2
+    assert not split.is_idempotent
+    assert split.targets[0].weight == 3.0
+    assert routes.limits == (1, 2, 3.0, 4.0)
+
+
+def test_call_is_decoded(call):
+    assert (call.request_id, call.host, call.path) == (
+        "r1",
+        "a.example",
+        "/a/b",
+    )
+    assert call.deadline_ms == 1300.0
+
+
+@pytest.mark.parametrize(
+    "headers",
+    [
+        [(b"host", b"a")],
+        [(b"request-id", b"r")],
+        *(
+            [(b"host", b"a"), (b"request-id", b"r"), (b"deadline-ms", value)]
+            for value in (b"x", b"-1", b"1.5", b"", b"9" * 40, b"\xb2")
+        ),
+    ],
+)
+def test_bad_call_says_what_is_wrong(codec, headers):
+    assert isinstance(codec.decode_call(request(headers)), edge.Malformed)
+
+
+def test_attempt_carries_the_request_and_the_time_left(call):
+    attempt = calls.Attempt(call, upstream("i-1"), 250.9, True)
+    data = upstreams.encode(attempt)
+    assert data.startswith(b"GET /a/b?c HTTP/1.1\r\n")
+    assert b"deadline-ms: 250\r\n" in data
+    assert b"target-instance: i-1\r\n" in data
+    assert b"request-id: r1\r\n" in data
+    assert b"x-kept: 2\r\n" in data
+    for dropped in (b"forged", b"x-hop", b"connection"):
+        assert dropped not in data
+
+
+SIGNED = [(b"server-seal", b"sig"), (b"request-id", b"r1")]
+
+
+def test_answer_is_decoded(call):
+    got = upstreams.decode(call, reply([*SIGNED, (b"server-load", b"3,1,5")]))
+    assert (got.signature, got.body, got.load) == ("sig", b"x", (3, 1, 5))
+    assert got.is_success
+
+
+@pytest.mark.parametrize(
+    "headers",
+    [
+        SIGNED[:1],
+        SIGNED[1:],
+        [SIGNED[0], (b"request-id", b"r2")],
+        [*SIGNED, (b"content-encoding", b"gzip")],
+    ],
+)
+def test_success_that_is_not_surely_the_upstreams_is_dropped(call, headers):
+    got = upstreams.decode(call, reply(headers))
+    assert got == outcomes.AttemptEnd(
+        outcomes.Reason.REJECTED, written=True, refused=False
+    )
+
+
+@pytest.mark.parametrize(
+    ("headers", "status", "refused"),
+    [
+        ([(b"not-executed", b"1")], 503, True),
+        ([(b"not-executed", b"1")], 429, True),
+        ([], 421, True),
+    ],
+)
+def test_only_proof_counts_as_not_run(call, headers, status, refused):
+    got = upstreams.decode(call, reply(headers, status))
+    assert got.refused == refused
+
+
+@pytest.mark.parametrize("status", [500, 503, 504, 429])
+def test_failure_without_proof_has_run(call, status):
+    got = upstreams.decode(call, reply(SIGNED, status))
+    assert isinstance(got, calls.Answer)
+    assert not got.is_success
+
+
+@pytest.mark.parametrize("load", [b"", b"1,2", b"a,b,c", b"1,2,3,4", b"-1,0,1"])
+def test_unreadable_load_is_passed_over(call, load):
+    got = upstreams.decode(call, reply([*SIGNED, (b"server-load", load)]))
+    assert got.load is None
+
+
+def test_refusal_says_when_to_come_back(codec):
+    outcome = outcomes.NotRun(outcomes.Reason.OVERLOADED, 150)
+    response = codec.encode_failure(outcome)
+    assert response.status == 503
+    assert (b"Retry-After", b"0.150") in response.headers
+
+
+@pytest.mark.parametrize(
+    ("reason", "status"),
+    [(outcomes.Reason.DEADLINE, 504), (outcomes.Reason.REPLY_LOST, 502)],
+)
+def test_unknown_promises_nothing(codec, reason, status):
+    response = codec.encode_failure(outcomes.Unknown(reason))
+    assert response.status == status
+
+
+def test_gathered_answer_tells_its_coverage(codec):
+    response = codec.encode_gathered(calls.Gathered(("a", "b"), 1, b"r" * 16))
+    headers = dict(response.headers)
+    assert headers[b"Part-Seals"] == b"a, b"
+    assert headers[b"Parts-Missing"] == b"1"
