Hosts tell each other less: sightings, and addresses only when they differ

Change: what never changes in a life is sent only to a host that knows another set of hosts; peers of the own data centre are asked first. Failed background work ends the process with status 1, not 0. Ruled out: longer rounds, which would find lost hosts later.

--- a/greengagedale/config/gateway.py
+++ b/greengagedale/config/gateway.py
@@ -242,9 +242,7 @@
     return "gateway" in config
 
 
-def _section(
-    key: str, table: Any, mistakes: list[exceptions.Mistake]
-) -> Any:
+def _section(key: str, table: Any, mistakes: list[exceptions.Mistake]) -> Any:
     section_type, options = _SECTIONS[key]
     if not isinstance(table, dict):
         mistakes.append(exceptions.Mistake(key, "use a table"))
--- a/greengagedale/exceptions.py
+++ b/greengagedale/exceptions.py
@@ -45,5 +45,9 @@
     """The event loop opened a kernel interface that hosts do not allow."""
 
 
+class ListenError(GreengagedaleError):
+    """An address that the settings name can't be listened on."""
+
+
 class RemoteError(GreengagedaleError):
     """A host answered a command with an error, or did not answer."""
--- a/greengagedale/gateway/daemon.py
+++ b/greengagedale/gateway/daemon.py
@@ -4,8 +4,8 @@
 import contextlib
 import logging
 import pathlib
+import os
 import random
-import signal
 import time
 from typing import NamedTuple, Self
 
@@ -44,6 +44,7 @@
 # Part of the burst of extra attempts that hosts share; the rest is for what
 # a host that was killed had spent before.
 BURST_SHARE = 0.9
+FAILED_STATUS = 1
 _UPKEEP_S = 0.5
 _FLUSH_S = 0.05
 _MS_PER_S = 1000.0
@@ -90,17 +91,22 @@
         """Returns what is true now."""
         self._beat += 1
         settings = self._settings
-        return fleet_lib.HostState(
+        address = fleet_lib.HostAddress(
             settings.host.name,
             self._incarnation,
-            self._beat,
             settings.host.data_centre,
             settings.gateway.caller_endpoint,
             settings.gateway.peer_endpoint,
+        )
+        sighting = fleet_lib.Sighting(
+            settings.host.name,
+            self._incarnation,
+            self._beat,
             self._registry.is_ready,
             self.is_leaving,
             -1.0 if self.reader is None else self.reader.read_age_ms,
         )
+        return fleet_lib.HostState(address, sighting)
 
     def outlive(self, incarnation: int) -> None:
         """Takes in that an earlier life of this host is still heard of."""
@@ -282,7 +288,12 @@
     stack: contextlib.AsyncExitStack, listener: server.Server, endpoint: str
 ) -> None:
     address, _, port = endpoint.rpartition(":")
-    await listener.start(address, int(port))
+    try:
+        await listener.start(address, int(port))
+    except OSError as error:
+        raise exceptions.ListenError(
+            f"can't listen on {endpoint}: {error}"
+        ) from error
     stack.callback(listener.close)
 
 
@@ -302,10 +313,16 @@
 
 
 def _check_end(task: "asyncio.Task[None]") -> None:
-    """Ends the process if work that must go on has failed."""
+    """Ends the process if work that must go on has failed.
+
+    A host that no longer learns or tells anything would serve ever older
+    knowledge; a new process starts afresh.
+    """
     if not task.cancelled() and task.exception() is not None:
-        log.critical("background work ended", exc_info=task.exception())
-        signal.raise_signal(signal.SIGTERM)
+        log.critical("background work failed", exc_info=task.exception())
+        for handler in logging.getLogger().handlers:
+            handler.flush()
+        os._exit(FAILED_STATUS)
 
 
 def _reload(path: pathlib.Path) -> None:
--- a/greengagedale/gateway/edge.py
+++ b/greengagedale/gateway/edge.py
@@ -225,20 +225,21 @@
         if self._codec.is_resolve(request):
             return self._located(own)
         if self._codec.is_ready_check(request):
-            is_ready = own.is_ready and not own.is_leaving
-            status = _STATUS_OK if is_ready else _STATUS_UNAVAILABLE
+            status = (
+                _STATUS_OK if own.may_be_handed_out else _STATUS_UNAVAILABLE
+            )
             return messages.Response(status)
         return self._codec.encode_error(_STATUS_MISSING, "unknown path")
 
     def _located(self, own: fleet_lib.HostState) -> messages.Response:
         serving = self._fleet.serving()
-        if own.is_ready and not own.is_leaving:
+        if own.may_be_handed_out:
             serving.append(own)
         if not serving:
             return self._codec.encode_failure(
                 outcomes.NotRun(outcomes.Reason.NOT_READY, _NOT_READY_RETRY_MS)
             )
-        endpoints = [state.caller_endpoint for state in serving]
+        endpoints = [state.address.caller_endpoint for state in serving]
         return self._codec.encode_located(endpoints, self._ttl_ms)
 
 
--- a/greengagedale/gateway/exchange.py
+++ b/greengagedale/gateway/exchange.py
@@ -25,8 +25,12 @@
 
 # Time between rounds; news crosses a small fleet in one of them.
 ROUND_MS = 250.0
-# Peers asked in each round; in larger fleets news spreads over a few rounds.
-PEERS_A_ROUND = 3
+# Peers of the own data centre asked in each round; fewer there are made up by
+# others. In larger fleets news spreads over a few rounds.
+PEERS_A_ROUND = 2
+# Chance of asking one more peer, of another data centre: bytes between data
+# centres are dear, and some host of the data centre has the news soon.
+FAR_CHANCE = 0.5
 # A peer that does not answer for this long is given up on for the round.
 TIMEOUT_MS = 600.0
 _MS_PER_S = 1000.0
@@ -40,14 +44,15 @@
 
     Attributes:
         own: The asking host.
-        others: Hosts that it has heard of.
+        others: What it has heard of living hosts.
+        hosts_digest: Names the set of hosts that it knows.
         routes_version: Version of its configuration; 0 if it has none.
         version: How new its list of upstreams is.
-        is_pushing: Whether it only brings news and wants no answer.
     """
 
     own: fleet_lib.HostState
-    others: list[fleet_lib.HostState]
+    others: list[fleet_lib.Sighting]
+    hosts_digest: int
     routes_version: int
     version: registry_lib.Version
 
@@ -57,16 +62,17 @@
 
     Attributes:
         own: The asked host.
-        others: Hosts that it has heard of.
+        others: What it has heard of living hosts.
+        addresses: All living hosts, if the asking one knows another set.
         routes: Its configuration if it is newer.
         routes_revision: Revision of the store that it is as of.
         version: How new its list of upstreams is.
         upstreams: All upstreams, if its list is newer.
-        wants_news: Whether the asking host knows something newer.
     """
 
     own: fleet_lib.HostState
-    others: list[fleet_lib.HostState]
+    others: list[fleet_lib.Sighting]
+    addresses: list[fleet_lib.HostAddress]
     routes: plans.Routes | None
     routes_revision: int
     version: registry_lib.Version
@@ -118,7 +124,9 @@
         except msgspec.DecodeError as error:
             log.warning("unreadable exchange", extra={"reason": str(error)})
             return messages.Response(400)
-        self._hear(hello.own, hello.others)
+        self._fleet.hear(hello.own)
+        for sighting in hello.others:
+            self._fleet.hear_sighting(sighting)
         if (
             hello.routes_version > self._registry.routes_version
             or hello.version > self._registry.version
@@ -144,28 +152,34 @@
                 continue
 
     def _peers(self) -> list[str]:
-        own = self._own_state().peer_endpoint
-        known = {state.peer_endpoint for state in self._fleet.alive()}
-        peers = [*known]
-        self._rng.shuffle(peers)
-        chosen = peers[:PEERS_A_ROUND]
-        # Seeds are asked for as long as they are not known to live, one a
-        # round, so that parts of a fleet that lost each other meet again.
-        seeds = [s for s in self._seeds if s not in known and s != own]
-        states = self._fleet.states()
-        lost = [s.peer_endpoint for s in states if s.peer_endpoint not in known]
-        others = [*seeds, *lost]
-        if not known:
-            return others[: 2 * PEERS_A_ROUND]
-        if others:
-            chosen.append(self._rng.choice(others))
+        own = self._own_state().address
+        alive = [state.address for state in self._fleet.alive()]
+        self._rng.shuffle(alive)
+        alive.sort(key=lambda address: address.data_centre != own.data_centre)
+        peers = [address.peer_endpoint for address in alive]
+        chosen, others = peers[:PEERS_A_ROUND], peers[PEERS_A_ROUND:]
+        if others and self._rng.random() < FAR_CHANCE:
+            # The list begins with the own data centre; its end is elsewhere.
+            chosen.append(others[-1])
+        strangers = self._strangers({*peers, own.peer_endpoint})
+        if not peers:
+            return strangers
+        if strangers:
+            # Parts of a fleet that lost each other meet again this way.
+            chosen.append(self._rng.choice(strangers))
         return chosen
 
+    def _strangers(self, known: set[str]) -> list[str]:
+        """Returns where hosts may be that are not known to live."""
+        lost = [state.address.peer_endpoint for state in self._fleet.states()]
+        return [each for each in {*self._seeds, *lost} if each not in known]
+
     async def _ask(self, endpoint: str) -> None:
         own = self._own_state()
         hello = Hello(
             own,
-            self._fleet.alive(),
+            self._sightings(),
+            self._fleet.digest(own),
             self._registry.routes_version,
             self._registry.version,
         )
@@ -189,10 +203,15 @@
     def _news(self, hello: Hello) -> News:
         held = self._registry
         table = held.table
+        own = self._own_state()
         has_newer = held.routes_version > hello.routes_version
+        is_same_fleet = self._fleet.digest(own) == hello.hosts_digest
         return News(
-            self._own_state(),
-            self._fleet.alive(),
+            own,
+            self._sightings(),
+            []
+            if is_same_fleet
+            else [state.address for state in self._fleet.alive()],
             table.routes if table is not None and has_newer else None,
             held.routes_revision,
             held.version,
@@ -202,7 +221,10 @@
         )
 
     def _learn(self, news: News) -> None:
-        self._hear(news.own, news.others)
+        self._fleet.hear(news.own)
+        self._fleet.hear_addresses(news.addresses, news.others)
+        for sighting in news.others:
+            self._fleet.hear_sighting(sighting)
         is_new = False
         if news.routes is not None:
             is_new = self._registry.apply_routes(
@@ -213,12 +235,8 @@
         if is_new:
             self.wake()
 
-    def _hear(
-        self, own: fleet_lib.HostState, others: list[fleet_lib.HostState]
-    ) -> None:
-        self._fleet.hear(own)
-        for state in others:
-            self._fleet.hear(state)
+    def _sightings(self) -> list[fleet_lib.Sighting]:
+        return [state.sighting for state in self._fleet.alive()]
 
     async def _call(
         self, endpoint: str, body: bytes
--- a/greengagedale/gateway/fleet.py
+++ b/greengagedale/gateway/fleet.py
@@ -9,12 +9,15 @@
 import logging
 from typing import NamedTuple
 
+import xxhash
+
 from greengagedale import clocks
 
 log = logging.getLogger(__name__)
 
-# A host that was not heard of for this long is taken for lost.
-LOST_AFTER_MS = 1600.0
+# A host that was not heard of for this long is taken for lost; news takes up
+# to a second to cross 24 hosts.
+LOST_AFTER_MS = 2000.0
 # A host that is lost is forgotten after this long.
 FORGET_AFTER_MS = 60_000.0
 # A reader whose last success is older than this has lost the store. Watches
@@ -22,33 +25,62 @@
 READER_STALE_MS = 3000.0
 
 
-class HostState(NamedTuple):
-    """What a host says of itself.
+class HostAddress(NamedTuple):
+    """What does not change in one life of a host's process.
 
     Attributes:
         name: Name of the host.
         incarnation: Rises with each life of its process.
-        beat: Rises with each round of exchanges.
         data_centre: Where it runs.
         caller_endpoint: Where callers connect.
         peer_endpoint: Where other hosts connect.
+    """
+
+    name: str
+    incarnation: int
+    data_centre: str
+    caller_endpoint: str
+    peer_endpoint: str
+
+
+class Sighting(NamedTuple):
+    """What changes all the time, as the host itself said it.
+
+    Attributes:
+        name: Name of the host.
+        incarnation: Life of its process.
+        beat: Rises with each thing that it says.
         is_ready: Whether it can serve.
         is_leaving: Whether it is on its way out.
-        read_age_ms: Age of its own last word from the store as it sent this;
+        read_age_ms: Age of its own last word from the store as it said this;
             negative if it does not read the store.
     """
 
     name: str
     incarnation: int
     beat: int
-    data_centre: str
-    caller_endpoint: str
-    peer_endpoint: str
     is_ready: bool
     is_leaving: bool
     read_age_ms: float
 
 
+class HostState(NamedTuple):
+    """All that a host says of itself."""
+
+    address: HostAddress
+    sighting: Sighting
+
+    @property
+    def name(self) -> str:
+        """Name of the host."""
+        return self.address.name
+
+    @property
+    def may_be_handed_out(self) -> bool:
+        """Whether callers may be sent to it, if it lives."""
+        return self.sighting.is_ready and not self.sighting.is_leaving
+
+
 class _Known(NamedTuple):
     state: HostState
     heard_ms: float
@@ -70,25 +102,59 @@
         self.on_own_state: Callable[[int], None] = _ignore
 
     def hear(self, state: HostState) -> None:
-        """Takes in what a host said, first or second hand."""
-        if state.name == self._own_name:
-            self.on_own_state(state.incarnation)
+        """Takes in what a host said of itself."""
+        address, sighting = state
+        if address.name == self._own_name:
+            self.on_own_state(address.incarnation)
             return
-        held = self._known.get(state.name)
+        held = self._known.get(address.name)
         if held is not None and (
-            (state.incarnation, state.beat)
-            <= (held.state.incarnation, held.state.beat)
+            (sighting.incarnation, sighting.beat)
+            <= (held.state.sighting.incarnation, held.state.sighting.beat)
         ):
             return
-        self._known[state.name] = _Known(state, self._clock.now_ms())
-        self._refusing.discard(state.peer_endpoint)
-        if held is None or held.state.incarnation != state.incarnation:
+        self._known[address.name] = _Known(state, self._clock.now_ms())
+        self._refusing.discard(address.peer_endpoint)
+        if held is None or held.state.address != address:
             log.info(
                 "host found",
-                extra={"peer": state.name, "incarnation": state.incarnation},
+                extra={
+                    "peer": address.name,
+                    "incarnation": address.incarnation,
+                },
             )
-        elif state.is_leaving and not held.state.is_leaving:
-            log.info("host leaving", extra={"peer": state.name})
+        elif sighting.is_leaving and not held.state.sighting.is_leaving:
+            log.info("host leaving", extra={"peer": address.name})
+
+    def hear_sighting(self, sighting: Sighting) -> None:
+        """Takes in what another host has heard of one."""
+        if sighting.name == self._own_name:
+            self.on_own_state(sighting.incarnation)
+            return
+        held = self._known.get(sighting.name)
+        if held is None or (
+            held.state.address.incarnation != sighting.incarnation
+        ):
+            return
+        self.hear(HostState(held.state.address, sighting))
+
+    def hear_addresses(
+        self, addresses: list[HostAddress], sightings: list[Sighting]
+    ) -> None:
+        """Takes in hosts that another one knows, with what it has heard."""
+        by_life = {(each.name, each.incarnation): each for each in sightings}
+        for address in addresses:
+            sighting = by_life.get((address.name, address.incarnation))
+            if sighting is not None:
+                self.hear(HostState(address, sighting))
+
+    def digest(self, own: HostState) -> int:
+        """Names the set of living hosts, so that hosts can compare theirs."""
+        lives = sorted(
+            (state.name, state.address.incarnation)
+            for state in (own, *self.alive())
+        )
+        return xxhash.xxh32_intdigest(repr(lives).encode())
 
     def note_refused(self, endpoint: str) -> None:
         """Takes in that nothing listens at a host's endpoint any more."""
@@ -113,16 +179,12 @@
             known.state
             for known in self._known.values()
             if now_ms - known.heard_ms < LOST_AFTER_MS
-            and known.state.peer_endpoint not in self._refusing
+            and known.state.address.peer_endpoint not in self._refusing
         ]
 
     def serving(self) -> list[HostState]:
         """Returns the other hosts that callers may be sent to."""
-        return [
-            state
-            for state in self.alive()
-            if state.is_ready and not state.is_leaving
-        ]
+        return [state for state in self.alive() if state.may_be_handed_out]
 
     def most_seen(self) -> int:
         """Returns how many hosts there are, lost ones and this included."""
@@ -136,10 +198,11 @@
         )
 
     def _reads(self, state: HostState) -> bool:
-        if state.read_age_ms < 0.0 or state.is_leaving:
+        sighting = state.sighting
+        if sighting.read_age_ms < 0.0 or sighting.is_leaving:
             return False
         heard_ms = self._known[state.name].heard_ms
-        age_ms = state.read_age_ms + self._clock.now_ms() - heard_ms
+        age_ms = sighting.read_age_ms + self._clock.now_ms() - heard_ms
         return age_ms < READER_STALE_MS
 
 
--- a/greengagedale/logs.py
+++ b/greengagedale/logs.py
@@ -88,6 +88,10 @@
         self._kept.append(line)
         self._kept_bytes += len(line)
 
+    def flush(self) -> None:
+        """Writes what can be written at once."""
+        self.flush_some()
+
     def flush_some(self) -> None:
         """Writes what can be written at once."""
         if self.dropped > self._told and not self._kept:
