Flooded shards are left out, refusals weigh, retries go before hedges

Every request was sent to the last replicas of a flooded shard, so all its answers came after the cutoff, and hedges spent the budget that retries after refusals needed (826 refusals, 583 retries, 408 hedges in 6 s). Change: a shard is not asked if its queue alone makes the answer too late, while the others suffice; the share of lately failed attempts counts against an upstream; hedges and requests of lower priority leave parts of the burst to others. A single service with too long a queue is refused at once. The budget's test has two tokens instead of one, as hedges leave a part.

--- a/greengagedale/gateway/daemon.py
+++ b/greengagedale/gateway/daemon.py
@@ -3,8 +3,8 @@
 import asyncio
 import contextlib
 import logging
-import pathlib
 import os
+import pathlib
 import random
 import time
 from typing import NamedTuple, Self
@@ -64,7 +64,10 @@
         await host.start(stack)
         log.info(
             "serving",
-            extra={"settings": settings._asdict()},
+            extra={
+                "settings": settings._asdict(),
+                "start_cpu_ms": round(time.process_time() * _MS_PER_S),
+            },
         )
         await signals.stop_asked()
         await host.leave(settings.shutdown.grace_s)
--- a/greengagedale/gateway/fetches.py
+++ b/greengagedale/gateway/fetches.py
@@ -19,6 +19,14 @@
 LOSER_MS = 600.0
 # Pause before an upstream that refused is asked again.
 REFUSED_PAUSE_MS = 25.0
+# Parts of the burst of extra attempts that hedges, and requests of lower
+# priority, leave to others: a retry brings an answer that is missing for sure,
+# a hedge one that may only be late.
+HEDGE_RESERVE_SHARE = 0.3
+PRIORITY_RESERVE_SHARE = 0.2
+# An attempt is not sent if the queue makes it so many times later than it is
+# of use; the expectation is no exact one.
+TOO_LATE_FACTOR = 1.25
 # Sends that were refused or never arrived, for one request and service.
 MOST_SENDS = 5
 _MS_PER_S = 1000.0
@@ -56,6 +64,24 @@
     reason: str
 
 
+class Slack:
+    """How many services of a call may still be left out.
+
+    Attributes:
+        left: That number.
+    """
+
+    def __init__(self, left: int) -> None:
+        self.left = left
+
+    def take(self) -> bool:
+        """Leaves one out if that may be; tells whether."""
+        if self.left < 1:
+            return False
+        self.left -= 1
+        return True
+
+
 class Tools(NamedTuple):
     """What all fetches of a host share.
 
@@ -94,12 +120,30 @@
         pace: pacing.Pace,
         budget: windows.WindowBudget,
         steps: list[Step],
+        useful_until_ms: float,
+        slack: Slack,
     ) -> None:
+        """Makes a fetch.
+
+        Args:
+            tools: What all fetches share.
+            call: What to send.
+            plan: The call's route.
+            service: Where to.
+            deadline_ms: When to give up.
+            pace: Latencies of the route.
+            budget: Extra attempts at the service.
+            steps: Where it is noted what was done.
+            useful_until_ms: After this an answer is not waited for.
+            slack: Services of the call that may be left out.
+        """
         self._tools = tools
         self._call = call
         self._plan = plan
         self._service = service
         self._deadline_ms = deadline_ms
+        self._useful_until_ms = useful_until_ms
+        self._slack = slack
         self._pace = pace
         self._budget = budget
         self._steps = steps
@@ -203,14 +247,24 @@
         """Begins an attempt; returns why not, if it may not."""
         tools = self._tools
         now_ms = tools.clock.now_ms()
-        upstream = tools.scores.choose(
+        choice = tools.scores.choose(
             tools.candidates(self._service),
             self._pace.usual_ms(),
             self._tried,
         )
-        if upstream is None:
+        if choice is None:
             return outcomes.Reason.NO_REPLICA
-        if self._arrivals > 0 and not self._budget.take(now_ms):
+        upstream = choice.upstream
+        if self._is_too_late(choice, now_ms) and (
+            what != "attempt" or self._slack.take()
+        ):
+            # What would be answered too late only lengthens the queue.
+            tools.metrics.refusals.inc("too_late", what)
+            self._note(now_ms, "too late", upstream, what)
+            return outcomes.Reason.OVERLOADED
+        if self._arrivals > 0 and not self._budget.take(
+            now_ms, self._reserve_share(what)
+        ):
             tools.metrics.refusals.inc("budget", what)
             return outcomes.Reason.OVERLOADED
         self._arrivals += 1
@@ -235,6 +289,15 @@
         self._running[task] = upstream
         return None
 
+    def _is_too_late(self, choice: scores_lib.Choice, now_ms: float) -> bool:
+        left_ms = max(0.0, self._useful_until_ms - now_ms)
+        return choice.queued_ms > TOO_LATE_FACTOR * left_ms
+
+    def _reserve_share(self, what: str) -> float:
+        """Returns the part of the burst that an attempt leaves to others."""
+        share = PRIORITY_RESERVE_SHARE if self._plan.priority > 1 else 0.0
+        return share + (HEDGE_RESERVE_SHARE if what == "hedge" else 0.0)
+
     async def _send(
         self,
         attempt: calls.Attempt,
--- a/greengagedale/gateway/runner.py
+++ b/greengagedale/gateway/runner.py
@@ -74,7 +74,16 @@
         steps: list[fetches.Step],
     ) -> Result:
         service = self._splitter.choose(plan)
-        fetch = self._fetch(call, plan, service, deadline_ms, steps)
+        # Its only service may be left out: then the call is refused at once.
+        fetch = self._fetch(
+            call,
+            plan,
+            service,
+            deadline_ms,
+            steps,
+            deadline_ms,
+            fetches.Slack(1),
+        )
         task = asyncio.ensure_future(fetch.run())
         try:
             result = await asyncio.shield(task)
@@ -101,14 +110,17 @@
         held = sum(bool(candidates(shard)) for shard in fanout.shards)
         if held < fanout.least_parts:
             return outcomes.NotRun(outcomes.Reason.NO_REPLICA, RETRY_AFTER_MS)
+        cutoff_ms = call.received_ms + CUTOFF_SHARE * plan.aim_ms
+        slack = fetches.Slack(held - fanout.least_parts)
         made = {
             asyncio.ensure_future(fetch.run()): fetch
             for fetch in (
-                self._fetch(call, plan, shard, deadline_ms, steps)
+                self._fetch(
+                    call, plan, shard, deadline_ms, steps, cutoff_ms, slack
+                )
                 for shard in fanout.shards
             )
         }
-        cutoff_ms = call.received_ms + CUTOFF_SHARE * plan.aim_ms
         try:
             parts = await self._collect(
                 set(made), fanout, cutoff_ms, deadline_ms
@@ -184,6 +196,8 @@
         service: str,
         deadline_ms: float,
         steps: list[fetches.Step],
+        useful_until_ms: float,
+        slack: fetches.Slack,
     ) -> fetches.Fetch:
         budget = self._budgets.of(service)
         budget.note_request(self._tools.clock.now_ms())
@@ -196,6 +210,8 @@
             self.pace_of(plan),
             budget,
             steps,
+            useful_until_ms,
+            slack,
         )
 
     def _without_answer(
--- a/greengagedale/gateway/scores.py
+++ b/greengagedale/gateway/scores.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Collection, Iterable
 import random
+from typing import NamedTuple
 
 from greengagedale import clocks
 from greengagedale import outcomes
@@ -17,6 +18,8 @@
 _MOST_SLOWNESS = 20.0
 # What an upstream says of its load is used no longer than this.
 _LOAD_AGE_MS = 400.0
+# Upstreams that are nearly full take up to so much longer.
+_CROWD_SHARE = 0.25
 # How much longer an attempt to another data centre takes, both ways.
 _CROSSING_MS = 3.0
 # An upstream that failed is avoided for this long, doubled for each failure
@@ -26,6 +29,10 @@
 _PAUSE_PENALTY_MS = 10_000.0
 # A cold upstream takes about so much longer (platform: 1.6 for 3 s).
 _COLD_FACTOR = 1.6
+# An upstream that fails all it gets is as bad as one that takes so many times
+# the usual latency longer: a refusal is soon known, but the next attempt is
+# paid from the budget.
+_FAILING_FACTOR = 2.0
 # Scores this close are equal; one of them is drawn.
 _TIE_SHARE = 0.1
 
@@ -39,6 +46,7 @@
         "_load_ms",
         "_own_at_load",
         "_slowness",
+        "_troubled",
         "cold_until_ms",
         "failures",
         "paused_until_ms",
@@ -51,6 +59,7 @@
         self.paused_until_ms = float("-inf")
         self.cold_until_ms = cold_until_ms
         self._slowness = 1.0
+        self._troubled = 0.0
         self._as_of_ms = now_ms
         self._load: calls.Load | None = None
         self._load_ms = float("-inf")
@@ -63,10 +72,14 @@
 
     def slowness(self, now_ms: float) -> float:
         """Returns how slow it is, in multiples of the usual latency."""
-        age = max(0.0, now_ms - self._as_of_ms) / _HALF_LIFE_MS
-        value = 1.0 + (self._slowness - 1.0) * 0.5**age
+        value = 1.0 + self._slowness_share(now_ms)
         return value * _COLD_FACTOR if now_ms < self.cold_until_ms else value
 
+    def troubled(self, now_ms: float) -> float:
+        """Returns the share of attempts that fail lately, 0 to 1."""
+        age = max(0.0, now_ms - self._as_of_ms) / _HALF_LIFE_MS
+        return self._troubled * 0.5**age
+
     def queue(self, now_ms: float) -> float:
         """Returns how many requests it runs or holds, as far as is known."""
         load = self._load
@@ -82,6 +95,7 @@
         if now_ms < self.cold_until_ms:
             held /= _COLD_FACTOR
         self._slowness = held + _SMOOTHING * (sample - held)
+        self._troubled = self.troubled(now_ms) * (1.0 - _SMOOTHING)
         self._as_of_ms = now_ms
         self.failures = 0
 
@@ -93,15 +107,36 @@
 
     def note_failure(self, now_ms: float) -> None:
         """Takes in that an attempt failed for a reason of the upstream's."""
+        self._slowness = 1.0 + (self._slowness_share(now_ms))
+        troubled = self.troubled(now_ms)
+        self._troubled = troubled + _SMOOTHING * (1.0 - troubled)
+        self._as_of_ms = now_ms
         self.failures += 1
         pause_ms = _FIRST_PAUSE_MS * 2 ** min(self.failures - 1, 8)
         self.paused_until_ms = now_ms + min(_LONGEST_PAUSE_MS, pause_ms)
 
+    def _slowness_share(self, now_ms: float) -> float:
+        age = max(0.0, now_ms - self._as_of_ms) / _HALF_LIFE_MS
+        return (self._slowness - 1.0) * 0.5**age
+
     def oldest_ms(self, now_ms: float) -> float:
         """Returns the age of the oldest attempt without an end."""
         return now_ms - min(self.sent_ms.values()) if self.sent_ms else 0.0
 
 
+class Choice(NamedTuple):
+    """The upstream that is likely to answer first.
+
+    Attributes:
+        upstream: The upstream.
+        queued_ms: How long an attempt would take there by its queue alone,
+            if it is as fast as others.
+    """
+
+    upstream: entries.Upstream
+    queued_ms: float
+
+
 class Scores:
     """The scores of all upstreams."""
 
@@ -139,7 +174,7 @@
         upstreams: Iterable[entries.Upstream],
         usual_ms: float,
         avoid: Collection[str] = (),
-    ) -> entries.Upstream | None:
+    ) -> Choice | None:
         """Chooses the upstream that is likely to answer first.
 
         Args:
@@ -149,35 +184,51 @@
         """
         now_ms = self._clock.now_ms()
         scored = [
-            (self._expected_ms(upstream, usual_ms, now_ms), upstream)
+            (self._rank_ms(upstream, usual_ms, now_ms), upstream)
             for upstream in upstreams
             if upstream.name not in avoid
         ]
         if not scored:
             return None
-        best_ms = min(expected_ms for expected_ms, _ in scored)
+        best_ms = min(rank_ms for rank_ms, _ in scored)
         near = [
             upstream
-            for expected_ms, upstream in scored
-            if expected_ms <= best_ms * (1.0 + _TIE_SHARE)
+            for rank_ms, upstream in scored
+            if rank_ms <= best_ms * (1.0 + _TIE_SHARE)
         ]
-        return self._rng.choice(near)
+        chosen = self._rng.choice(near)
+        return Choice(chosen, usual_ms * self._rounds(chosen, now_ms))
+
+    def _rank_ms(
+        self, upstream: entries.Upstream, usual_ms: float, now_ms: float
+    ) -> float:
+        """Returns the expected latency with what speaks against it besides."""
+        score = self.of(upstream)
+        rank_ms = self._expected_ms(upstream, usual_ms, now_ms)
+        rank_ms += _FAILING_FACTOR * score.troubled(now_ms) * usual_ms
+        # An attempt that is overdue shows that the upstream stands still.
+        overdue_ms = score.oldest_ms(now_ms) - 2.0 * usual_ms
+        rank_ms += max(0.0, overdue_ms)
+        if now_ms < score.paused_until_ms:
+            rank_ms += _PAUSE_PENALTY_MS * score.failures
+        return rank_ms
+
+    def _rounds(self, upstream: entries.Upstream, now_ms: float) -> float:
+        """Returns how many requests long an attempt would take there."""
+        queue = self.of(upstream).queue(now_ms)
+        waiting = max(0.0, queue + 1.0 - upstream.slots)
+        return 1.0 + waiting / upstream.slots
 
     def _expected_ms(
         self, upstream: entries.Upstream, usual_ms: float, now_ms: float
     ) -> float:
         score = self.of(upstream)
-        waiting = max(0.0, score.queue(now_ms) + 1.0 - upstream.slots)
-        rounds = 1.0 + waiting / upstream.slots
-        crowd = 1.0 + 0.25 * score.queue(now_ms) / upstream.slots
+        queue = score.queue(now_ms)
+        rounds = self._rounds(upstream, now_ms)
+        crowd = 1.0 + _CROWD_SHARE * min(1.0, queue / upstream.slots)
         expected_ms = usual_ms * score.slowness(now_ms) * rounds * crowd
         if upstream.data_centre != self._data_centre:
             expected_ms += _CROSSING_MS
-        # An attempt that is overdue shows that the upstream stands still.
-        overdue_ms = score.oldest_ms(now_ms) - 2.0 * usual_ms
-        expected_ms += max(0.0, overdue_ms)
-        if now_ms < score.paused_until_ms:
-            expected_ms += _PAUSE_PENALTY_MS * score.failures
         return expected_ms
 
 
--- a/greengagedale/retry/windows.py
+++ b/greengagedale/retry/windows.py
@@ -37,9 +37,14 @@
         allowed = self.burst + self._ratio * len(self._requests)
         return allowed - len(self._extras)
 
-    def take(self, now_ms: float) -> bool:
-        """Spends one extra if there is one; tells whether."""
-        if self.left(now_ms) < 1.0:
+    def take(self, now_ms: float, reserve_share: float = 0.0) -> bool:
+        """Spends one extra if there is one; tells whether.
+
+        Args:
+            now_ms: The time now.
+            reserve_share: Share of the burst that is left to others.
+        """
+        if self.left(now_ms) < 1.0 + reserve_share * self.burst:
             return False
         self._extras.append(now_ms)
         return True
--- a/tests/gateway/test_runner.py
+++ b/tests/gateway/test_runner.py
@@ -39,7 +39,7 @@
 
 
 async def test_hedges_stop_when_the_budget_is_spent():
-    bench = Bench(burst=1.0, ratio=0.0)
+    bench = Bench(burst=2.0, ratio=0.0)
     for name in "abcdef":
         bench.add(name)
     bench.link.scripts = {name: [(150.0, None)] * 9 for name in "abcdef"}
@@ -47,6 +47,24 @@
     assert len(bench.link.sent) == 4
 
 
+async def test_hedges_leave_part_of_the_budget_to_retries():
+    """The pattern of replicas that shed while others are slow.
+
+    A hedge only speeds an answer up; a retry after a refusal brings one that
+    would be missing.
+    """
+    bench = Bench(burst=1.0, ratio=0.0)
+    for name in "ab":
+        bench.add(name)
+    bench.link.scripts = {name: [(150.0, None)] * 9 for name in "ab"}
+    await bench.run(single())
+    assert len(bench.link.sent) == 1
+    bench.link.scripts = {name: [(0.0, refused())] for name in "ab"}
+    outcome = await bench.run(single(is_idempotent=False))
+    assert isinstance(outcome, outcomes.Ran | outcomes.NotRun)
+    assert len(bench.link.sent) == 3
+
+
 async def test_no_hedge_of_what_may_run_once(bench):
     bench.add("a")
     bench.add("b")
@@ -226,3 +244,37 @@
     for _ in range(200):
         await bench.run(single(targets=targets))
     assert abs(bench.link.sent.count("x") - 150) <= 2
+
+
+async def test_flooded_shard_is_left_out_if_the_others_are_enough(bench):
+    """The pattern of a shard whose last replica has a long queue.
+
+    What would come after the answer has gone out is not sent, so that the
+    queue stays short enough for other requests to be answered in time.
+    """
+    bench.add("a", "a")
+    bench.add("b", "b")
+    bench.add("c", "c")
+    score = bench.tools.scores.of(bench.upstreams["c"][0])
+    score.note_load(calls.Load(2, 60, 2), bench.clock.now_ms())
+    outcome = await bench.run(fanout("abc", least=0.6))
+    assert outcome.value.missing == 1
+    assert "c" not in bench.link.sent
+
+
+async def test_flooded_shard_is_asked_if_it_is_needed(bench):
+    bench.add("a", "a")
+    bench.add("b", "b")
+    score = bench.tools.scores.of(bench.upstreams["b"][0])
+    score.note_load(calls.Load(2, 30, 2), bench.clock.now_ms())
+    outcome = await bench.run(fanout("ab", least=1.0))
+    assert outcome.value.missing == 0
+
+
+async def test_single_upstream_with_too_long_a_queue_is_refused(bench):
+    bench.add("a")
+    score = bench.tools.scores.of(bench.upstreams["s"][0])
+    score.note_load(calls.Load(2, 600, 2), bench.clock.now_ms())
+    outcome = await bench.run(single(is_idempotent=False))
+    assert isinstance(outcome, outcomes.NotRun)
+    assert bench.link.sent == []
--- a/tests/retry/test_windows.py
+++ b/tests/retry/test_windows.py
@@ -29,6 +29,13 @@
     assert budget.left(WINDOW_MS + 1.0) == 2.0
 
 
+def test_reserve_is_left_to_others(budget):
+    assert not budget.take(0.0, reserve_share=1.0)
+    assert budget.take(0.0, reserve_share=0.5)
+    assert not budget.take(0.0, reserve_share=0.5)
+    assert budget.take(0.0)
+
+
 @given(
     strategies.lists(
         strategies.tuples(strategies.floats(0.0, 300.0), strategies.booleans()),
