--- a/greengagedale/gateway/daemon.py
+++ b/greengagedale/gateway/daemon.py
@@ -181,6 +181,9 @@
             self._metrics,
             set(),
         )
+        self._runner = runner_lib.Runner(
+            self._tools, self._budgets, splits.Splitter(rng)
+        )
         self._edge = edge_lib.Edge(
             callers.PlatformCallers(),
             self._registry,
@@ -268,6 +271,9 @@
                 upstream.life for upstream in self._registry.upstreams.values()
             }
             self._pools.sweep(lives)
+            self._budgets.forget_unused(self._clock.now_ms())
+            if self._registry.table is not None:
+                self._runner.forget_others(self._registry.table.routes)
             self._scores.forget_others(lives)
 
 
--- a/greengagedale/gateway/fetches.py
+++ b/greengagedale/gateway/fetches.py
@@ -154,6 +154,7 @@
         self._ends: list[outcomes.AttemptEnd] = []
         self._answer: calls.Answer | None = None
         self._retry_after_ms = 0
+        self._was_too_late = False
         self._failures = 0
         self._sends = 0
         self._arrivals = 0
@@ -266,7 +267,9 @@
             self._retry_after_ms = int(
                 choice.queued_ms - (self._useful_until_ms - now_ms)
             )
-            self._note(now_ms, "too late", upstream, what)
+            if not self._was_too_late:
+                self._was_too_late = True
+                self._note(now_ms, "too late", upstream, what)
             return outcomes.Reason.OVERLOADED
         if self._arrivals > 0 and not self._budget.take(
             now_ms, self._reserve_share(what)
--- a/greengagedale/gateway/pacing.py
+++ b/greengagedale/gateway/pacing.py
@@ -66,6 +66,14 @@
         for budget in self._budgets.values():
             budget.burst = burst
 
+    def forget_unused(self, now_ms: float) -> None:
+        """Drops the budgets that nothing was noted in for a window."""
+        self._budgets = {
+            service: budget
+            for service, budget in self._budgets.items()
+            if not budget.is_unused(now_ms)
+        }
+
     def of(self, service: str) -> windows.WindowBudget:
         """Returns the budget of a service."""
         budget = self._budgets.get(service)
--- a/greengagedale/gateway/runner.py
+++ b/greengagedale/gateway/runner.py
@@ -52,6 +52,14 @@
         pace.aim_ms = plan.aim_ms
         return pace
 
+    def forget_others(self, routes: plans.Routes) -> None:
+        """Drops what is kept for routes and services no longer in force."""
+        names = {plan.name for plan in routes.plans}
+        self._paces = {
+            name: pace for name, pace in self._paces.items() if name in names
+        }
+        self._splitter.forget_others(routes.plans)
+
     async def run(
         self, call: calls.Call, plan: plans.Plan, steps: list[fetches.Step]
     ) -> Result:
--- a/greengagedale/gateway/splits.py
+++ b/greengagedale/gateway/splits.py
@@ -1,5 +1,6 @@
 """Sharing a route's requests among its services by weight."""
 
+from collections.abc import Iterable
 import random
 
 from greengagedale.gateway import plans
@@ -18,6 +19,13 @@
             tuple[str, tuple[plans.Target, ...]], list[float]
         ] = {}
 
+    def forget_others(self, held: Iterable[plans.Plan]) -> None:
+        """Drops what is kept for routes or weights no longer in force."""
+        keys = {(plan.name, plan.targets) for plan in held}
+        self._credits = {
+            key: value for key, value in self._credits.items() if key in keys
+        }
+
     def choose(self, plan: plans.Plan) -> str:
         """Returns the service for the next request of a route."""
         targets = plan.targets
--- a/greengagedale/retry/windows.py
+++ b/greengagedale/retry/windows.py
@@ -49,10 +49,10 @@
         self._extras.append(now_ms)
         return True
 
-    @property
-    def spent(self) -> int:
-        """Extras granted in the last window."""
-        return len(self._extras)
+    def is_unused(self, now_ms: float) -> bool:
+        """Tells whether nothing was noted in the last window."""
+        self._forget(now_ms)
+        return not (self._requests or self._extras)
 
     def _forget(self, now_ms: float) -> None:
         since_ms = now_ms - self._window_ms
--- a/tests/gateway/test_runner.py
+++ b/tests/gateway/test_runner.py
@@ -14,6 +14,7 @@
 from greengagedale import outcomes
 from greengagedale.gateway import calls
 from greengagedale.gateway import plans
+from greengagedale.http1 import server
 
 SLOW_MS = 5000.0
 
@@ -278,3 +279,18 @@
     outcome = await bench.run(single(is_idempotent=False))
     assert isinstance(outcome, outcomes.NotRun)
     assert bench.link.sent == []
+
+
+async def test_what_is_kept_for_old_routes_is_dropped(bench):
+    bench.add("u")
+    await bench.run(single(name="old"))
+    kept = bench.runner.pace_of(single(name="kept"))
+    held = plans.Routes(2, (single(name="kept"),), (), server.Limits())
+    old = bench.runner.pace_of(single(name="old"))
+    bench.runner.forget_others(held)
+    assert bench.runner.pace_of(single(name="kept")) is kept
+    assert bench.runner.pace_of(single(name="old")) is not old
+    later_ms = bench.clock.now_ms() + 20_000.0
+    budget = bench.budgets.of("s")
+    bench.budgets.forget_unused(later_ms)
+    assert bench.budgets.of("s") is not budget
