--- a/greengagedale/commands/explain.py
+++ b/greengagedale/commands/explain.py
@@ -1,5 +1,7 @@
 """`greengagedale explain`: shows what was done for a request."""
 
+import pathlib
+import sys
 from typing import Annotated, Any
 
 import rich.box
@@ -7,19 +9,62 @@
 import rich.table
 import typer
 
+from greengagedale import exceptions
+from greengagedale.commands import log_stories
 from greengagedale.commands import remote
 
 _WIDTH = 100
+_STANDARD_INPUT = pathlib.Path("-")
 
 
 def explain(
-    host: remote.CallerEndpoint,
     request_id: Annotated[str, typer.Argument(help="From the answer.")],
+    host: remote.MaybeCallerEndpoint = None,
+    logs: Annotated[
+        pathlib.Path | None,
+        typer.Option(
+            "--logs",
+            help="Log lines of hosts, - for standard input; no host is asked.",
+        ),
+    ] = None,
     as_json: Annotated[
-        bool, typer.Option("--json", help="One JSON line, no table.")
+        bool, typer.Option("--json", help="JSON lines, no table.")
     ] = False,
 ) -> None:
     """Show what was done for a recent request, and why."""
+    if logs is not None:
+        _explain_from_logs(request_id, logs, as_json)
+    elif host is not None:
+        _explain_from_host(request_id, host, as_json)
+    else:
+        raise typer.BadParameter("give --host or --logs")
+
+
+def _explain_from_logs(
+    request_id: str, logs: pathlib.Path, as_json: bool
+) -> None:
+    found = log_stories.lines_about(_read_lines(logs), request_id)
+    if not found:
+        raise exceptions.RemoteError(f"no log line names {request_id!r}")
+    for line in found:
+        if as_json:
+            remote.show(line)
+        else:
+            for text in log_stories.told(line):
+                typer.echo(text)
+
+
+def _read_lines(logs: pathlib.Path) -> list[str]:
+    if logs == _STANDARD_INPUT:
+        return sys.stdin.read().splitlines()
+    try:
+        return logs.read_text(encoding="utf-8").splitlines()
+    except (OSError, UnicodeDecodeError) as error:
+        mistake = exceptions.Mistake("--logs", str(error))
+        raise exceptions.InvalidInputError(str(logs), [mistake]) from error
+
+
+def _explain_from_host(request_id: str, host: str, as_json: bool) -> None:
     record = remote.run(remote.fetch(host, f"/v1/explain/{request_id}"))
     if as_json:
         remote.show(record)
--- /dev/null
+++ b/greengagedale/commands/log_stories.py
@@ -0,0 +1,86 @@
+"""Tells what became of a request from the log lines of hosts."""
+
+from collections.abc import Iterable, Iterator
+import itertools
+from typing import Any
+
+import msgspec
+
+# Changes of what a host believed are told if they came this long before.
+_BEFORE = 3
+
+
+def lines_about(lines: Iterable[str], request_id: str) -> list[dict[str, Any]]:
+    """Returns the lines about a request, with what each host believed.
+
+    Args:
+        lines: Log lines of any hosts, in any order; others are passed over.
+        request_id: The caller's id of the request.
+    """
+    held = list(_decoded(lines))
+    found = [line for line in held if line.get("request_id") == request_id]
+    return list(
+        itertools.chain.from_iterable(
+            [*_beliefs_before(held, line), line] for line in found
+        )
+    )
+
+
+def told(line: dict[str, Any]) -> Iterator[str]:
+    """Yields a log line as text, one thing a line."""
+    where = f"{line.get('time', '')} {line.get('host', '')}"
+    if line.get("message") != "request":
+        detail = " ".join(
+            f"{key}={value}"
+            for key, value in line.items()
+            if key not in _COMMON
+        )
+        yield f"{where}  {line.get('message', '')} {detail}".rstrip()
+        return
+    yield (
+        f"{where}  route {line['route']} of configuration {line['version']}, "
+        f"upstreams as of {line['upstreams_version'][0]}"
+    )
+    for at_ms, what, service, upstream, reason in line["steps"]:
+        yield f"  {at_ms:8.1f} ms  {what:<9} {service} {upstream} {reason}"
+    left_ms = line["left_ms"]
+    left = "" if left_ms is None else f", {left_ms} ms before its deadline"
+    yield (
+        f"  {line['took_ms']:8.1f} ms  {line['outcome']}: {line['detail']}"
+        f"{left}"
+    )
+
+
+_COMMON = frozenset(
+    {"time", "level", "name", "message", "host", "data_centre", "request_id"}
+)
+
+
+def _decoded(lines: Iterable[str]) -> Iterator[dict[str, Any]]:
+    for text in lines:
+        # Other tools may put a time or a host's name before each line.
+        _, brace, rest = text.partition("{")
+        if not brace:
+            continue
+        try:
+            line = msgspec.json.decode("{" + rest)
+        except msgspec.DecodeError:
+            continue
+        if isinstance(line, dict):
+            yield line
+
+
+def _beliefs_before(
+    held: list[dict[str, Any]], line: dict[str, Any]
+) -> list[dict[str, Any]]:
+    """Returns the last changes of belief of the line's host before it."""
+    services = {step[2] for step in line.get("steps", [])}
+    earlier = [
+        other
+        for other in held
+        if other.get("host") == line.get("host")
+        and other.get("time", "") <= line.get("time", "")
+        and other.get("request_id") is None
+        and (other.get("service") is None or other["service"] in services)
+    ]
+    return earlier[-_BEFORE:]
--- a/greengagedale/commands/remote.py
+++ b/greengagedale/commands/remote.py
@@ -16,7 +16,9 @@
 _STATUS_OK = 200
 
 
-def _checked_endpoint(endpoint: str) -> str:
+def _checked_endpoint(endpoint: str | None) -> str | None:
+    if endpoint is None:
+        return None
     try:
         return _ENDPOINT.validate_python(endpoint)
     except pydantic.ValidationError:
@@ -45,6 +47,15 @@
         help="Caller address of any entry host, as IP:PORT.",
     ),
 ]
+MaybeCallerEndpoint = Annotated[
+    str | None,
+    typer.Option(
+        "--host",
+        callback=_checked_endpoint,
+        envvar="GREENGAGEDALE_CALLER",
+        help="Caller address of any entry host, as IP:PORT.",
+    ),
+]
 
 
 class Reply(NamedTuple):
--- a/greengagedale/gateway/fetches.py
+++ b/greengagedale/gateway/fetches.py
@@ -177,18 +177,19 @@
             self._cancel_running()
             raise
 
-    def let_go(self) -> None:
-        """Leaves the attempts that still run to end by themselves."""
-        for task, upstream in self._running.items():
-            self._leave(task, upstream)
-        self._running.clear()
+    def give_up(self) -> None:
+        """Leaves the attempts that run, for which no answer has come."""
+        now_ms = self._tools.clock.now_ms()
+        for upstream in self._running.values():
+            self._note(now_ms, "unanswered", upstream, "")
+        self._let_go()
 
     async def _race(self, hedge_ms: float) -> calls.Answer | Failure:
         clock = self._tools.clock
         while True:
             now_ms = clock.now_ms()
             if now_ms >= self._deadline_ms:
-                self.let_go()
+                self.give_up()
                 return self._failure(outcomes.Reason.DEADLINE)
             if now_ms >= hedge_ms:
                 hedge_ms = self._hedge(now_ms)
@@ -201,7 +202,7 @@
             for task in done:
                 result = self._take(task)
                 if result is not None:
-                    self.let_go()
+                    self._let_go()
                     return result
             if not self._running:
                 problem = await self._again()
@@ -381,15 +382,19 @@
             tuple(self._ends), self._answer, reason, self._retry_after_ms
         )
 
-    def _leave(self, task: _Task, upstream: entries.Upstream) -> None:
+    def _let_go(self) -> None:
+        """Leaves the attempts that still run to end by themselves."""
         background = self._tools.background
-        waiter = asyncio.ensure_future(_end_in_time(task))
-        background.add(waiter)
-        waiter.add_done_callback(background.discard)
-        del upstream
+        for task in self._running:
+            waiter = asyncio.ensure_future(_end_in_time(task))
+            background.add(waiter)
+            waiter.add_done_callback(background.discard)
+        self._running.clear()
 
     def _cancel_running(self) -> None:
-        for task in self._running:
+        now_ms = self._tools.clock.now_ms()
+        for task, upstream in self._running.items():
+            self._note(now_ms, "cancelled", upstream, "")
             task.cancel()
         self._running.clear()
 
--- a/greengagedale/gateway/runner.py
+++ b/greengagedale/gateway/runner.py
@@ -196,7 +196,7 @@
     ) -> None:
         for task, fetch in made.items():
             if not task.done():
-                fetch.let_go()
+                fetch.give_up()
                 task.cancel()
 
     def _fetch(
--- a/tests/gateway/test_runner.py
+++ b/tests/gateway/test_runner.py
@@ -294,3 +294,9 @@
     budget = bench.budgets.of("s")
     bench.budgets.forget_unused(later_ms)
     assert bench.budgets.of("s") is not budget
+
+
+async def test_steps_name_the_upstream_that_did_not_answer(bench):
+    bench.add("a", script=[(SLOW_MS, None)])
+    await bench.run(single(is_idempotent=False), left_ms=60.0)
+    assert [step[1:4] for step in bench.steps] == [("unanswered", "s", "a")]
