No attempt begins or is written after its deadline

Cause: a host that stood still, or waited for a connection, between the choice of an upstream and the send told the upstream more time than was left, and could send what its caller no longer waits for. Change: the deadline is checked before each attempt and again on the connection before anything is written; the time left is taken at that moment. Ruled out: the first check alone (a connection may take 400 ms to open).

--- a/greengagedale/gateway/calls.py
+++ b/greengagedale/gateway/calls.py
@@ -90,13 +90,14 @@
     Attributes:
         call: What to send.
         upstream: Where to.
-        left_ms: Time that the upstream is told it has.
+        deadline_ms: When the answer is no longer of use, by the clock of the
+            process.
         is_repeatable: Whether the request may run more than once.
     """
 
     call: Call
     upstream: entries.Upstream
-    left_ms: float
+    deadline_ms: float
     is_repeatable: bool
 
 
--- a/greengagedale/gateway/daemon.py
+++ b/greengagedale/gateway/daemon.py
@@ -170,7 +170,7 @@
             self._burst_share(),
         )
         self._tools = fetches.Tools(
-            link_lib.PlatformLink(self._pools, self._most_connections),
+            link_lib.PlatformLink(self._pools, self._most_connections, clock),
             self._scores,
             self._registry.of_service,
             self._registry.disown,
--- a/greengagedale/gateway/fetches.py
+++ b/greengagedale/gateway/fetches.py
@@ -251,6 +251,8 @@
         """Begins an attempt; returns why not, if it may not."""
         tools = self._tools
         now_ms = tools.clock.now_ms()
+        if now_ms >= self._deadline_ms:
+            return outcomes.Reason.DEADLINE
         choice = tools.scores.choose(
             tools.candidates(self._service),
             self._pace.usual_ms(),
@@ -286,7 +288,7 @@
         attempt = calls.Attempt(
             self._call,
             upstream,
-            self._deadline_ms - now_ms,
+            self._deadline_ms,
             self._plan.is_idempotent,
         )
         score = tools.scores.of(upstream)
--- a/greengagedale/platform/link.py
+++ b/greengagedale/platform/link.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from greengagedale import clocks
 from greengagedale import outcomes
 from greengagedale.gateway import calls
 from greengagedale.gateway import entries
@@ -26,15 +27,18 @@
         self,
         pools: pools_lib.Pools,
         most_connections: Callable[[entries.Upstream], int],
+        clock: clocks.Clock,
     ) -> None:
         """Makes a link.
 
         Args:
             pools: The connections.
             most_connections: How many this host may hold to an upstream.
+            clock: Clock of the process.
         """
         self._pools = pools
         self._most_connections = most_connections
+        self._clock = clock
 
     async def send(
         self, attempt: calls.Attempt
@@ -46,12 +50,15 @@
         try:
             connection = await pool.take(age_ms)
         except OSError:
-            return outcomes.AttemptEnd(
-                outcomes.Reason.CONNECT_FAILED, written=False, refused=False
-            )
+            return _not_written(outcomes.Reason.CONNECT_FAILED)
+        # A connection may have taken long, or the process have stood still.
+        left_ms = attempt.deadline_ms - self._clock.now_ms()
+        if left_ms <= 0.0:
+            pool.give_back(connection)
+            return _not_written(outcomes.Reason.DEADLINE)
         try:
             reply = await connection.exchange(
-                upstreams.encode(attempt),
+                upstreams.encode(attempt, left_ms),
                 lambda reply: upstreams.belongs(attempt.call, reply),
                 attempt.call.message.method == b"HEAD",
             )
@@ -66,6 +73,10 @@
         return upstreams.decode(attempt.call, reply)
 
 
+def _not_written(reason: outcomes.Reason) -> outcomes.AttemptEnd:
+    return outcomes.AttemptEnd(reason, written=False, refused=False)
+
+
 def _note_keep_alive(
     connection: client.Connection, reply: messages.Reply
 ) -> None:
--- a/greengagedale/platform/upstreams.py
+++ b/greengagedale/platform/upstreams.py
@@ -31,12 +31,12 @@
 )
 
 
-def encode(attempt: calls.Attempt) -> bytes:
+def encode(attempt: calls.Attempt, left_ms: float) -> bytes:
     """Encodes an attempt: the caller's request, with the time left."""
     message = attempt.call.message
     headers = (
         *_end_to_end(message.headers, (_TIME_LEFT, _EXPECTED_UPSTREAM)),
-        (_TIME_LEFT, b"%d" % max(1, int(attempt.left_ms))),
+        (_TIME_LEFT, b"%d" % max(1, int(left_ms))),
         (_EXPECTED_UPSTREAM, attempt.upstream.name.encode("latin-1")),
     )
     return messages.encode_request(
--- a/tests/platform/test_codecs.py
+++ b/tests/platform/test_codecs.py
@@ -188,8 +188,8 @@
 
 
 def test_attempt_carries_the_request_and_the_time_left(call):
-    attempt = calls.Attempt(call, upstream("i-1"), 250.9, True)
-    data = upstreams.encode(attempt)
+    attempt = calls.Attempt(call, upstream("i-1"), 9999.0, True)
+    data = upstreams.encode(attempt, 250.9)
     assert data.startswith(b"GET /a/b?c HTTP/1.1\r\n")
     assert b"deadline-ms: 250\r\n" in data
     assert b"target-instance: i-1\r\n" in data
