One check of the deadline before a send, on the connection

Cause: the check before each attempt is needless: with no time left any queue is too long, so the attempt is not begun. Change: that check goes. The one on the connection stays; its test (test_nothing_is_sent_after_the_deadline) fails without it, as run on a copy.

--- a/greengagedale/gateway/fetches.py
+++ b/greengagedale/gateway/fetches.py
@@ -251,8 +251,6 @@
         """Begins an attempt; returns why not, if it may not."""
         tools = self._tools
         now_ms = tools.clock.now_ms()
-        if now_ms >= self._deadline_ms:
-            return outcomes.Reason.DEADLINE
         choice = tools.scores.choose(
             tools.candidates(self._service),
             self._pace.usual_ms(),
