--- a/greengagedale/commands/settings.py
+++ b/greengagedale/commands/settings.py
@@ -3,8 +3,11 @@
 import pathlib
 from typing import Annotated
 
+import msgspec
 import typer
 
+from greengagedale.config import files
+from greengagedale.config import gateway as gateway_config
 from greengagedale.config import settings as settings_lib
 
 app = typer.Typer(no_args_is_help=True, help="Check settings files.")
@@ -16,12 +19,23 @@
 ) -> None:
     """Check settings files; every mistake is named with its key."""
     for path in paths:
-        settings_lib.Settings.from_file(path)
+        _checked_json(path)
         typer.echo(f"{path}: ok")
 
 
 @app.command()
 def show(path: pathlib.Path) -> None:
     """Show all settings of a file, defaults included, as JSON."""
-    checked = settings_lib.Settings.from_file(path)
-    typer.echo(checked.model_dump_json(indent=2))
+    typer.echo(_checked_json(path))
+
+
+def _checked_json(path: pathlib.Path) -> str:
+    """Returns the settings of a file, of either kind of host."""
+    if not gateway_config.is_gateway(files.read_toml(path)):
+        checked = settings_lib.Settings.from_file(path)
+        return checked.model_dump_json(indent=2)
+    settings = gateway_config.GatewaySettings.from_file(path)
+    sections = {
+        name: section._asdict() for name, section in settings._asdict().items()
+    }
+    return msgspec.json.format(msgspec.json.encode(sections)).decode()
