What nothing uses goes; the fading of old samples stands once

Cause: reading the change as a newcomer: pools counted connections that nobody read, metrics had gauges that nobody set, the store's client took a clock that it did not use, and the half-life of samples was written twice. Change: these go or stand once; no decision changes. Ruled out: one pool for upstreams, peers and the store: their rules for a kept connection differ (cap and keep-alive, one each, two at most).

--- a/greengagedale/gateway/daemon.py
+++ b/greengagedale/gateway/daemon.py
@@ -142,7 +142,6 @@
             settings.platform.endpoint,
             settings.platform.timeout_ms,
             self._metrics,
-            clock,
         )
         self._exchange = exchange_lib.Exchange(
             self._own.get,
--- a/greengagedale/gateway/metrics.py
+++ b/greengagedale/gateway/metrics.py
@@ -5,7 +5,7 @@
 """
 
 import collections
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from typing import Any
 
 from hdrh import histogram
@@ -66,7 +66,6 @@
         store_calls: Calls to the store by operation and result.
         request_latency: Latency of requests by route.
         attempt_latency: Latency of answered attempts by route.
-        gauges: Values that are read when asked for, by name.
     """
 
     def __init__(self) -> None:
@@ -98,7 +97,6 @@
         self.attempt_latency = Latencies(
             "attempt_latency_ms", "Latency of answered attempts.", "route"
         )
-        self.gauges: dict[str, Callable[[], float]] = {}
 
     def exposition(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
@@ -135,10 +133,6 @@
                 yield family
             elif isinstance(item, Latencies):
                 yield _quantiles(core, item)
-        for name, read in self._metrics.gauges.items():
-            yield core.GaugeMetricFamily(
-                f"greengagedale_{name}", name, value=read()
-            )
 
 
 def _quantiles(core: Any, item: Latencies) -> Any:
--- a/greengagedale/gateway/pools.py
+++ b/greengagedale/gateway/pools.py
@@ -23,7 +23,6 @@
 
     Attributes:
         most: Connections that this host may hold.
-        opened: Connections that were opened.
     """
 
     def __init__(
@@ -31,17 +30,11 @@
     ) -> None:
         self.upstream = upstream
         self.most = most
-        self.opened = 0
         self._clock = clock
         self._idle: list[client.Connection] = []
         self._held = 0
         self._freed: asyncio.Event = asyncio.Event()
 
-    @property
-    def has_room(self) -> bool:
-        """Whether a connection can be had without a wait."""
-        return bool(self._idle) or self._held < self.most
-
     async def take(self, newest_idle_ms: float) -> client.Connection:
         """Returns a connection; opens one if none is idle.
 
@@ -102,8 +95,6 @@
             self._held -= 1
             self._freed.set()
             raise
-        self.opened += 1
-        connection.opened_ms = self._clock.now_ms()
         return connection
 
     def _take_idle(self, newest_idle_ms: float) -> client.Connection | None:
@@ -134,13 +125,6 @@
     def __init__(self, clock: clocks.Clock) -> None:
         self._clock = clock
         self._pools: dict[tuple[str, int], Pool] = {}
-        self.opened_before = 0
-
-    @property
-    def opened(self) -> int:
-        """Connections that were ever opened."""
-        now_open = sum(pool.opened for pool in self._pools.values())
-        return self.opened_before + now_open
 
     def of(self, upstream: entries.Upstream, most: int) -> Pool:
         """Returns the pool of an upstream.
@@ -159,9 +143,7 @@
     def sweep(self, lives: set[tuple[str, int]]) -> None:
         """Closes idle connections that are too old or to lives not listed."""
         for life in [life for life in self._pools if life not in lives]:
-            pool = self._pools.pop(life)
-            self.opened_before += pool.opened
-            pool.close()
+            self._pools.pop(life).close()
         for pool in self._pools.values():
             pool.sweep()
 
--- a/greengagedale/gateway/runner.py
+++ b/greengagedale/gateway/runner.py
@@ -22,8 +22,6 @@
 RETRY_AFTER_MS = 100
 _MS_PER_S = 1000.0
 
-Result = outcomes.Outcome
-
 
 class _Parts(NamedTuple):
     answers: list[calls.Answer]
@@ -62,7 +60,7 @@
 
     async def run(
         self, call: calls.Call, plan: plans.Plan, steps: list[fetches.Step]
-    ) -> Result:
+    ) -> outcomes.Outcome:
         """Runs a call; cancelling it abandons what may be abandoned."""
         deadline_ms = call.received_ms + plan.timeout_ms
         if call.deadline_ms is not None:
@@ -82,7 +80,7 @@
         plan: plans.Plan,
         deadline_ms: float,
         steps: list[fetches.Step],
-    ) -> Result:
+    ) -> outcomes.Outcome:
         service = self._splitter.choose(plan)
         # Its only service may be left out: then the call is refused at once.
         fetch = self._fetch(
@@ -115,7 +113,7 @@
         fanout: plans.Fanout,
         deadline_ms: float,
         steps: list[fetches.Step],
-    ) -> Result:
+    ) -> outcomes.Outcome:
         candidates = self._tools.candidates
         held = sum(bool(candidates(shard)) for shard in fanout.shards)
         if held < fanout.least_parts:
--- a/greengagedale/gateway/scores.py
+++ b/greengagedale/gateway/scores.py
@@ -89,8 +89,7 @@
 
     def troubled(self, now_ms: float) -> float:
         """Returns the share of attempts that fail lately, 0 to 1."""
-        age = max(0.0, now_ms - self._as_of_ms) / _HALF_LIFE_MS
-        return self._troubled * 0.5**age
+        return self._troubled * self._fading(now_ms)
 
     def queue(self, now_ms: float) -> float:
         """Returns how many requests it runs or holds, as far as is known."""
@@ -119,7 +118,7 @@
 
     def note_failure(self, now_ms: float) -> None:
         """Takes in that an attempt failed for a reason of the upstream's."""
-        self._slowness = 1.0 + (self._slowness_share(now_ms))
+        self._slowness = 1.0 + self._slowness_share(now_ms)
         troubled = self.troubled(now_ms)
         self._troubled = troubled + _SMOOTHING * (1.0 - troubled)
         self._as_of_ms = now_ms
@@ -128,8 +127,12 @@
         self.paused_until_ms = now_ms + min(_LONGEST_PAUSE_MS, pause_ms)
 
     def _slowness_share(self, now_ms: float) -> float:
+        return (self._slowness - 1.0) * self._fading(now_ms)
+
+    def _fading(self, now_ms: float) -> float:
+        """Returns what is left by now of what was seen last, 0 to 1."""
         age = max(0.0, now_ms - self._as_of_ms) / _HALF_LIFE_MS
-        return (self._slowness - 1.0) * 0.5**age
+        return 0.5**age
 
     def oldest_ms(self, now_ms: float) -> float:
         """Returns the age of the oldest attempt without an end."""
--- a/greengagedale/http1/client.py
+++ b/greengagedale/http1/client.py
@@ -38,17 +38,13 @@
     """A connection to a server.
 
     Attributes:
-        opened_ms: When it was opened, by the clock of the pool.
-        used_ms: When its last answer came.
+        used_ms: When its last answer came, by the clock of the pool.
         keep_alive_ms: How long the server keeps it while idle, if it says so.
-        requests: Requests that were sent on it.
     """
 
     def __init__(self) -> None:
-        self.opened_ms = 0.0
         self.used_ms = 0.0
         self.keep_alive_ms: float | None = None
-        self.requests = 0
         self._transport: asyncio.Transport | None = None
         self._parser: httptools.HttpResponseParser | None = None
         self._future: asyncio.Future[messages.Reply | Broken] | None = None
@@ -105,7 +101,6 @@
         self._is_head = is_head
         self._parser = httptools.HttpResponseParser(self)
         self._begin()
-        self.requests += 1
         self._transport.write(data)
         try:
             return await future
--- a/greengagedale/platform/store.py
+++ b/greengagedale/platform/store.py
@@ -6,7 +6,6 @@
 
 import msgspec
 
-from greengagedale import clocks
 from greengagedale.gateway import metrics as metrics_lib
 from greengagedale.gateway import source
 from greengagedale.http1 import client
@@ -55,13 +54,11 @@
         port: int,
         timeout_ms: float,
         metrics: metrics_lib.Metrics,
-        clock: clocks.Clock,
     ) -> None:
         self._address = address
         self._port = port
         self._timeout_ms = timeout_ms
         self._metrics = metrics
-        self._clock = clock
         self._idle: list[client.Connection] = []
 
     @classmethod
@@ -70,7 +67,6 @@
         endpoint: str,
         timeout_ms: float,
         metrics: metrics_lib.Metrics,
-        clock: clocks.Clock,
     ) -> Self:
         """Makes a client.
 
@@ -78,10 +74,9 @@
             endpoint: IP number and port of the store.
             timeout_ms: Longest time for a call, watches apart.
             metrics: Where calls are counted.
-            clock: Clock of the process.
         """
         address, _, port = endpoint.rpartition(":")
-        return cls(address, int(port), timeout_ms, metrics, clock)
+        return cls(address, int(port), timeout_ms, metrics)
 
     async def list_upstreams(
         self,
