Of equal upstreams those of the own data centre get the work

Cause: a crossing adds 3 ms to what is expected of an upstream; where attempts take 42 ms that is within the tenth that counts as equal, so near and far ones were drawn alike and 30% of the parts crossed data centres.

Ruled out: a greater crossing cost, which would also hold back hedges to far upstreams while the near one is slow.

--- a/greengagedale/gateway/scores.py
+++ b/greengagedale/gateway/scores.py
@@ -207,7 +207,13 @@
             for rank_ms, upstream in scored
             if rank_ms <= best_ms * (1.0 + _TIE_SHARE)
         ]
-        chosen = self._rng.choice(near)
+        # Bytes between data centres are priced, so equal ones nearby go first.
+        local = [
+            upstream
+            for upstream in near
+            if upstream.data_centre == self._data_centre
+        ]
+        chosen = self._rng.choice(local or near)
         return Choice(chosen, usual_ms * self._rounds(chosen, now_ms))
 
     def _rank_ms(
--- a/tests/gateway/test_scores.py
+++ b/tests/gateway/test_scores.py
@@ -138,3 +138,13 @@
     scores.of(UPSTREAMS[0]).note_failure(clock.now_ms())
     scores.forget_others({item.life for item in UPSTREAMS[1:]})
     assert score_is_free(scores, clock)
+
+
+def test_of_equal_upstreams_those_nearby_get_the_work(scores):
+    far = [upstream(name, data_centre="there") for name in "xyz"]
+    drawn = scores_lib.Scores("here", clocks.ManualClock(), random.Random(1))
+    # Far ones expect a few milliseconds more, which is within a tie.
+    assert set(chosen(drawn, 60, [*UPSTREAMS, *far])) == {"a", "b", "c"}
+    for nearby in UPSTREAMS:
+        scores.of(nearby).note_latency(3.0, 1000.0)
+    assert set(chosen(scores, 60, [*UPSTREAMS, *far])) == {"x", "y", "z"}
