Shards that are down use up what may be missing; searches without hope end

Searches whose shards hang waited for their deadline (1.2 s), and told "deadline" whatever the reason was.

Change: an upstream that can't be reached, or is silent for 0.5 s, counts as silent until it answers; a shard is down if all its upstreams are. Down shards take their places among the missing first. If too many are down, a search is refused as not run, but for one in 250 ms that probes; one that is past its aim ends as soon as its missing shards are known to be down. A hopeless search tells its shards' reason; it is only "not run" if no shard has it.

--- a/greengagedale/gateway/fetches.py
+++ b/greengagedale/gateway/fetches.py
@@ -110,7 +110,11 @@
 
 
 class Fetch:
-    """One call's way to an answer of one service."""
+    """One call's way to an answer of one service.
+
+    Attributes:
+        service: Name of the service.
+    """
 
     def __init__(
         self,
@@ -142,7 +146,7 @@
         self._tools = tools
         self._call = call
         self._plan = plan
-        self._service = service
+        self.service = service
         self._deadline_ms = deadline_ms
         self._useful_until_ms = useful_until_ms
         self._slack = slack
@@ -252,7 +256,7 @@
         tools = self._tools
         now_ms = tools.clock.now_ms()
         choice = tools.scores.choose(
-            tools.candidates(self._service),
+            tools.candidates(self.service),
             self._pace.usual_ms(),
             self._tried,
         )
@@ -282,7 +286,7 @@
         if what != "attempt":
             tools.metrics.extra_attempts.inc(what)
             self._note(now_ms, what, upstream, "")
-        tools.metrics.attempts.inc(self._service)
+        tools.metrics.attempts.inc(self.service)
         attempt = calls.Attempt(
             self._call,
             upstream,
@@ -314,10 +318,9 @@
             result = await self._tools.link.send(attempt)
         except asyncio.CancelledError:
             now_ms = clock.now_ms()
-            if now_ms - sent_ms > self._pace.usual_ms():
-                score.note_latency(
-                    (now_ms - sent_ms) / self._pace.usual_ms(), now_ms
-                )
+            score.note_unanswered(
+                now_ms - sent_ms, self._pace.usual_ms(), now_ms
+            )
             raise
         self._judge(attempt, score, result, clock.now_ms(), sent_ms)
         return result
@@ -334,6 +337,10 @@
         if isinstance(result, outcomes.AttemptEnd):
             if scores_lib.is_upstreams_fault(result):
                 score.note_failure(now_ms)
+            if scores_lib.is_silence(result):
+                score.note_silence(now_ms)
+            elif result.refused:
+                score.note_heard()
             if result.reason is outcomes.Reason.NO_REPLICA:
                 self._tools.disown(attempt.upstream)
             return
@@ -341,6 +348,7 @@
             score.note_load(result.load, now_ms)
         if not result.is_success:
             score.note_failure(now_ms)
+            score.note_heard()
             return
         took_ms = now_ms - sent_ms
         score.note_latency(took_ms / self._pace.usual_ms(), now_ms)
@@ -395,7 +403,7 @@
     ) -> None:
         at_ms = round(now_ms - self._call.received_ms, 1)
         self._steps.append(
-            Step(at_ms, what, self._service, upstream.name, reason)
+            Step(at_ms, what, self.service, upstream.name, reason)
         )
 
 
--- a/greengagedale/gateway/runner.py
+++ b/greengagedale/gateway/runner.py
@@ -20,9 +20,17 @@
 DEADLINE_MARGIN_MS = 12.0
 # When nothing is listed for a service, or all that is refuses.
 RETRY_AFTER_MS = 100
+# While too many shards don't answer, one search in this time goes out to find
+# out whether they are back; the others are refused and asked to wait as long.
+PROBE_MS = 250.0
+# How often a search that is late looks whether its missing shards are down.
+LATE_CHECK_MS = 50.0
 _MS_PER_S = 1000.0
 
 
+_Fetching = dict[asyncio.Task[calls.Answer | fetches.Failure], fetches.Fetch]
+
+
 class _Parts(NamedTuple):
     answers: list[calls.Answer]
     failures: list[fetches.Failure]
@@ -41,6 +49,7 @@
         self._budgets = budgets
         self._splitter = splitter
         self._paces: dict[str, pacing.Pace] = {}
+        self._probed_ms: dict[str, float] = {}
 
     def pace_of(self, plan: plans.Plan) -> pacing.Pace:
         """Returns the latencies of a route; kept across configurations."""
@@ -56,6 +65,9 @@
         self._paces = {
             name: pace for name, pace in self._paces.items() if name in names
         }
+        self._probed_ms = {
+            name: at for name, at in self._probed_ms.items() if name in names
+        }
         self._splitter.forget_others(routes.plans)
 
     async def run(
@@ -114,12 +126,17 @@
         deadline_ms: float,
         steps: list[fetches.Step],
     ) -> outcomes.Outcome:
-        candidates = self._tools.candidates
-        held = sum(bool(candidates(shard)) for shard in fanout.shards)
-        if held < fanout.least_parts:
+        held = [
+            shard for shard in fanout.shards if self._tools.candidates(shard)
+        ]
+        if len(held) < fanout.least_parts:
             return outcomes.NotRun(outcomes.Reason.NO_REPLICA, RETRY_AFTER_MS)
+        spare = sum(map(self._answers, held)) - fanout.least_parts
+        if spare < 0 and not self._may_probe(plan):
+            return outcomes.NotRun(outcomes.Reason.NO_PROGRESS, int(PROBE_MS))
         cutoff_ms = call.received_ms + _cutoff_after_ms(plan)
-        slack = fetches.Slack(held - fanout.least_parts)
+        # Shards that are down will be missing; only the rest may be left out.
+        slack = fetches.Slack(max(0, spare))
         made = {
             asyncio.ensure_future(fetch.run()): fetch
             for fetch in (
@@ -130,18 +147,18 @@
             )
         }
         try:
-            parts = await self._collect(
-                set(made), fanout, cutoff_ms, deadline_ms
-            )
+            parts = await self._collect(made, fanout, cutoff_ms, deadline_ms)
         except asyncio.CancelledError:
             for task in made:
                 task.cancel()
             raise
         self._let_go(made)
         if len(parts.answers) < fanout.least_parts:
-            return self._without_answer(
-                parts.failures, is_pending=any(not t.done() for t in made)
+            has_begun = bool(parts.answers) or any(
+                fetch.was_sent and not task.done()
+                for task, fetch in made.items()
             )
+            return self._without_answer(parts.failures, has_begun)
         missing = len(fanout.shards) - len(parts.answers)
         self._tools.metrics.gathers.inc(
             plan.name, "partial" if missing else "whole"
@@ -157,9 +174,20 @@
             )
         )
 
+    def _answers(self, shard: str) -> bool:
+        """Tells whether any upstream of a shard answers."""
+        return not self._tools.scores.is_down(self._tools.candidates(shard))
+
+    def _may_probe(self, plan: plans.Plan) -> bool:
+        now_ms = self._tools.clock.now_ms()
+        if now_ms - self._probed_ms.get(plan.name, float("-inf")) < PROBE_MS:
+            return False
+        self._probed_ms[plan.name] = now_ms
+        return True
+
     async def _collect(
         self,
-        waiting: "set[asyncio.Task[calls.Answer | fetches.Failure]]",
+        made: _Fetching,
         fanout: plans.Fanout,
         cutoff_ms: float,
         deadline_ms: float,
@@ -167,12 +195,21 @@
         """Waits for parts until the answer should go out."""
         clock = self._tools.clock
         parts = _Parts([], [])
+        waiting = set(made)
         while waiting:
             now_ms = clock.now_ms()
-            is_enough = len(parts.answers) >= fanout.least_parts
-            is_hopeless = len(parts.answers) + len(waiting) < fanout.least_parts
-            until_ms = cutoff_ms if is_enough else deadline_ms
-            if is_hopeless or now_ms >= until_ms:
+            missing = fanout.least_parts - len(parts.answers)
+            until_ms = deadline_ms if missing > 0 else cutoff_ms
+            if now_ms >= until_ms:
+                break
+            if now_ms < cutoff_ms:
+                hopeful = len(waiting)
+                until_ms = cutoff_ms
+            else:
+                shards = (made[task].service for task in waiting)
+                hopeful = sum(map(self._answers, shards))
+                until_ms = min(until_ms, now_ms + LATE_CHECK_MS)
+            if hopeful < missing:
                 break
             done, waiting = await asyncio.wait(
                 waiting,
@@ -187,11 +224,7 @@
                     parts.failures.append(result)
         return parts
 
-    def _let_go(
-        self,
-        made: "dict[asyncio.Task[calls.Answer | fetches.Failure],"
-        " fetches.Fetch]",
-    ) -> None:
+    def _let_go(self, made: _Fetching) -> None:
         for task, fetch in made.items():
             if not task.done():
                 fetch.give_up()
@@ -223,18 +256,24 @@
         )
 
     def _without_answer(
-        self, failures: list[fetches.Failure], is_pending: bool = False
+        self, failures: list[fetches.Failure], has_begun: bool = False
     ) -> outcomes.NotRun | outcomes.Unknown:
-        answered = any(failure.answer is not None for failure in failures)
-        late = any(
-            failure.reason is outcomes.Reason.DEADLINE for failure in failures
-        )
-        if is_pending or late:
+        """Returns the outcome of a call that too few services answered.
+
+        Args:
+            failures: How the services failed that have ended.
+            has_begun: Whether others may have run it.
+        """
+        reasons = [failure.reason for failure in failures]
+        if outcomes.Reason.DEADLINE in reasons:
             return outcomes.Unknown(outcomes.Reason.DEADLINE)
-        if answered:
+        if any(failure.answer is not None for failure in failures):
             return outcomes.Unknown(outcomes.Reason.REJECTED)
+        if has_begun:
+            reason = reasons[-1] if reasons else outcomes.Reason.DEADLINE
+            return outcomes.Unknown(reason)
         ends = [end for failure in failures for end in failure.ends]
-        reason = failures[-1].reason if failures else outcomes.Reason.NO_REPLICA
+        reason = reasons[-1] if reasons else outcomes.Reason.NO_REPLICA
         retry_after_ms = max(
             [RETRY_AFTER_MS, *(each.retry_after_ms for each in failures)]
         )
--- a/greengagedale/gateway/scores.py
+++ b/greengagedale/gateway/scores.py
@@ -33,6 +33,12 @@
 # the usual latency longer: a refusal is soon known, but the next attempt is
 # paid from the budget.
 _FAILING_FACTOR = 2.0
+# An attempt this old shows an upstream that has fallen silent: no pause of the
+# platform's upstreams (150 to 500 ms) lasts so long.
+SILENCE_MS = 500.0
+# An upstream that fell silent, or could not be reached, is held for silent
+# until it answers, or for this long.
+_SILENCE_HOLD_MS = 3000.0
 # Scores this close are equal; one of them is drawn.
 _TIE_SHARE = 0.1
 
@@ -47,6 +53,7 @@
         "_own_at_load",
         "_sent",
         "_sent_ms",
+        "_silent_ms",
         "_slowness",
         "_troubled",
         "cold_until_ms",
@@ -66,6 +73,7 @@
         self._load: calls.Load | None = None
         self._load_ms = float("-inf")
         self._own_at_load = 0
+        self._silent_ms = float("-inf")
 
     @property
     def running(self) -> int:
@@ -101,14 +109,43 @@
 
     def note_latency(self, ratio: float, now_ms: float) -> None:
         """Takes in an answer's latency over the usual one."""
+        self._note_sample(ratio, now_ms)
+        self._troubled *= 1.0 - _SMOOTHING
+        self.failures = 0
+        self.note_heard()
+
+    def note_unanswered(
+        self, age_ms: float, usual_ms: float, now_ms: float
+    ) -> None:
+        """Takes in that an attempt of an age was given up."""
+        if age_ms > usual_ms:
+            self._note_sample(age_ms / usual_ms, now_ms)
+        if age_ms >= SILENCE_MS:
+            self.note_silence(now_ms)
+
+    def note_heard(self) -> None:
+        """Takes in that it has answered, whatever the answer was."""
+        self._silent_ms = float("-inf")
+
+    def note_silence(self, now_ms: float) -> None:
+        """Takes in that it does not answer, or can't be reached."""
+        self._silent_ms = now_ms
+
+    def is_silent(self, now_ms: float) -> bool:
+        """Tells whether it has stopped to answer."""
+        return (
+            now_ms - self._silent_ms < _SILENCE_HOLD_MS
+            or self.oldest_ms(now_ms) >= SILENCE_MS
+        )
+
+    def _note_sample(self, ratio: float, now_ms: float) -> None:
         sample = min(_MOST_SLOWNESS, ratio)
         held = self.slowness(now_ms)
         if now_ms < self.cold_until_ms:
             held /= _COLD_FACTOR
         self._slowness = held + _SMOOTHING * (sample - held)
-        self._troubled = self.troubled(now_ms) * (1.0 - _SMOOTHING)
+        self._troubled = self.troubled(now_ms)
         self._as_of_ms = now_ms
-        self.failures = 0
 
     def note_load(self, load: calls.Load, now_ms: float) -> None:
         """Takes in what the upstream says of its load."""
@@ -180,6 +217,11 @@
             if life in lives or score.running
         }
 
+    def is_down(self, upstreams: Iterable[entries.Upstream]) -> bool:
+        """Tells whether none of these upstreams answers."""
+        now_ms = self._clock.now_ms()
+        return all(self.of(each).is_silent(now_ms) for each in upstreams)
+
     def choose(
         self,
         upstreams: Iterable[entries.Upstream],
@@ -258,3 +300,11 @@
         outcomes.Reason.NO_REPLICA,
         outcomes.Reason.OVERLOADED,
     )
+
+
+def is_silence(end: outcomes.AttemptEnd) -> bool:
+    """Tells whether an attempt's end shows nothing of a living upstream."""
+    return end.reason in (
+        outcomes.Reason.CONNECT_FAILED,
+        outcomes.Reason.NO_PROGRESS,
+    )
--- a/tests/gateway/test_runner.py
+++ b/tests/gateway/test_runner.py
@@ -14,6 +14,8 @@
 from greengagedale import outcomes
 from greengagedale.gateway import calls
 from greengagedale.gateway import plans
+from greengagedale.gateway import runner as runner_lib
+from greengagedale.gateway import scores as scores_lib
 from greengagedale.http1 import server
 
 SLOW_MS = 5000.0
@@ -320,3 +322,71 @@
     # The pause before the only upstream is asked again ends too late.
     await bench.run(single(is_idempotent=False), left_ms=35.0)
     assert len(bench.link.sent) == 1
+
+
+def add_shards(bench, names, delay_ms=0.0):
+    for name in names:
+        bench.add(name, name, [(delay_ms, None)] * 20)
+
+
+def add_dead_shard(bench, name, end):
+    bench.add(name, name, [(0.0, end)] * 99)
+
+
+async def test_shard_that_may_be_left_out_is_the_dead_one():
+    """The pattern of a dead shard beside one with a long queue.
+
+    If the long queue took the place of the one shard that may be missing, the
+    dead one would end the search.
+    """
+    bench = Bench()
+    add_shards(bench, "ab")
+    add_dead_shard(bench, "dead", unreachable())
+    plan = fanout(["a", "b", "dead"], least=0.6)
+    assert isinstance(await bench.run(plan), outcomes.Ran)
+    flooded = bench.tools.scores.of(bench.upstreams["a"][0])
+    now_ms = bench.clock.now_ms()
+    flooded.note_load(calls.Load(2, 40, 2), now_ms)
+    bench.link.sent.clear()
+    outcome = await bench.run(plan)
+    assert isinstance(outcome, outcomes.Ran)
+    assert "a" in bench.link.sent
+
+
+async def test_searches_without_hope_are_refused_but_for_a_probe():
+    bench = Bench()
+    add_shards(bench, "ab")
+    add_dead_shard(bench, "x", unreachable())
+    add_dead_shard(bench, "y", unreachable())
+    plan = fanout("abxy", least=0.75)
+    found = [await bench.run(plan) for _ in range(4)]
+    # The first finds out, the second probes, the others have not run.
+    assert [type(each) for each in found[:2]] == [outcomes.Unknown] * 2
+    assert [type(each) for each in found[2:]] == [outcomes.NotRun] * 2
+    assert found[-1].retry_after_ms >= 100
+    bench.link.scripts["x"].clear()
+    await asyncio.sleep(runner_lib.PROBE_MS / 1000.0)
+    assert isinstance(await bench.run(plan), outcomes.Ran)
+    assert isinstance(await bench.run(plan), outcomes.Ran)
+
+
+async def test_search_whose_shards_hang_ends_long_before_its_deadline():
+    bench = Bench()
+    add_shards(bench, "ab")
+    for name in "xy":
+        bench.add(name, name, [(60_000.0, None)] * 9)
+    plan = fanout("abxy", least=0.75, timeout_ms=30_000.0)
+    began_ms = bench.clock.now_ms()
+    outcome = await bench.run(plan, left_ms=30_000.0)
+    took_ms = bench.clock.now_ms() - began_ms
+    assert isinstance(outcome, outcomes.Unknown)
+    assert took_ms < 2.0 * scores_lib.SILENCE_MS
+
+
+async def test_reason_of_a_hopeless_search_is_its_shards():
+    bench = Bench()
+    add_shards(bench, "a", delay_ms=200.0)
+    add_dead_shard(bench, "x", unreachable())
+    outcome = await bench.run(fanout("ax", least=1.0))
+    assert isinstance(outcome, outcomes.Unknown)
+    assert outcome.reason is not outcomes.Reason.DEADLINE
