Callers are sent to hosts of their own data centre

Cause: an answer named all living hosts. Callers take 64 addresses at most, so that in larger fleets hosts behind the 64th would get no callers, and the same 64 all of them; and most callers crossed data centres for nothing.

Change: the hosts of the caller's data centre, made up to four by others, 64 at most; the same ones in each answer, as callers drop connections to hosts that an answer leaves out, and others from each asked host.

--- a/greengagedale/gateway/edge.py
+++ b/greengagedale/gateway/edge.py
@@ -3,6 +3,7 @@
 import abc
 import dataclasses
 import logging
+from typing import NamedTuple
 
 from greengagedale import clocks
 from greengagedale import logs
@@ -11,6 +12,7 @@
 from greengagedale.gateway import fetches
 from greengagedale.gateway import fleet as fleet_lib
 from greengagedale.gateway import metrics as metrics_lib
+from greengagedale.gateway import placement
 from greengagedale.gateway import plans
 from greengagedale.gateway import registry as registry_lib
 from greengagedale.gateway import runner as runner_lib
@@ -36,6 +38,16 @@
     detail: str
 
 
+class Locate(NamedTuple):
+    """A caller's question where to connect.
+
+    Attributes:
+        data_centre: Where the caller is, if it says so.
+    """
+
+    data_centre: str | None
+
+
 class CallerCodec(abc.ABC):
     """Decodes what callers send and encodes what they are answered."""
 
@@ -62,8 +74,8 @@
         """Encodes an error that says what is wrong with a request."""
 
     @abc.abstractmethod
-    def is_resolve(self, request: messages.Request) -> bool:
-        """Tells whether a caller asks where to connect."""
+    def decode_locate(self, request: messages.Request) -> Locate | None:
+        """Decodes a caller's question where to connect; None if it is none."""
 
     @abc.abstractmethod
     def is_ready_check(self, request: messages.Request) -> bool:
@@ -218,8 +230,9 @@
     async def handle(self, request: messages.Request) -> messages.Response:
         """Answers a caller or the platform."""
         own = self._own_state.get()
-        if self._codec.is_resolve(request):
-            return self._located(own)
+        asked = self._codec.decode_locate(request)
+        if asked is not None:
+            return self._located(own, asked)
         if self._codec.is_ready_check(request):
             status = (
                 _STATUS_OK if own.may_be_handed_out else _STATUS_UNAVAILABLE
@@ -227,7 +240,9 @@
             return messages.Response(status)
         return self._codec.encode_error(_STATUS_MISSING, "unknown path")
 
-    def _located(self, own: fleet_lib.HostState) -> messages.Response:
+    def _located(
+        self, own: fleet_lib.HostState, asked: Locate
+    ) -> messages.Response:
         serving = self._fleet.serving()
         if own.may_be_handed_out:
             serving.append(own)
@@ -235,7 +250,8 @@
             return self._codec.encode_failure(
                 outcomes.NotRun(outcomes.Reason.NOT_READY, _NOT_READY_RETRY_MS)
             )
-        endpoints = [state.address.caller_endpoint for state in serving]
+        chosen = placement.nearest(serving, asked.data_centre, own.name)
+        endpoints = [state.address.caller_endpoint for state in chosen]
         return self._codec.encode_located(endpoints, self._ttl_ms)
 
 
--- a/greengagedale/platform/callers.py
+++ b/greengagedale/platform/callers.py
@@ -11,6 +11,7 @@
 # The time that the client still waits, not a point in time.
 _TIME_LEFT = b"deadline-ms"
 _PATH_RESOLVE = "/-/resolve"
+_FIELD_ZONE = "zone="
 _PATH_READY = "/-/ready"
 _STATUS_OK = 200
 _STATUS_REFUSED = 503
@@ -96,9 +97,18 @@
             status, (_JSON,), msgspec.json.encode({"error": detail})
         )
 
-    def is_resolve(self, request: messages.Request) -> bool:
-        """Tells whether a caller asks where to connect."""
-        return _path_of(request) == _PATH_RESOLVE
+    def decode_locate(self, request: messages.Request) -> edge.Locate | None:
+        """Decodes a caller's question where to connect; None if it is none."""
+        path, _, query = request.target.decode("latin-1").partition("?")
+        if path != _PATH_RESOLVE:
+            return None
+        # Names of zones need no escapes; the region is the same for all.
+        zones = (
+            field.removeprefix(_FIELD_ZONE)
+            for field in query.split("&")
+            if field.startswith(_FIELD_ZONE)
+        )
+        return edge.Locate(next(zones, None))
 
     def is_ready_check(self, request: messages.Request) -> bool:
         """Tells whether the platform asks if the host is ready."""
--- a/tests/gateway_scripts.py
+++ b/tests/gateway_scripts.py
@@ -36,9 +36,9 @@
     )
 
 
-def host_state(name, beat=1, incarnation=1, **fields):
+def host_state(name, beat=1, incarnation=1, data_centre="here", **fields):
     address = fleet.HostAddress(
-        name, incarnation, "here", f"{name}:1", f"{name}:2"
+        name, incarnation, data_centre, f"{name}:1", f"{name}:2"
     )
     values = {
         "is_ready": True,
--- a/tests/platform/test_codecs.py
+++ b/tests/platform/test_codecs.py
@@ -271,3 +271,18 @@
     headers = dict(response.headers)
     assert headers[b"Part-Seals"] == b"a, b"
     assert headers[b"Parts-Missing"] == b"1"
+
+
+@pytest.mark.parametrize(
+    ("target", "asked"),
+    [
+        (b"/-/resolve?name=a&region=r&zone=z1", edge.Locate("z1")),
+        (b"/-/resolve?name=a", edge.Locate(None)),
+        (b"/-/resolve", edge.Locate(None)),
+        (b"/-/ready?zone=z1", None),
+        (b"/elsewhere", None),
+    ],
+)
+def test_question_where_to_connect_names_the_data_centre(codec, target, asked):
+    request = messages.Request(b"GET", target, (), b"", 0.0)
+    assert codec.decode_locate(request) == asked
