--- a/greengagedale/gateway/runner.py
+++ b/greengagedale/gateway/runner.py
@@ -1,6 +1,7 @@
 """Runs calls: one service's answer, or the parts of all shards."""
 
 import asyncio
+import logging
 from typing import NamedTuple
 
 from greengagedale import outcomes
@@ -11,6 +12,8 @@
 from greengagedale.gateway import records
 from greengagedale.gateway import splits
 
+log = logging.getLogger(__name__)
+
 # An answer with enough parts goes out so long before the route's aim that it
 # reaches the caller within it: callers are 1 to 3 ms away one way, and a busy
 # host is late by a part of the aim.
@@ -50,6 +53,7 @@
         self._splitter = splitter
         self._paces: dict[str, pacing.Pace] = {}
         self._probed_ms: dict[str, float] = {}
+        self._down: set[str] = set()
 
     def pace_of(self, plan: plans.Plan) -> pacing.Pace:
         """Returns the latencies of a route; kept across configurations."""
@@ -68,6 +72,9 @@
         self._probed_ms = {
             name: at for name, at in self._probed_ms.items() if name in names
         }
+        self._down.intersection_update(
+            service for plan in routes.plans for service in plan.services
+        )
         self._splitter.forget_others(routes.plans)
 
     async def run(
@@ -176,7 +183,15 @@
 
     def _answers(self, shard: str) -> bool:
         """Tells whether any upstream of a shard answers."""
-        return not self._tools.scores.is_down(self._tools.candidates(shard))
+        held = self._tools.candidates(shard)
+        is_down = self._tools.scores.is_down(held)
+        if is_down != (shard in self._down):
+            self._down.symmetric_difference_update((shard,))
+            log.info(
+                "shard down" if is_down else "shard answers again",
+                extra={"service": shard, "upstreams": [u.name for u in held]},
+            )
+        return not is_down
 
     def _may_probe(self, plan: plans.Plan) -> bool:
         now_ms = self._tools.clock.now_ms()
--- a/tests/gateway/test_mutations.py
+++ b/tests/gateway/test_mutations.py
@@ -1,20 +1,33 @@
 """Each mechanism is needed: without it, the check of its rule finds a fault."""
 
+import asyncio
+import random
+import time
+import types
+
 from gateway_scripts import Bench
 from gateway_scripts import answer
 from gateway_scripts import fanout
+from gateway_scripts import host_state
 from gateway_scripts import lost
 from gateway_scripts import single
+from gateway_scripts import unreachable
 from gateway_scripts import upstream
+import httptools
 import pytest
 
 from greengagedale import clocks
 from greengagedale import outcomes
 from greengagedale.gateway import calls
+from greengagedale.gateway import exchange
 from greengagedale.gateway import fetches
+from greengagedale.gateway import fleet
 from greengagedale.gateway import plans
 from greengagedale.gateway import registry
+from greengagedale.gateway import scores
 from greengagedale.gateway import source
+from greengagedale.gateway import stopping
+from greengagedale.gateway import turns
 from greengagedale.http1 import client
 from greengagedale.http1 import messages
 from greengagedale.http1 import server
@@ -106,6 +119,143 @@
     return [item.name for item in held_registry().of_service("s")] == ["a"]
 
 
+class Parsed:
+    """The requests in a piece of input."""
+
+    def __init__(self, data):
+        self.bodies = []
+        httptools.HttpRequestParser(self).feed_data(data)
+
+    def on_message_begin(self):
+        self.bodies.append(b"")
+
+    def on_body(self, body):
+        self.bodies[-1] += body
+
+
+def encoded(left_ms=40.0):
+    message = messages.Request(
+        b"POST",
+        b"/a/x?q=1",
+        ((b"deadline-ms", b"300"), (b"transfer-encoding", b"chunked")),
+        b"GET /smuggled HTTP/1.1\r\n\r\n",
+        0.0,
+    )
+    call = calls.Call("r1", "h", "/a/x", message, 0.0, 300.0)
+    attempt = calls.Attempt(call, upstream("a"), 300.0, False)
+    return message, upstreams.encode(attempt, left_ms)
+
+
+async def nothing_is_smuggled():
+    """A body that reads like a request stays the body of its own."""
+    message, data = encoded()
+    return Parsed(data).bodies == [message.body]
+
+
+async def time_left_is_told():
+    """An upstream is told what is left, not what the caller said."""
+    _, data = encoded()
+    return b"deadline-ms: 40\r" in data and b"300" not in data
+
+
+async def leaving_callers_stop_the_work():
+    """What upstreams do for a caller ends when it leaves."""
+    bench = Bench()
+    bench.add("a", script=[(5000.0, None)])
+    task = asyncio.ensure_future(bench.run(single()))
+    await asyncio.sleep(0.01)
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    await asyncio.sleep(0.01)
+    return bench.link.cancelled == ["a"]
+
+
+class BusyListener:
+    """Callers' connections of which one has a request that takes a while."""
+
+    def __init__(self, busy_s):
+        self.closing = False
+        self._until_s = time.monotonic() + busy_s
+
+    @property
+    def running(self):
+        return int(time.monotonic() < self._until_s)
+
+    def stop_accepting(self):
+        pass
+
+    def close_idle(self):
+        pass
+
+
+async def stop_waits_for_requests():
+    """A host that is stopped ends after its last request, within its grace."""
+    listener = BusyListener(busy_s=0.3)
+    edge = types.SimpleNamespace(is_refusing=False)
+    await stopping.leave(listener, edge, 0.5, set())
+    return listener.running == 0
+
+
+async def peers_tell_what_the_store_cannot():
+    """A host that knows nothing learns all from one exchange."""
+    clock = clocks.MonotonicClock()
+    knowing, fresh = held_registry(), registry.Registry(clock)
+    knowing.apply_routes(plans.Routes(4, (single(),), (), server.Limits()), 6)
+    asked, asking = (
+        exchange.Exchange(
+            lambda name=name: host_state(name),
+            fleet.Fleet(name, clock),
+            held,
+            [],
+            clock,
+            random.Random(1),
+        )
+        for name, held in (("a", knowing), ("b", fresh))
+    )
+    hello = exchange.Hello(host_state("b"), [], 0, 0, fresh.version)
+    asking._learn(asked._news(hello))
+    return fresh.is_ready and fresh.routes_version == 4
+
+
+async def down_shards_are_the_missing_ones():
+    """A long queue elsewhere does not take a dead shard's place."""
+    bench = Bench()
+    for name in "ab":
+        bench.add(name, name)
+    bench.add("dead", "dead", [(0.0, unreachable())] * 99)
+    plan = fanout(["a", "b", "dead"], least=0.6)
+    await bench.run(plan)
+    flooded = bench.tools.scores.of(bench.upstreams["a"][0])
+    flooded.note_load(calls.Load(2, 40, 2), bench.clock.now_ms())
+    return isinstance(await bench.run(plan), outcomes.Ran)
+
+
+async def hosts_read_one_after_another():
+    """Hosts that lose their reader don't all turn to the store at once."""
+    clock = clocks.ManualClock(1000.0)
+    names = [f"h{index}" for index in range(6)]
+    mine = []
+    for name in names:
+        others = fleet.Fleet(name, clock)
+        for other in names:
+            if other != name:
+                others.hear(host_state(other))
+        turn = turns.ReadingTurns(others, name, [], clock)
+        mine.append(turn.is_mine(-1.0))
+    return mine.count(True) == 1
+
+
+def drop_lengths(method, target, headers, body):
+    lines = [b"%s %s HTTP/1.1" % (method, target)]
+    lines += [b"%s: %s" % item for item in headers]
+    return b"\r\n".join([*lines, b"", body])
+
+
+def pass_all_headers_on(headers, more=()):
+    del more
+    return headers
+
+
 def always(value):
     return lambda *arguments: value
 
@@ -123,6 +273,43 @@
 
 
 MUTATIONS = {
+    "drop_lengths": (
+        nothing_is_smuggled,
+        messages,
+        "encode_request",
+        drop_lengths,
+    ),
+    "pass_all_headers_on": (
+        time_left_is_told,
+        upstreams,
+        "_end_to_end",
+        pass_all_headers_on,
+    ),
+    "forget_who_is_down": (
+        down_shards_are_the_missing_ones,
+        scores.Scores,
+        "is_down",
+        always(False),
+    ),
+    "rush_to_the_store": (
+        hosts_read_one_after_another,
+        turns,
+        "STEP_MS",
+        0.0,
+    ),
+    "work_on_for_nobody": (
+        leaving_callers_stop_the_work,
+        fetches.Fetch,
+        "_cancel_running",
+        always(None),
+    ),
+    "stop_at_once": (stop_waits_for_requests, stopping, "ENDING_SHARE", 0.0),
+    "learn_nothing_from_peers": (
+        peers_tell_what_the_store_cannot,
+        registry.Registry,
+        "adopt",
+        always(False),
+    ),
     "send_again": (runs_once, fetches.Fetch, "_may_repeat", always(True)),
     "spend_freely": (
         budget_holds,
--- a/tests/gateway/test_runner.py
+++ b/tests/gateway/test_runner.py
@@ -1,6 +1,7 @@
 """What a call becomes: answers, hedges, retries, promises."""
 
 import asyncio
+import logging
 
 from gateway_scripts import Bench
 from gateway_scripts import answer
@@ -353,7 +354,8 @@
     assert "a" in bench.link.sent
 
 
-async def test_searches_without_hope_are_refused_but_for_a_probe():
+async def test_searches_without_hope_are_refused_but_for_a_probe(caplog):
+    caplog.set_level(logging.INFO)
     bench = Bench()
     add_shards(bench, "ab")
     add_dead_shard(bench, "x", unreachable())
@@ -368,6 +370,12 @@
     await asyncio.sleep(runner_lib.PROBE_MS / 1000.0)
     assert isinstance(await bench.run(plan), outcomes.Ran)
     assert isinstance(await bench.run(plan), outcomes.Ran)
+    told = [(each.message, each.service) for each in caplog.records]
+    assert told == [
+        ("shard down", "x"),
+        ("shard down", "y"),
+        ("shard answers again", "x"),
+    ]
 
 
 async def test_search_whose_shards_hang_ends_long_before_its_deadline():
