--- /dev/null
+++ b/bench/gateway_overhead.py
@@ -0,0 +1,141 @@
+"""A gateway host against a host of the object API, for searches of 10 parts."""
+
+import asyncio
+from collections.abc import Iterable
+import os
+import pathlib
+import statistics
+import time
+
+from bench import cases
+from bench import overhead
+from greengagedale import loops
+from standins import load
+from standins import users_site
+
+_RATE_PER_S = 20.0
+_TIMEOUT_MS = 5000
+_SHARDS = tuple(f"t{number}" for number in range(10))
+_PATH = "/ten/x"
+_MS_PER_S = 1000.0
+# Fields of /proc/PID/stat after the name: time in user and in system mode.
+_STAT_USER, _STAT_SYSTEM = 11, 12
+_MOST_RATIO = 1.0
+
+
+class GatewayOverhead(cases.Case):
+    """Latency at low load, and processor time of the host for one search."""
+
+    name = "gateway_overhead"
+    duration_s = 10.0
+
+    def run(self, context: cases.Context) -> Iterable[cases.Row]:
+        """Measures the host of the object API first, then the gateway host."""
+        shape = context.shape.name
+        earlier = _object_api(context)
+        yield cases.Row(self.name, shape, "object API", context.seed, earlier)
+        figures = loops.run(_gateway(context))
+        ratio = figures["cpu_ms"] / earlier["cpu_ms"]
+        yield cases.Row(
+            self.name,
+            shape,
+            "gateway",
+            context.seed,
+            {**figures, "cpu_ratio": ratio},
+            "processor time at most that of the object API",
+            ratio <= _MOST_RATIO,
+        )
+
+
+def _object_api(context: cases.Context) -> dict[str, float]:
+    service = context.shape.main_service
+    deployment = context.deployment()
+    try:
+        deployment.start(service=service, hosts=1)
+        deployment.apply_workspace("bench", "member-a", service)
+        host = deployment.host(1)
+        pid = deployment.processes[host.name].pid
+        plan = load.LoadPlan(
+            [deployment.caller(host)],
+            "bench",
+            _RATE_PER_S,
+            context.duration_s,
+            context.seed,
+            _TIMEOUT_MS,
+        )
+        used_ms = _processor_ms(pid)
+        [samples] = load.run(plan)
+        used_ms = _processor_ms(pid) - used_ms
+        return {
+            "p50_ms": load.Summary.of(samples).p50_ms,
+            "cpu_ms": used_ms / len(samples),
+            "resident_mib": overhead.resident_mib(pid),
+        }
+    finally:
+        deployment.stop()
+
+
+async def _gateway(context: cases.Context) -> dict[str, float]:
+    folder = context.folder / "gateway"
+    folder.mkdir()
+    async with users_site.running_site(folder, hosts=1) as site:
+        await _add_shards(site)
+        host = site.hosts[0]
+        used_ms = _processor_ms(host.pid)
+        took_ms = await _search(host, context.duration_s)
+        used_ms = _processor_ms(host.pid) - used_ms
+        return {
+            "p50_ms": statistics.median(took_ms),
+            "cpu_ms": used_ms / len(took_ms),
+            "resident_mib": overhead.resident_mib(host.pid),
+        }
+
+
+async def _add_shards(site: users_site.Site) -> None:
+    for number, shard in enumerate(_SHARDS):
+        body = users_site.RECORD % number
+        for replica in range(2):
+            await site.add_upstream(f"{shard}-{replica}", shard, body)
+    gather = {"gather": list(_SHARDS), "topK": 10, "minCoverage": 0.9}
+    route = users_site.route("ten", "/ten/", **gather)
+    site.store.put("config", "main", users_site.configuration(4, [route]))
+    async with asyncio.timeout(_TIMEOUT_MS / _MS_PER_S):
+        while not await _is_served(site.hosts[0]):
+            await asyncio.sleep(1.0 / _RATE_PER_S)
+
+
+async def _is_served(host: users_site.HostProcess) -> bool:
+    reply = await host.get(_PATH, request_id="warm", deadline_ms=_TIMEOUT_MS)
+    return getattr(reply, "status", 0) == 200
+
+
+async def _search(
+    host: users_site.HostProcess, duration_s: float
+) -> list[float]:
+    """Searches one after another, at the rate, and returns how long each took.
+
+    Raises:
+        RuntimeError: A search was not answered.
+    """
+    connection = await host.connect()
+    took_ms: list[float] = []
+    for number in range(int(duration_s * _RATE_PER_S)):
+        began_s = time.monotonic()
+        reply = await host.ask(
+            connection, _PATH, request_id=f"o{number}", deadline_ms=_TIMEOUT_MS
+        )
+        took_s = time.monotonic() - began_s
+        if getattr(reply, "status", 0) != 200:
+            raise RuntimeError(f"a search ended with {reply!r}")
+        took_ms.append(took_s * _MS_PER_S)
+        await asyncio.sleep(max(0.0, 1.0 / _RATE_PER_S - took_s))
+    connection.close()
+    return took_ms
+
+
+def _processor_ms(pid: int) -> float:
+    """Returns the processor time that a process has used."""
+    text = pathlib.Path(f"/proc/{pid}/stat").read_text(encoding="ascii")
+    fields = text.rpartition(")")[2].split()
+    ticks = int(fields[_STAT_USER]) + int(fields[_STAT_SYSTEM])
+    return ticks * _MS_PER_S / os.sysconf("SC_CLK_TCK")
--- a/standins/users_site.py
+++ b/standins/users_site.py
@@ -132,6 +132,12 @@
                 env=self.environment,
             )
 
+    @property
+    def pid(self) -> int:
+        """The id of its process."""
+        assert self._process is not None
+        return self._process.pid
+
     def signal(self, number: int) -> None:
         """Sends a signal to the process."""
         assert self._process is not None
