--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -3,20 +3,9 @@
 from gateway_scripts import host_state as state
 import pytest
 
-from greengagedale import clocks
 from greengagedale.gateway import fleet as fleet_lib
 
 
-@pytest.fixture
-def clock():
-    return clocks.ManualClock(1000.0)
-
-
-@pytest.fixture
-def fleet(clock):
-    return fleet_lib.Fleet("m", clock)
-
-
 def serving(fleet):
     return sorted(item.name for item in fleet.serving())
 
--- a/tests/gateway/test_scores.py
+++ b/tests/gateway/test_scores.py
@@ -17,11 +17,6 @@
 USUAL_MS = 30.0
 
 
-@pytest.fixture
-def clock():
-    return clocks.ManualClock(1000.0)
-
-
 @pytest.fixture
 def scores(clock):
     return scores_lib.Scores("here", clock, random.Random(1))
--- a/tests/gateway/test_turns.py
+++ b/tests/gateway/test_turns.py
@@ -3,7 +3,6 @@
 from gateway_scripts import host_state
 import pytest
 
-from greengagedale import clocks
 from greengagedale.gateway import fleet as fleet_lib
 from greengagedale.gateway import turns as turns_lib
 
@@ -11,16 +10,6 @@
 STALE_MS = fleet_lib.READER_STALE_MS
 
 
-@pytest.fixture
-def clock():
-    return clocks.ManualClock(1000.0)
-
-
-@pytest.fixture
-def fleet(clock):
-    return fleet_lib.Fleet("m", clock)
-
-
 @pytest.fixture
 def turns(fleet, clock):
     return turns_lib.ReadingTurns(fleet, "m", ["s1:2", "s2:2"], clock)
