An upstream that answers others is not silent

Cause, found reading the change anew: one attempt of 0.5 s made an upstream count as silent though it answered other requests meanwhile (upstreams that hang on some requests, long requests of another route on the same service), so that a search could be refused for shards that answer.

Change: silent is who has had an attempt for 0.5 s and has answered nothing meanwhile.

Ruled out: a longer time alone; no length tells a long request from a dead upstream.

Measured: two of the three new tests fail without it.

--- a/greengagedale/gateway/fetches.py
+++ b/greengagedale/gateway/fetches.py
@@ -340,7 +340,7 @@
             if scores_lib.is_silence(result):
                 score.note_silence(now_ms)
             elif result.refused:
-                score.note_heard()
+                score.note_heard(now_ms)
             if result.reason is outcomes.Reason.NO_REPLICA:
                 self._tools.disown(attempt.upstream)
             return
@@ -348,7 +348,7 @@
             score.note_load(result.load, now_ms)
         if not result.is_success:
             score.note_failure(now_ms)
-            score.note_heard()
+            score.note_heard(now_ms)
             return
         took_ms = now_ms - sent_ms
         score.note_latency(took_ms / self._pace.usual_ms(), now_ms)
--- a/greengagedale/gateway/scores.py
+++ b/greengagedale/gateway/scores.py
@@ -33,8 +33,9 @@
 # the usual latency longer: a refusal is soon known, but the next attempt is
 # paid from the budget.
 _FAILING_FACTOR = 2.0
-# An attempt this old shows an upstream that has fallen silent: no pause of the
-# platform's upstreams (150 to 500 ms) lasts so long.
+# An upstream that has had an attempt for so long, and has answered no other one
+# meanwhile, has fallen silent: twice the longest pause of the platform's
+# upstreams (250 ms).
 SILENCE_MS = 500.0
 # An upstream that fell silent, or could not be reached, is held for silent
 # until it answers, or for this long.
@@ -48,6 +49,7 @@
 
     __slots__ = (
         "_as_of_ms",
+        "_heard_ms",
         "_load",
         "_load_ms",
         "_own_at_load",
@@ -74,6 +76,7 @@
         self._load_ms = float("-inf")
         self._own_at_load = 0
         self._silent_ms = float("-inf")
+        self._heard_ms = now_ms
 
     @property
     def running(self) -> int:
@@ -112,7 +115,7 @@
         self._note_sample(ratio, now_ms)
         self._troubled *= 1.0 - _SMOOTHING
         self.failures = 0
-        self.note_heard()
+        self.note_heard(now_ms)
 
     def note_unanswered(
         self, age_ms: float, usual_ms: float, now_ms: float
@@ -120,11 +123,12 @@
         """Takes in that an attempt of an age was given up."""
         if age_ms > usual_ms:
             self._note_sample(age_ms / usual_ms, now_ms)
-        if age_ms >= SILENCE_MS:
+        if self._has_answered_none_since(age_ms, now_ms):
             self.note_silence(now_ms)
 
-    def note_heard(self) -> None:
+    def note_heard(self, now_ms: float) -> None:
         """Takes in that it has answered, whatever the answer was."""
+        self._heard_ms = now_ms
         self._silent_ms = float("-inf")
 
     def note_silence(self, now_ms: float) -> None:
@@ -135,9 +139,13 @@
         """Tells whether it has stopped to answer."""
         return (
             now_ms - self._silent_ms < _SILENCE_HOLD_MS
-            or self.oldest_ms(now_ms) >= SILENCE_MS
+            or self._has_answered_none_since(self.oldest_ms(now_ms), now_ms)
         )
 
+    def _has_answered_none_since(self, age_ms: float, now_ms: float) -> bool:
+        """Tells whether an attempt of an age shows that it is silent."""
+        return min(age_ms, now_ms - self._heard_ms) >= SILENCE_MS
+
     def _note_sample(self, ratio: float, now_ms: float) -> None:
         sample = min(_MOST_SLOWNESS, ratio)
         held = self.slowness(now_ms)
--- a/tests/gateway/test_scores.py
+++ b/tests/gateway/test_scores.py
@@ -143,3 +143,37 @@
     for nearby in UPSTREAMS:
         scores.of(nearby).note_latency(3.0, 1000.0)
     assert set(chosen(scores, 60, [*UPSTREAMS, *far])) == {"x", "y", "z"}
+
+
+def test_upstreams_that_answer_nothing_are_down_until_one_answers(
+    scores, clock
+):
+    for each in UPSTREAMS:
+        scores.of(each).begin(clock.now_ms())
+    clock.advance(scores_lib.SILENCE_MS - 1.0)
+    assert not scores.is_down(UPSTREAMS)
+    clock.advance(1.0)
+    assert scores.is_down(UPSTREAMS)
+    scores.of(UPSTREAMS[1]).note_heard(clock.now_ms())
+    assert not scores.is_down(UPSTREAMS)
+
+
+def test_upstream_with_one_long_request_is_not_silent(scores, clock):
+    """The pattern of upstreams that hang on some requests only."""
+    score = scores.of(UPSTREAMS[0])
+    score.begin(clock.now_ms())
+    for _ in range(4):
+        clock.advance(0.5 * scores_lib.SILENCE_MS)
+        score.note_latency(1.0, clock.now_ms())
+    assert not scores.is_down(UPSTREAMS[:1])
+    score.note_unanswered(2.0 * scores_lib.SILENCE_MS, 30.0, clock.now_ms())
+    assert not scores.is_down(UPSTREAMS[:1])
+
+
+def test_attempt_given_up_in_silence_is_remembered_for_a_while(scores, clock):
+    score = scores.of(UPSTREAMS[0])
+    clock.advance(scores_lib.SILENCE_MS)
+    score.note_unanswered(scores_lib.SILENCE_MS, 30.0, clock.now_ms())
+    assert scores.is_down(UPSTREAMS[:1])
+    clock.advance(10_000.0)
+    assert not scores.is_down(UPSTREAMS[:1])
