--- a/greengagedale/gateway/runner.py
+++ b/greengagedale/gateway/runner.py
@@ -144,15 +144,11 @@
         cutoff_ms = call.received_ms + _cutoff_after_ms(plan)
         # Shards that are down will be missing; only the rest may be left out.
         slack = fetches.Slack(max(0, spare))
-        made = {
-            asyncio.ensure_future(fetch.run()): fetch
-            for fetch in (
-                self._fetch(
-                    call, plan, shard, deadline_ms, steps, cutoff_ms, slack
-                )
-                for shard in fanout.shards
-            )
-        }
+        fetching = [
+            self._fetch(call, plan, shard, deadline_ms, steps, cutoff_ms, slack)
+            for shard in fanout.shards
+        ]
+        made = {asyncio.ensure_future(fetch.run()): fetch for fetch in fetching}
         try:
             parts = await self._collect(made, fanout, cutoff_ms, deadline_ms)
         except asyncio.CancelledError:
@@ -166,18 +162,26 @@
                 for task, fetch in made.items()
             )
             return self._without_answer(parts.failures, has_begun)
-        missing = len(fanout.shards) - len(parts.answers)
+        return self._merged(plan, fanout, parts.answers)
+
+    def _merged(
+        self,
+        plan: plans.Plan,
+        fanout: plans.Fanout,
+        answers: list[calls.Answer],
+    ) -> outcomes.Ran:
+        """Returns the outcome of a search that enough shards answered."""
+        missing = len(fanout.shards) - len(answers)
         self._tools.metrics.gathers.inc(
             plan.name, "partial" if missing else "whole"
         )
+        signatures = tuple(answer.signature or "" for answer in answers)
+        bodies = (answer.body for answer in answers)
         return outcomes.Ran(
             calls.Gathered(
-                tuple(answer.signature or "" for answer in parts.answers),
+                signatures,
                 missing,
-                records.greatest(
-                    (answer.body for answer in parts.answers),
-                    fanout.best_records,
-                ),
+                records.greatest(bodies, fanout.best_records),
             )
         )
 
