Two tests of a lost reader and a lost history share their wait

Both wrote the same configuration and waited for the second host to serve it; the wait stands once, with the same bound and the same expectation. Found reading the change anew.

--- a/tests/integration/test_gateway.py
+++ b/tests/integration/test_gateway.py
@@ -190,8 +190,8 @@
     assert (await host.search()).status == 200
 
 
-async def test_reader_that_is_killed_is_replaced(site):
-    await site.hosts[0].stop()
+async def new_route_comes_in_force(site):
+    """Writes a configuration and waits until the second host serves it."""
     more = [route("new", "/new/", service="s2")]
     site.store.put("config", "main", configuration(9, more))
 
@@ -202,16 +202,14 @@
     await until(is_served, 4.0)
 
 
-async def test_forgotten_history_is_read_anew(site):
-    site.store.mode = "gone"
-    more = [route("new", "/new/", service="s2")]
-    site.store.put("config", "main", configuration(9, more))
+async def test_reader_that_is_killed_is_replaced(site):
+    await site.hosts[0].stop()
+    await new_route_comes_in_force(site)
 
-    async def is_served():
-        reply = await site.hosts[1].get("/new/x", request_id="n2")
-        return reply.status == 200
 
-    await until(is_served, 4.0)
+async def test_forgotten_history_is_read_anew(site):
+    site.store.mode = "gone"
+    await new_route_comes_in_force(site)
 
 
 async def test_blocked_standard_output_delays_no_request(site):
