--- a/greengagedale/gateway/daemon.py
+++ b/greengagedale/gateway/daemon.py
@@ -65,7 +65,10 @@
         await host.start(stack)
         log.info(
             "serving",
-            extra={"settings": settings._asdict()},
+            extra={
+                "settings": settings._asdict(),
+                "burst_share": host.burst_share,
+            },
         )
         await signals.stop_asked()
         await host.leave(settings.shutdown.grace_s)
@@ -196,6 +199,11 @@
         """Makes a host; must be called on a running loop."""
         return cls(settings, clocks.BootClock(), random.Random())
 
+    @property
+    def burst_share(self) -> float:
+        """This host's part of the burst of extra attempts."""
+        return self._budgets.burst
+
     async def start(self, stack: contextlib.AsyncExitStack) -> None:
         """Begins to serve; what it starts ends with the stack."""
         gateway = self._settings.gateway
@@ -261,6 +269,16 @@
     def _burst_share(self) -> float:
         return BURST_SHARE * self._settings.retries.burst / self._hosts()
 
+    def _share_burst(self) -> None:
+        """Takes this host's part of the burst as hosts come and go."""
+        share = self._burst_share()
+        if share != self._budgets.burst:
+            log.info(
+                "part of the burst of extra attempts",
+                extra={"burst_share": share, "hosts": self._hosts()},
+            )
+        self._budgets.set_burst(share)
+
     def _most_connections(self, upstream: entries.Upstream) -> int:
         table = self._registry.table
         accepted = table and table.connections.get(upstream.service)
@@ -271,7 +289,7 @@
     async def _keep_up(self) -> None:
         while True:
             await asyncio.sleep(_UPKEEP_S)
-            self._budgets.set_burst(self._burst_share())
+            self._share_burst()
             lives = {
                 upstream.life for upstream in self._registry.upstreams.values()
             }
--- a/greengagedale/gateway/fetches.py
+++ b/greengagedale/gateway/fetches.py
@@ -159,6 +159,7 @@
         self._answer: calls.Answer | None = None
         self._retry_after_ms = 0
         self._was_too_late = False
+        self._was_over_budget = False
         self._failures = 0
         self._sends = 0
         self._arrivals = 0
@@ -279,12 +280,18 @@
             now_ms, self._reserve_share(what)
         ):
             tools.metrics.refusals.inc("budget", what)
+            if not self._was_over_budget:
+                self._was_over_budget = True
+                left = round(self._budget.left(now_ms), 1)
+                self._note(
+                    now_ms, "no budget", upstream, f"{what}, left {left}"
+                )
             return outcomes.Reason.OVERLOADED
         self._arrivals += 1
         self._sends += 1
         self._tried.add(upstream.name)
         if what != "attempt":
-            tools.metrics.extra_attempts.inc(what)
+            tools.metrics.extra_attempts.inc(self.service, what)
             self._note(now_ms, what, upstream, "")
         tools.metrics.attempts.inc(self.service)
         attempt = calls.Attempt(
--- a/greengagedale/gateway/metrics.py
+++ b/greengagedale/gateway/metrics.py
@@ -59,7 +59,7 @@
         requests: Requests of callers by route and outcome.
         refusals: Refusals by layer and reason.
         unknowns: Requests that may have run, by route and reason.
-        extra_attempts: Attempts beyond the first by kind.
+        extra_attempts: Attempts beyond the first by service and kind.
         attempts: Attempts by service.
         failures: Attempts that failed, by reason.
         gathers: Merged answers by route and whether all parts are in.
@@ -79,7 +79,7 @@
             "unknown_outcomes", "Requests that may have run.", "route", "reason"
         )
         self.extra_attempts = Counter(
-            "extra_attempts", "Attempts beyond the first.", "kind"
+            "extra_attempts", "Attempts beyond the first.", "service", "kind"
         )
         self.attempts = Counter("attempts", "Attempts sent.", "service")
         self.failures = Counter(
--- a/greengagedale/gateway/pacing.py
+++ b/greengagedale/gateway/pacing.py
@@ -52,17 +52,21 @@
 
 
 class Budgets:
-    """Budgets of extra attempts, one a service."""
+    """Budgets of extra attempts, one a service.
+
+    Attributes:
+        burst: This host's part of the burst, for each service.
+    """
 
     def __init__(self, window_ms: float, ratio: float, burst: float) -> None:
         self._window_ms = window_ms
         self._ratio = ratio
-        self._burst = burst
+        self.burst = burst
         self._budgets: dict[str, windows.WindowBudget] = {}
 
     def set_burst(self, burst: float) -> None:
         """Sets this host's share of the burst, for each service."""
-        self._burst = burst
+        self.burst = burst
         for budget in self._budgets.values():
             budget.burst = burst
 
@@ -79,7 +83,7 @@
         budget = self._budgets.get(service)
         if budget is None:
             budget = windows.WindowBudget(
-                self._window_ms, self._ratio, self._burst
+                self._window_ms, self._ratio, self.burst
             )
             self._budgets[service] = budget
         return budget
