--- /dev/null
+++ b/tests/gateway/test_budget_over_lives.py
@@ -0,0 +1,124 @@
+"""Extra attempts of all hosts together, whatever becomes of the hosts.
+
+A model of a fleet: requests arrive one after the other, each at some host that
+lives, and each wants one extra attempt at once. No network and no bench.
+"""
+
+import itertools
+from typing import NamedTuple
+
+from hypothesis import given
+from hypothesis import strategies
+import pytest
+
+from greengagedale.gateway import pacing
+
+WINDOW_MS = 10_000.0
+RATIO = 0.2
+HOSTS = 4
+# Time from one request to the next, over all hosts.
+STEP_MS = 10.0
+
+
+class History(NamedTuple):
+    """When requests came and extra attempts arrived."""
+
+    requests_ms: list[float]
+    extras_ms: list[float]
+
+
+class Fleet:
+    """Hosts that can be killed and that come back as new processes."""
+
+    def __init__(self, burst):
+        self.burst = burst
+        self.now_ms = 0.0
+        self.history = History([], [])
+        self.lives = {name: self.start_life() for name in range(HOSTS)}
+
+    def start_life(self):
+        return pacing.Budgets(WINDOW_MS, RATIO, self.burst / HOSTS)
+
+    def restart(self, name):
+        self.lives[name] = self.start_life()
+
+    def serve(self, for_ms, names=range(HOSTS), wants_extras=True):
+        """Sends requests to the named hosts in turn."""
+        hosts = itertools.cycle(names)
+        for _ in range(int(for_ms / STEP_MS)):
+            self.now_ms += STEP_MS
+            budget = self.lives[next(hosts)].of("s")
+            budget.note_request(self.now_ms)
+            self.history.requests_ms.append(self.now_ms)
+            if wants_extras and budget.take(self.now_ms):
+                self.history.extras_ms.append(self.now_ms)
+
+    def worst_excess(self):
+        """Returns by how much some window held more than is allowed.
+
+        The requests are those of the window, of the one before it or of the
+        one half a window before, whichever has most.
+        """
+        requests_ms, extras_ms = self.history
+
+        def requests_from(begin_ms):
+            end_ms = begin_ms + WINDOW_MS
+            return sum(begin_ms <= at <= end_ms for at in requests_ms)
+
+        def excess_from(begin_ms):
+            end_ms = begin_ms + WINDOW_MS
+            extras = sum(begin_ms <= at <= end_ms for at in extras_ms)
+            requests = max(
+                requests_from(begin_ms - back * WINDOW_MS)
+                for back in (0.0, 0.5, 1.0)
+            )
+            return extras - self.burst - RATIO * requests
+
+        return max(map(excess_from, extras_ms), default=0.0)
+
+
+@pytest.fixture
+def fleet():
+    return Fleet(burst=54.0)
+
+
+# Guards against BUDGET on atcu-search: hosts that are killed several times
+# within a window spent their part of the burst once in each life.
+def test_hosts_killed_again_and_again_spend_the_burst_once(fleet):
+    fleet.serve(WINDOW_MS, wants_extras=False)
+    for name in [0, 1, 2, 3, 0, 2, 2]:
+        fleet.serve(1000.0)
+        fleet.restart(name)
+    fleet.serve(WINDOW_MS)
+    assert fleet.worst_excess() <= 0.0
+
+
+# Guards against BUDGET on atcu-search: extras of a host that was lost counted
+# on its requests, and those of its callers' next hosts on the same share.
+def test_requests_that_move_to_other_hosts_earn_no_extras_twice():
+    fleet = Fleet(burst=0.0)
+    fleet.serve(WINDOW_MS, wants_extras=False)
+    for lost in range(HOSTS):
+        fleet.serve(2000.0, [name for name in range(HOSTS) if name != lost])
+        fleet.restart(lost)
+    assert fleet.worst_excess() <= 0.0
+
+
+# Guards against BUDGET: any number and order of lives.
+@given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.integers(0, HOSTS - 1),
+            strategies.floats(100.0, 4000.0),
+            strategies.booleans(),
+        ),
+        max_size=12,
+    )
+)
+def test_no_window_holds_too_many_extras_for_any_lives(steps):
+    fleet = Fleet(burst=8.0)
+    fleet.serve(4000.0, wants_extras=False)
+    for name, for_ms, is_alone in steps:
+        fleet.restart(name)
+        fleet.serve(for_ms, [name] if is_alone else range(HOSTS))
+    assert fleet.worst_excess() <= 0.0
