Extra attempts are bounded for any lives of the hosts: a bucket that begins empty

Cause: each host allowed its share of the burst, and a fifth of its requests of the last window, within its own window. A new process knows nothing of what the one before spent: it had the share anew, and the callers of a lost host brought their requests, against which extras had gone out already, to hosts that counted them again. One cause, two effects: a sum over hosts was kept as windows of single processes.

Now: a bucket that holds the share. Only requests fill it, and tokens that were spent return a window after their attempt has ended; it begins empty, as the process before may have spent all. What arrives in any span is at most what was saved at its start plus the ratio of the requests in it, whoever served them, so neither lives nor moving callers matter. The reserve of a tenth (BURST_SHARE) that stood for lost processes goes.

--- a/greengagedale/gateway/daemon.py
+++ b/greengagedale/gateway/daemon.py
@@ -42,9 +42,6 @@
 # Part of an upstream's connections that hosts share; the rest is left for
 # hosts that start before others have let go.
 CONNECTIONS_SHARE = 0.85
-# Part of the burst of extra attempts that hosts share; the rest is for what
-# a host that was killed had spent before.
-BURST_SHARE = 0.9
 FAILED_STATUS = 1
 _UPKEEP_S = 0.5
 _FLUSH_S = 0.05
@@ -171,6 +168,7 @@
             retries.window_s * _MS_PER_S,
             retries.ratio,
             self._burst_share(),
+            clock.now_ms(),
         )
         self._tools = fetches.Tools(
             link_lib.PlatformLink(self._pools, self._most_connections, clock),
@@ -202,7 +200,7 @@
     @property
     def burst_share(self) -> float:
         """This host's part of the burst of extra attempts."""
-        return self._budgets.burst
+        return self._budgets.share
 
     async def start(self, stack: contextlib.AsyncExitStack) -> None:
         """Begins to serve; what it starts ends with the stack."""
@@ -267,17 +265,17 @@
         return max(LEAST_HOSTS, self._fleet.most_seen())
 
     def _burst_share(self) -> float:
-        return BURST_SHARE * self._settings.retries.burst / self._hosts()
+        return self._settings.retries.burst / self._hosts()
 
     def _share_burst(self) -> None:
         """Takes this host's part of the burst as hosts come and go."""
         share = self._burst_share()
-        if share != self._budgets.burst:
+        if share != self._budgets.share:
             log.info(
                 "part of the burst of extra attempts",
                 extra={"burst_share": share, "hosts": self._hosts()},
             )
-        self._budgets.set_burst(share)
+        self._budgets.set_share(share, self._clock.now_ms())
 
     def _most_connections(self, upstream: entries.Upstream) -> int:
         table = self._registry.table
--- a/greengagedale/gateway/fetches.py
+++ b/greengagedale/gateway/fetches.py
@@ -27,6 +27,9 @@
 # An attempt is not sent if the queue makes it so many times later than it is
 # of use; the expectation is no exact one.
 TOO_LATE_FACTOR = 1.25
+# What was written before an attempt was cancelled arrives within this time:
+# links take up to 3 ms, and full ones hold packets for longer.
+ON_THE_WAY_MS = 100.0
 # Sends that were refused or never arrived, for one request and service.
 MOST_SENDS = 5
 _MS_PER_S = 1000.0
@@ -276,7 +279,8 @@
                 self._was_too_late = True
                 self._note(now_ms, "too late", upstream, what)
             return outcomes.Reason.OVERLOADED
-        if self._arrivals > 0 and not self._budget.take(
+        is_extra = self._arrivals > 0
+        if is_extra and not self._budget.take(
             now_ms, self._reserve_share(what)
         ):
             tools.metrics.refusals.inc("budget", what)
@@ -305,9 +309,17 @@
         task = asyncio.ensure_future(self._send(attempt, score, now_ms))
         # Not in the task itself, which may be cancelled before it starts.
         task.add_done_callback(lambda done: score.end(sent))
+        if is_extra:
+            task.add_done_callback(self._settle)
         self._running[task] = upstream
         return None
 
+    def _settle(self, done: _Task) -> None:
+        """Takes in that an extra attempt can no longer arrive."""
+        del done
+        arrived_ms = self._tools.clock.now_ms() + ON_THE_WAY_MS
+        self._budget.settle(arrived_ms)
+
     def _is_too_late(self, choice: scores_lib.Choice, now_ms: float) -> bool:
         left_ms = max(0.0, self._useful_until_ms - now_ms)
         return choice.queued_ms > TOO_LATE_FACTOR * left_ms
--- a/greengagedale/gateway/pacing.py
+++ b/greengagedale/gateway/pacing.py
@@ -55,20 +55,34 @@
     """Budgets of extra attempts, one a service.
 
     Attributes:
-        burst: This host's part of the burst, for each service.
+        share: This host's share of the burst, for each service.
     """
 
-    def __init__(self, window_ms: float, ratio: float, burst: float) -> None:
+    def __init__(
+        self, window_ms: float, ratio: float, share: float, began_ms: float
+    ) -> None:
+        """Makes the budgets of a process.
+
+        Args:
+            window_ms: Length of the window.
+            ratio: Extras allowed for each request.
+            share: This host's share of the burst, for each service.
+            began_ms: When the process began.
+        """
         self._window_ms = window_ms
         self._ratio = ratio
-        self.burst = burst
+        self.share = share
+        self._spent_ms = began_ms
         self._budgets: dict[str, windows.WindowBudget] = {}
 
-    def set_burst(self, burst: float) -> None:
+    def set_share(self, share: float, now_ms: float) -> None:
         """Sets this host's share of the burst, for each service."""
-        self.burst = burst
+        if share > self.share:
+            # Budgets that are made from now on begin with this share.
+            self._spent_ms = now_ms
+        self.share = share
         for budget in self._budgets.values():
-            budget.burst = burst
+            budget.set_share(share, now_ms)
 
     def forget_unused(self, now_ms: float) -> None:
         """Drops the budgets that nothing was noted in for a window."""
@@ -83,7 +97,7 @@
         budget = self._budgets.get(service)
         if budget is None:
             budget = windows.WindowBudget(
-                self._window_ms, self._ratio, self.burst
+                self._window_ms, self._ratio, self.share, self._spent_ms
             )
             self._budgets[service] = budget
         return budget
