Hosts share the burst by a list in the store, not by the hosts they hear of

On fleets of more than four hosts, shards got more extra attempts than allowed when hosts were restarted behind a cut: one that heard of nobody reckoned with four hosts and took a quarter of the burst in a fleet of 24; parts of a fleet that had lost each other for a minute each divided by their own number.

Cause: the number of hosts that share a bound was what each had heard of. Now the host that reads the store keeps a list there (one read a turn, a write when a name is new or gone for a minute), and exchanges bring it to the others. Listed hosts share nine tenths of the burst; any other may have one extra attempt, for which the rest is kept. A host that hears neither of the store nor of all listed hosts for 30 s drops its share, before it may be taken off.

Ruled out: writing a share for each host, a call for each start on fleets where calls to the store are the largest price.

--- a/greengagedale/gateway/daemon.py
+++ b/greengagedale/gateway/daemon.py
@@ -23,6 +23,7 @@
 from greengagedale.gateway import pools as pools_lib
 from greengagedale.gateway import reader as reader_lib
 from greengagedale.gateway import registry as registry_lib
+from greengagedale.gateway import roster as roster_lib
 from greengagedale.gateway import runner as runner_lib
 from greengagedale.gateway import scores as scores_lib
 from greengagedale.gateway import splits
@@ -36,8 +37,7 @@
 
 log = logging.getLogger(__name__)
 
-# Hosts that are counted on before they are heard of, so that the first ones
-# to start don't spend what belongs to all.
+# Hosts that connections are shared with before they are heard of.
 LEAST_HOSTS = 4
 # Part of an upstream's connections that hosts share; the rest is left for
 # hosts that start before others have let go.
@@ -138,6 +138,7 @@
         self._metrics = metrics_lib.Metrics()
         self._registry = registry_lib.Registry(clock)
         self._fleet = fleet_lib.Fleet(settings.host.name, clock)
+        self._roster = roster_lib.Roster(settings.host.name, clock)
         self._own = _OwnState(settings, self._registry)
         self._store = store_lib.PlatformStore.from_config(
             settings.platform.endpoint,
@@ -148,6 +149,7 @@
             self._own.get,
             self._fleet,
             self._registry,
+            self._roster,
             list(settings.peers.seeds),
             clock,
             rng,
@@ -157,6 +159,8 @@
             self._store,
             self._registry,
             self._turns(),
+            self._roster,
+            self._alive,
             self._exchange.wake,
             clock,
         )
@@ -261,19 +265,32 @@
             self._fleet, self._settings.host.name, ahead, self._clock
         )
 
+    def _alive(self) -> list[str]:
+        others = [state.name for state in self._fleet.alive()]
+        return [self._settings.host.name, *others]
+
     def _hosts(self) -> int:
-        return max(LEAST_HOSTS, self._fleet.most_seen())
+        listed = len(self._roster.listed.hosts)
+        return max(LEAST_HOSTS, self._fleet.most_seen(), listed)
 
     def _burst_share(self) -> float:
-        return self._settings.retries.burst / self._hosts()
+        return self._roster.share_of(self._settings.retries.burst)
 
     def _share_burst(self) -> None:
-        """Takes this host's part of the burst as hosts come and go."""
+        """Takes this host's share of the burst as hosts come and go."""
+        read_age_ms = self._reader.read_age_ms
+        reads = 0.0 <= read_age_ms < fleet_lib.READER_STALE_MS
+        is_store_heard = reads or bool(self._fleet.readers())
+        self._roster.confirm(self._alive(), is_store_heard)
         share = self._burst_share()
         if share != self._budgets.share:
             log.info(
-                "part of the burst of extra attempts",
-                extra={"burst_share": share, "hosts": self._hosts()},
+                "share of the burst of extra attempts",
+                extra={
+                    "burst_share": share,
+                    "hosts": len(self._roster.listed.hosts),
+                    "roster_revision": self._roster.listed.revision,
+                },
             )
         self._budgets.set_share(share, self._clock.now_ms())
 
--- a/greengagedale/gateway/exchange.py
+++ b/greengagedale/gateway/exchange.py
@@ -19,6 +19,7 @@
 from greengagedale.gateway import packing
 from greengagedale.gateway import plans
 from greengagedale.gateway import registry as registry_lib
+from greengagedale.gateway import roster as roster_lib
 from greengagedale.http1 import client
 from greengagedale.http1 import messages
 from greengagedale.http1 import server
@@ -54,6 +55,7 @@
         hosts_digest: Names the set of hosts that it knows.
         routes_version: Version of its configuration; 0 if it has none.
         version: How new its list of upstreams is.
+        roster_revision: How new its list of hosts is.
     """
 
     own: fleet_lib.HostState
@@ -61,6 +63,7 @@
     hosts_digest: int
     routes_version: int
     version: registry_lib.Version
+    roster_revision: int
 
 
 class News(NamedTuple):
@@ -74,6 +77,7 @@
         routes_revision: Revision of the store that it is as of.
         version: How new its list of upstreams is.
         upstreams: All upstreams, if its list is newer.
+        roster: The list of hosts, if it is newer.
     """
 
     own: fleet_lib.HostState
@@ -83,6 +87,7 @@
     routes_revision: int
     version: registry_lib.Version
     upstreams: list[entries.Upstream] | None
+    roster: roster_lib.Listed | None
 
 
 _hello_decoder = msgspec.msgpack.Decoder(Hello)
@@ -97,6 +102,7 @@
         own_state: Callable[[], fleet_lib.HostState],
         fleet: fleet_lib.Fleet,
         registry: registry_lib.Registry,
+        roster: roster_lib.Roster,
         seeds: list[str],
         clock: clocks.Clock,
         rng: random.Random,
@@ -107,6 +113,7 @@
             own_state: Returns what this host says of itself now.
             fleet: The other hosts.
             registry: What this host knows of the platform.
+            roster: Which hosts there are.
             seeds: Endpoints of hosts to ask before any is known.
             clock: Clock of the process.
             rng: Draws peers.
@@ -114,6 +121,7 @@
         self._own_state = own_state
         self._fleet = fleet
         self._registry = registry
+        self._roster = roster
         self._seeds = seeds
         self._clock = clock
         self._rng = rng
@@ -191,6 +199,7 @@
             self._fleet.digest(own),
             self._registry.routes_version,
             self._registry.version,
+            self._roster.listed.revision,
         )
         try:
             async with asyncio.timeout(TIMEOUT_MS / _MS_PER_S):
@@ -227,6 +236,9 @@
             [*held.upstreams.values()]
             if held.version > hello.version
             else None,
+            self._roster.listed
+            if self._roster.listed.revision > hello.roster_revision
+            else None,
         )
 
     def _learn(self, news: News) -> None:
@@ -235,8 +247,10 @@
         for sighting in news.others:
             self._fleet.hear_sighting(sighting)
         is_new = False
+        if news.roster is not None:
+            is_new = self._roster.adopt(news.roster)
         if news.routes is not None:
-            is_new = self._registry.apply_routes(
+            is_new |= self._registry.apply_routes(
                 news.routes, news.routes_revision
             )
         if news.upstreams is not None:
--- a/greengagedale/gateway/reader.py
+++ b/greengagedale/gateway/reader.py
@@ -7,6 +7,7 @@
 
 from greengagedale import clocks
 from greengagedale.gateway import registry as registry_lib
+from greengagedale.gateway import roster as roster_lib
 from greengagedale.gateway import source as source_lib
 from greengagedale.gateway import turns as turns_lib
 
@@ -25,6 +26,8 @@
 # The longest pause grows with the hosts that read in vain, so that all of
 # them together call a store in trouble about as often as these few.
 _VAIN_READERS_A_PAUSE = 4
+# Pause before the list of hosts is read again after it could not be written.
+ROSTER_PAUSE_MS = 2000.0
 # How often it is looked at who reads.
 _TURN_MS = 50.0
 _MS_PER_S = 1000.0
@@ -38,6 +41,8 @@
         source: source_lib.Source,
         registry: registry_lib.Registry,
         turns: turns_lib.ReadingTurns,
+        roster: roster_lib.Roster,
+        alive: Callable[[], list[str]],
         on_change: Callable[[], None],
         clock: clocks.Clock,
     ) -> None:
@@ -47,12 +52,19 @@
             source: The store.
             registry: What to keep up to date.
             turns: Tells whether this host should read.
+            roster: Which hosts there are.
+            alive: Returns the names of hosts that are heard of, with this one.
             on_change: Called after anything has changed.
             clock: Clock of the process.
         """
         self._source = source
         self._registry = registry
         self._turns = turns
+        self._roster = roster
+        self._alive = alive
+        self._keeper = roster_lib.Keeper(clock)
+        self._is_roster_read = False
+        self._roster_due_ms = float("-inf")
         self._on_change = on_change
         self._clock = clock
         self._heard_ms = float("-inf")
@@ -137,6 +149,8 @@
     async def _follow_until_lost(self) -> None:
         """Watches until the store is lost or it is another host's turn."""
         self._failing.clear()
+        self._keeper.start_turn()
+        self._is_roster_read = False
         tasks = [
             asyncio.create_task(self._follow("routes", self._watch_routes)),
             asyncio.create_task(
@@ -145,6 +159,7 @@
         ]
         try:
             while self._is_my_turn():
+                await self._keep_roster()
                 await asyncio.sleep(PULSE_MS / _MS_PER_S)
                 problem = await self._source.pulse()
                 if problem is not None:
@@ -172,6 +187,29 @@
             await asyncio.sleep(pause_ms / _MS_PER_S)
             pause_ms = min(_LONGEST_PAUSE_MS, 2.0 * pause_ms)
 
+    async def _keep_roster(self) -> None:
+        """Lists the hosts that are new, and takes off those that are gone."""
+        if self._clock.now_ms() < self._roster_due_ms:
+            return
+        got: roster_lib.Listed | source_lib.Unavailable | None = None
+        if not self._is_roster_read:
+            got = await self._source.read_roster()
+        else:
+            held = self._roster.listed
+            hosts = self._keeper.due(held, self._alive())
+            if hosts is not None:
+                wanted = roster_lib.Listed(held.revision, hosts)
+                got = await self._source.write_roster(wanted)
+        if isinstance(got, source_lib.Unavailable):
+            log.warning("hosts not listed", extra={"reason": got.detail})
+            # The answer may be lost, or another host may have written.
+            self._is_roster_read = False
+            self._roster_due_ms = self._clock.now_ms() + ROSTER_PAUSE_MS
+        elif got is not None:
+            self._is_roster_read = True
+            if self._roster.adopt(got):
+                self._on_change()
+
     async def _step_routes(self) -> str | None:
         return await self._take_routes(await self._source.read_routes())
 
--- /dev/null
+++ b/greengagedale/gateway/roster.py
@@ -0,0 +1,125 @@
+"""Which hosts there are, as all of them agree, and their shares of a bound.
+
+A bound over all hosts is kept without asking each other if each host keeps a
+share and the shares add up to no more than the bound. Hosts that each count
+the others they happen to hear of would reckon with different numbers, and
+those that are cut off with the lowest. They go by a list in the platform's
+store instead, which the host that reads the store keeps.
+"""
+
+from collections.abc import Collection
+import logging
+from typing import NamedTuple
+
+from greengagedale import clocks
+
+log = logging.getLogger(__name__)
+
+# A host that is not listed keeps so many extra attempts at a service, and this
+# part of the burst is left to such hosts.
+UNLISTED_SHARE = 1.0
+UNLISTED_PART = 0.1
+# A host that hears neither of the store nor of all listed hosts for this long
+# counts itself as not listed.
+LAPSE_MS = 30_000.0
+# A listed host that nobody has heard of is taken off the list after this long:
+# twice the time after which it has dropped its share if it lives.
+GONE_AFTER_MS = 2.0 * LAPSE_MS
+
+
+class Listed(NamedTuple):
+    """The hosts listed in the store.
+
+    Attributes:
+        revision: Revision of the store that wrote the list; 0 if there is none.
+        hosts: Names of the hosts, in order.
+    """
+
+    revision: int
+    hosts: tuple[str, ...]
+
+
+NONE_LISTED = Listed(0, ())
+
+
+class Roster:
+    """The newest list that this host knows.
+
+    Attributes:
+        listed: That list.
+    """
+
+    def __init__(self, own_name: str, clock: clocks.Clock) -> None:
+        self._own_name = own_name
+        self._clock = clock
+        self._confirmed_ms = clock.now_ms()
+        self.listed = NONE_LISTED
+
+    def adopt(self, listed: Listed) -> bool:
+        """Takes a list if it is newer; tells whether."""
+        if listed.revision <= self.listed.revision:
+            return False
+        self.listed = listed
+        self._confirmed_ms = self._clock.now_ms()
+        log.info(
+            "hosts listed",
+            extra={
+                "revision": listed.revision,
+                "hosts": len(listed.hosts),
+                "is_listed": self._own_name in listed.hosts,
+            },
+        )
+        return True
+
+    def confirm(self, alive: Collection[str], is_store_heard: bool) -> None:
+        """Takes in what shows that the list is not out of date.
+
+        Args:
+            alive: Names of the other hosts that are heard of.
+            is_store_heard: Whether this host, or one that it hears of, hears
+                from the store.
+        """
+        others = {*self.listed.hosts} - {self._own_name}
+        if is_store_heard or others <= {*alive}:
+            self._confirmed_ms = self._clock.now_ms()
+
+    def share_of(self, burst: float) -> float:
+        """Returns this host's share of a burst that is for all hosts."""
+        unconfirmed_ms = self._clock.now_ms() - self._confirmed_ms
+        is_listed = self._own_name in self.listed.hosts
+        if not is_listed or unconfirmed_ms > LAPSE_MS:
+            return min(UNLISTED_SHARE, UNLISTED_PART * burst)
+        return (1.0 - UNLISTED_PART) * burst / len(self.listed.hosts)
+
+
+class Keeper:
+    """Decides for the host that reads the store what the list should hold."""
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self._clock = clock
+        self._heard_ms: dict[str, float] = {}
+
+    def start_turn(self) -> None:
+        """Forgets when hosts were heard of, as this host did not look."""
+        self._heard_ms.clear()
+
+    def due(
+        self, listed: Listed, alive: Collection[str]
+    ) -> tuple[str, ...] | None:
+        """Returns the hosts to list, or None if the list is right.
+
+        Args:
+            listed: The list in the store.
+            alive: Names of the hosts that are heard of, with this one.
+        """
+        now_ms = self._clock.now_ms()
+        for name in listed.hosts:
+            self._heard_ms.setdefault(name, now_ms)
+        self._heard_ms.update(dict.fromkeys(alive, now_ms))
+        staying = (
+            name
+            for name in listed.hosts
+            if now_ms - self._heard_ms[name] < GONE_AFTER_MS
+        )
+        wanted = tuple(sorted({*staying, *alive}))
+        return None if wanted == listed.hosts else wanted
--- a/greengagedale/gateway/source.py
+++ b/greengagedale/gateway/source.py
@@ -5,6 +5,7 @@
 
 from greengagedale.gateway import entries
 from greengagedale.gateway import plans
+from greengagedale.gateway import roster
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -109,6 +110,24 @@
     async def pulse(self) -> Unavailable | None:
         """Finds out cheaply whether the store still answers; None if so."""
 
+    @abc.abstractmethod
+    async def read_roster(self) -> roster.Listed | Unavailable:
+        """Reads the list of hosts; `NONE_LISTED` if there is none."""
+
+    @abc.abstractmethod
+    async def write_roster(
+        self, listed: roster.Listed
+    ) -> roster.Listed | Unavailable:
+        """Replaces the list of hosts, if it is still the one that was read.
+
+        Args:
+            listed: The hosts, with the revision of the list to replace.
+
+        Returns:
+            The list as written; `Unavailable` also if it was replaced by
+            someone else, or if no answer tells.
+        """
+
     @abc.abstractmethod
     async def close(self) -> None:
         """Closes all connections."""
--- a/greengagedale/platform/documents.py
+++ b/greengagedale/platform/documents.py
@@ -7,6 +7,7 @@
 
 from greengagedale.gateway import entries
 from greengagedale.gateway import plans
+from greengagedale.gateway import roster
 from greengagedale.http1 import server
 
 log = logging.getLogger(__name__)
@@ -80,6 +81,40 @@
     warmupLeftMs: float = 0.0  # noqa: N815
 
 
+class _RosterMeta(msgspec.Struct):
+    revision: int
+
+
+class _RosterSpec(msgspec.Struct):
+    hosts: list[str]
+
+
+class Roster(msgspec.Struct):
+    """The object that lists the hosts, as the store returns it."""
+
+    meta: _RosterMeta
+    spec: _RosterSpec
+
+    @property
+    def listed(self) -> roster.Listed:
+        """The list that it holds."""
+        return roster.Listed(self.meta.revision, tuple(self.spec.hosts))
+
+
+def encode_roster(name: str, listed: roster.Listed) -> bytes:
+    """Encodes the object that lists the hosts.
+
+    Args:
+        name: Its name.
+        listed: The hosts, with the revision of the list to replace.
+    """
+    meta: dict[str, Any] = {"name": name}
+    if listed.revision:
+        # The store refuses to replace an object of another revision.
+        meta["revision"] = listed.revision
+    return msgspec.json.encode({"meta": meta, "spec": {"hosts": listed.hosts}})
+
+
 def decode_routes(document: Any) -> plans.Routes | None:
     """Decodes a configuration; None, with a log line, if it can't be read."""
     try:
--- a/greengagedale/platform/store.py
+++ b/greengagedale/platform/store.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from greengagedale.gateway import metrics as metrics_lib
+from greengagedale.gateway import roster
 from greengagedale.gateway import source
 from greengagedale.http1 import client
 from greengagedale.http1 import messages
@@ -17,7 +18,11 @@
 _UPSTREAMS = "servers"
 _CONFIGURATION = "config"
 _NEWEST_CONFIGURATION = "main"
-_STATUS_OK = 200
+# A kind of our own, with one object.
+_FLEET = "fleet"
+_HOSTS = "hosts"
+# Objects that are created may be answered with 201.
+_SUCCESS_CLASS = 2
 _STATUS_MISSING = 404
 _STATUS_HISTORY_GONE = 410
 _MS_PER_S = 1000.0
@@ -146,6 +151,34 @@
         got = await self._get("pulse", path, _Listed, _PULSE_TIMEOUT_MS)
         return got if isinstance(got, source.Unavailable) else None
 
+    async def read_roster(self) -> roster.Listed | source.Unavailable:
+        """Reads the list of hosts; `NONE_LISTED` if there is none."""
+        path = f"{_FLEET}/{_HOSTS}"
+        got = await self._get("read", path, documents.Roster)
+        if isinstance(got, source.HistoryGone):
+            return source.Unavailable("the list of hosts can't be read")
+        if isinstance(got, source.Unavailable):
+            return got
+        return roster.NONE_LISTED if got is None else got.listed
+
+    async def write_roster(
+        self, listed: roster.Listed
+    ) -> roster.Listed | source.Unavailable:
+        """Replaces the list of hosts, if it is still the one that was read."""
+        is_new = listed.revision == 0
+        got = await self._call(
+            "create" if is_new else "replace",
+            b"POST" if is_new else b"PUT",
+            _FLEET if is_new else f"{_FLEET}/{_HOSTS}",
+            documents.Roster,
+            body=documents.encode_roster(_HOSTS, listed),
+        )
+        if isinstance(got, documents.Roster):
+            return got.listed
+        if isinstance(got, source.Unavailable):
+            return got
+        return source.Unavailable("the list of hosts is gone")
+
     async def close(self) -> None:
         """Closes all connections."""
         idle, self._idle = self._idle, []
@@ -170,11 +203,22 @@
         reply_type: type[Any],
         timeout_ms: float | None = None,
     ) -> Any:
+        return await self._call(operation, b"GET", path, reply_type, timeout_ms)
+
+    async def _call(
+        self,
+        operation: str,
+        method: bytes,
+        path: str,
+        reply_type: type[Any],
+        timeout_ms: float | None = None,
+        body: bytes = b"",
+    ) -> Any:
+        headers = [(b"host", f"{self._address}:{self._port}".encode())]
+        if body:
+            headers.append((b"content-type", b"application/json"))
         data = messages.encode_request(
-            b"GET",
-            b"/-/objects/" + path.encode(),
-            ((b"host", f"{self._address}:{self._port}".encode()),),
-            b"",
+            method, b"/-/objects/" + path.encode(), tuple(headers), body
         )
         try:
             async with asyncio.timeout(
@@ -199,7 +243,7 @@
             return None
         if reply.status == _STATUS_HISTORY_GONE:
             return source.HistoryGone()
-        if reply.status != _STATUS_OK:
+        if reply.status // 100 != _SUCCESS_CLASS:
             return source.Unavailable(f"status {reply.status}")
         try:
             return msgspec.json.decode(reply.body, type=reply_type)
--- a/standins/users_store.py
+++ b/standins/users_store.py
@@ -78,12 +78,34 @@
         path, _, query = request.target.decode().partition("?")
         asked = dict(urllib.parse.parse_qsl(query))
         kind = path.removeprefix(_PREFIX)
+        if request.method in (b"POST", b"PUT"):
+            return self._write(request, kind)
+        if "/" in kind:
+            return self._one(*kind.split("/", 1))
         if "watch" in asked:
             return await self._watch(
                 kind, int(asked["watch"]), int(asked["waitMs"])
             )
         return self._list(kind, asked.get("after", ""))
 
+    def _one(self, kind: str, name: str) -> messages.Response:
+        held = self._objects.get(kind, {}).get(name)
+        return messages.Response(404) if held is None else _json(held)
+
+    def _write(self, request: messages.Request, kind: str) -> messages.Response:
+        document = msgspec.json.decode(request.body)
+        name = document["meta"]["name"]
+        kind = kind.partition("/")[0]
+        held = self._objects.get(kind, {}).get(name)
+        if held is None and request.method == b"PUT":
+            return messages.Response(404)
+        if held is not None and held["meta"]["revision"] != document[
+            "meta"
+        ].get("revision"):
+            return _json(held, 409)
+        self.put(kind, name, document["spec"])
+        return _json(self._objects[kind][name])
+
     def _list(self, kind: str, after: str) -> messages.Response:
         held = self._objects.get(kind, {})
         names = sorted(name for name in held if name > after)
@@ -127,9 +149,9 @@
         changed.set()
 
 
-def _json(document: Any) -> messages.Response:
+def _json(document: Any, status: int = 200) -> messages.Response:
     return messages.Response(
-        200,
+        status,
         ((b"Content-Type", b"application/json"),),
         msgspec.json.encode(document),
     )
--- a/tests/gateway/test_mutations.py
+++ b/tests/gateway/test_mutations.py
@@ -24,6 +24,7 @@
 from greengagedale.gateway import fleet
 from greengagedale.gateway import plans
 from greengagedale.gateway import registry
+from greengagedale.gateway import roster
 from greengagedale.gateway import scores
 from greengagedale.gateway import source
 from greengagedale.gateway import stopping
@@ -206,13 +207,14 @@
             lambda name=name: host_state(name),
             fleet.Fleet(name, clock),
             held,
+            roster.Roster(name, clock),
             [],
             clock,
             random.Random(1),
         )
         for name, held in (("a", knowing), ("b", fresh))
     )
-    hello = exchange.Hello(host_state("b"), [], 0, 0, fresh.version)
+    hello = exchange.Hello(host_state("b"), [], 0, 0, fresh.version, 0)
     asking._learn(asked._news(hello))
     return fresh.is_ready and fresh.routes_version == 4
 
--- a/tests/gateway/test_reader.py
+++ b/tests/gateway/test_reader.py
@@ -14,6 +14,7 @@
 from greengagedale.gateway import plans
 from greengagedale.gateway import reader as reader_lib
 from greengagedale.gateway import registry as registry_lib
+from greengagedale.gateway import roster as roster_lib
 from greengagedale.gateway import source as source_lib
 from greengagedale.gateway import turns as turns_lib
 from greengagedale.http1 import server
@@ -28,6 +29,7 @@
         self.upstreams = [upstream("a"), upstream("b")]
         self.revision = 5
         self.changes = asyncio.Queue()
+        self.roster = roster_lib.NONE_LISTED
         self.calls = collections.Counter()
 
     def _count(self, name):
@@ -60,6 +62,17 @@
             await asyncio.Event().wait()
         return problem
 
+    async def read_roster(self):
+        return self._count("read_roster") or self.roster
+
+    async def write_roster(self, listed):
+        problem = self._count("write_roster")
+        if problem is None and listed.revision != self.roster.revision:
+            problem = source_lib.Unavailable("replaced meanwhile")
+        if problem is None:
+            self.roster = listed._replace(revision=self.roster.revision + 1)
+        return problem or self.roster
+
     async def pulse(self):
         return self._count("pulse")
 
@@ -73,6 +86,7 @@
     monkeypatch.setattr(reader_lib, "_TURN_MS", 5.0)
     monkeypatch.setattr(reader_lib, "_FIRST_PAUSE_MS", 10.0)
     monkeypatch.setattr(reader_lib, "GATHER_CHANGES_MS", 50.0)
+    monkeypatch.setattr(reader_lib, "ROSTER_PAUSE_MS", 30.0)
 
 
 class Bench:
@@ -82,8 +96,16 @@
         self.registry = registry_lib.Registry(self.clock)
         self.fleet = fleet_lib.Fleet("m", self.clock)
         turns = turns_lib.ReadingTurns(self.fleet, "m", [], self.clock)
+        self.roster = roster_lib.Roster("m", self.clock)
+        self.alive = ["m"]
         self.reader = reader_lib.Reader(
-            self.source, self.registry, turns, lambda: None, self.clock
+            self.source,
+            self.registry,
+            turns,
+            self.roster,
+            lambda: self.alive,
+            lambda: None,
+            self.clock,
         )
 
     def names(self):
@@ -191,3 +213,20 @@
     assert made.names() == ["c"]
     assert made.registry.routes_version == 2
     task.cancel()
+
+
+async def test_hosts_that_are_heard_of_are_listed_with_few_calls(bench):
+    await settled(lambda: bench.source.roster.hosts == ("m",))
+    bench.alive = ["m", "a", "b"]
+    await settled(lambda: bench.roster.listed.hosts == ("a", "b", "m"))
+    await asyncio.sleep(0.1)
+    assert bench.source.calls["read_roster"] == 1
+    assert bench.source.calls["write_roster"] == 2
+
+
+async def test_list_of_hosts_that_another_host_replaced_is_read_again(bench):
+    await settled(lambda: bench.source.roster.hosts == ("m",))
+    bench.source.roster = roster_lib.Listed(9, ("m", "z"))
+    bench.alive = ["m", "a"]
+    await settled(lambda: bench.roster.listed.hosts == ("a", "m", "z"))
+    assert bench.roster.listed.revision == 10
