An extra attempt that was never sent is given back

Callers got fewer retries and hedges than allowed while upstreams were unreachable: an extra whose connection failed was spent, though nothing arrived anywhere. It goes back to the bucket at once. The test of a hedge to an unreachable upstream fails without it (1.0 left of 2.0).

--- a/greengagedale/gateway/fetches.py
+++ b/greengagedale/gateway/fetches.py
@@ -316,7 +316,10 @@
 
     def _settle(self, done: _Task) -> None:
         """Takes in that an extra attempt can no longer arrive."""
-        del done
+        result = None if done.cancelled() else done.result()
+        if isinstance(result, outcomes.AttemptEnd) and not result.written:
+            self._budget.refund()
+            return
         arrived_ms = self._tools.clock.now_ms() + ON_THE_WAY_MS
         self._budget.settle(arrived_ms)
 
--- a/greengagedale/retry/windows.py
+++ b/greengagedale/retry/windows.py
@@ -61,7 +61,7 @@
     def take(self, now_ms: float, reserve_share: float = 0.0) -> bool:
         """Spends one extra if there is one; tells whether.
 
-        Each extra that was taken must be settled.
+        Each extra that was taken must be settled or refunded.
 
         Args:
             now_ms: The time now.
@@ -83,6 +83,13 @@
         self._owed -= paid
         self._return_later(1.0 - paid, now_ms)
 
+    def refund(self) -> None:
+        """Takes in that an extra was never sent."""
+        self._unsettled -= 1
+        paid = min(1.0, self._owed)
+        self._owed -= paid
+        self._saved += 1.0 - paid
+
     def set_share(self, share: float, now_ms: float) -> None:
         """Changes this host's share of the burst.
 
--- a/tests/gateway/test_runner.py
+++ b/tests/gateway/test_runner.py
@@ -407,3 +407,15 @@
     await bench.run(single())
     refused = [step for step in bench.steps if step.what == "no budget"]
     assert [step.reason for step in refused] == ["retry, left 0.5"]
+
+
+async def test_hedge_that_reached_nobody_costs_no_budget():
+    bench = Bench(burst=2.0, ratio=0.0)
+    bench.add("a")
+    bench.add("b")
+    # Whichever is asked first is slow.
+    in_turn = [(150.0, None), (0.0, unreachable())]
+    bench.link.scripts = dict.fromkeys("ab", in_turn)
+    await bench.run(single())
+    assert len(bench.link.sent) == 2
+    assert bench.budgets.of("s").left(bench.clock.now_ms()) == 2.0
--- a/tests/retry/test_windows.py
+++ b/tests/retry/test_windows.py
@@ -72,6 +72,13 @@
     assert budget.left(801.0 + WINDOW_MS) == 1.0
 
 
+def test_extra_that_was_never_sent_is_given_back(budget):
+    assert budget.take(0.0)
+    assert budget.take(0.0)
+    budget.refund()
+    assert budget.left(0.0) == 1.0
+
+
 def test_cut_share_takes_saved_tokens_first_and_unsettled_ones_later(budget):
     assert budget.take(0.0)
     budget.set_share(0.5, 0.0)
