Requests that waited while a host stood still earn no extra attempts

Requests that lie in a host's sockets while it is frozen were sent in an earlier window, but were counted at its waking, at most one a connection. They are served as before and earn nothing; the host notes that it runs every 0.1 s.

--- a/greengagedale/gateway/daemon.py
+++ b/greengagedale/gateway/daemon.py
@@ -44,6 +44,7 @@
 CONNECTIONS_SHARE = 0.85
 FAILED_STATUS = 1
 _UPKEEP_S = 0.5
+_TICK_S = 0.1
 _FLUSH_S = 0.05
 _MS_PER_S = 1000.0
 
@@ -226,6 +227,7 @@
             self._exchange.run(),
             self._reader.run(),
             self._keep_up(),
+            self._tick(),
         ):
             _keep(stack, work)
 
@@ -301,6 +303,11 @@
             return upstream.slots
         return max(1, int(CONNECTIONS_SHARE * accepted / self._hosts()))
 
+    async def _tick(self) -> None:
+        while True:
+            self._budgets.tick(self._clock.now_ms())
+            await asyncio.sleep(_TICK_S)
+
     async def _keep_up(self) -> None:
         while True:
             await asyncio.sleep(_UPKEEP_S)
--- a/greengagedale/gateway/pacing.py
+++ b/greengagedale/gateway/pacing.py
@@ -13,6 +13,8 @@
 _LATEST_HEDGE_SHARE = 0.45
 _EARLIEST_HEDGE_FACTOR = 1.5
 _LEAST_MS = 1.0
+# A process that has not run for this long stood still; it ticks more often.
+STOOD_STILL_MS = 500.0
 
 
 class Pace:
@@ -73,6 +75,7 @@
         self._ratio = ratio
         self.share = share
         self._spent_ms = began_ms
+        self._ticked_ms: float | None = None
         self._budgets: dict[str, windows.WindowBudget] = {}
 
     def set_share(self, share: float, now_ms: float) -> None:
@@ -84,6 +87,22 @@
         for budget in self._budgets.values():
             budget.set_share(share, now_ms)
 
+    def tick(self, now_ms: float) -> None:
+        """Takes in that the process runs; called all the time, if at all."""
+        self._ticked_ms = now_ms
+
+    def note_request(self, service: str, now_ms: float) -> windows.WindowBudget:
+        """Takes in a request for a service; returns the service's budget.
+
+        Requests that waited while the process stood still were sent in an
+        earlier window, so they earn nothing.
+        """
+        budget = self.of(service)
+        ticked_ms = now_ms if self._ticked_ms is None else self._ticked_ms
+        if now_ms - ticked_ms < STOOD_STILL_MS:
+            budget.note_request(now_ms)
+        return budget
+
     def forget_unused(self, now_ms: float) -> None:
         """Drops the budgets that nothing was noted in for a window."""
         self._budgets = {
--- a/greengagedale/gateway/runner.py
+++ b/greengagedale/gateway/runner.py
@@ -259,8 +259,7 @@
         useful_until_ms: float,
         slack: fetches.Slack,
     ) -> fetches.Fetch:
-        budget = self._budgets.of(service)
-        budget.note_request(self._tools.clock.now_ms())
+        budget = self._budgets.note_request(service, self._tools.clock.now_ms())
         return fetches.Fetch(
             self._tools,
             call,
