--- a/tests/gateway/test_reader.py
+++ b/tests/gateway/test_reader.py
@@ -230,3 +230,22 @@
     bench.alive = ["m", "a"]
     await settled(lambda: bench.roster.listed.hosts == ("a", "m", "z"))
     assert bench.roster.listed.revision == 10
+
+
+# Guards against DRAIN on atcu-search, day store-turns-hosts-away: the store
+# turned other hosts away and served this one; an upstream that had left went
+# on getting requests for 3.7 s, as its entry was taken for a lapsed one.
+async def test_entry_removed_while_the_store_turned_others_away_is_gone(quick):
+    made = Bench()
+    made.registry.apply_list(
+        source_lib.UpstreamsListed(
+            [upstream("gone"), *made.source.upstreams], 4
+        )
+    )
+    for name in ("h1", "h2"):
+        made.fleet.hear(host_state(name, read_age_ms=1e9))
+    task = asyncio.create_task(made.reader.run())
+    await settled(lambda: made.source.calls["watch"] == 2)
+    await asyncio.sleep(0.02)
+    assert made.names() == ["a", "b"]
+    task.cancel()
