A probe that meets a listener about to close is no sign of life

One way to it: a process that ends closes its connections before its listener, which takes the fresh connection of the probe and resets it; the death was not counted.

--- /dev/null
+++ b/tests/upstreams/test_probes.py
@@ -0,0 +1,48 @@
+"""A dead process is told from a lost connection."""
+
+import asyncio
+import socket
+
+import pytest
+
+from greengagedale.upstreams import base
+from greengagedale.upstreams import probes
+
+TIMEOUT_MS = 500.0
+
+
+@pytest.fixture
+def prober():
+    return probes.TcpProber(TIMEOUT_MS)
+
+
+@pytest.fixture
+def listener():
+    with socket.create_server(("127.0.0.1", 0)) as made:
+        yield made
+
+
+def upstream_at(listener):
+    _, port = listener.getsockname()
+    return base.Upstream("u", f"127.0.0.1:{port}", "here", 1, 1)
+
+
+async def test_process_that_listens_is_not_gone(prober, listener):
+    assert not await prober.is_gone(upstream_at(listener))
+
+
+async def test_refused_connection_shows_that_nothing_listens(prober, listener):
+    upstream = upstream_at(listener)
+    listener.close()
+    assert await prober.is_gone(upstream)
+
+
+# Guards against a third crash by one request: a process that ends may close
+# its connections some milliseconds before its listener, which still takes the
+# probe's connection and resets it then.
+async def test_process_that_is_about_to_end_is_gone(prober, listener):
+    upstream = upstream_at(listener)
+    probing = asyncio.create_task(prober.is_gone(upstream))
+    await asyncio.sleep(0.005)
+    listener.close()
+    assert await probing
