Suspects are forgotten in the end; a list of hosts that is gone is written anew

Hosts that told each other a suspect held it anew each time, so that suspicion and quarantine never ended; a suspect carries how long it still holds now. A host that reads the store went on replacing the list of hosts when the object was gone, and could never create it again. Both tests fail on the code before.

--- a/greengagedale/gateway/crashes.py
+++ b/greengagedale/gateway/crashes.py
@@ -39,10 +39,12 @@
         fingerprint: Names the request; see `calls.fingerprint_of`.
         lives: Lives of upstreams that were lost with it: name and start, as
             one that has crashed comes back under its name.
+        left_ms: How long this holds.
     """
 
     fingerprint: int
     lives: tuple[entries.Life, ...]
+    left_ms: float
 
 
 class _Held(NamedTuple):
@@ -91,20 +93,30 @@
         now_ms = self._clock.now_ms()
         latest = list(self._held.items())[-MOST_TOLD:]
         return [
-            Suspect(fingerprint, tuple(sorted(held.lives)))
+            Suspect(
+                fingerprint,
+                tuple(sorted(held.lives)),
+                held.until_ms - now_ms,
+            )
             for fingerprint, held in reversed(latest)
             if held.until_ms > now_ms
         ]
 
     def learn(self, suspects: list[Suspect]) -> None:
         """Takes in what another host suspects."""
-        for fingerprint, lives in suspects:
+        for fingerprint, lives, left_ms in suspects:
             held = self._suspect(fingerprint)
             told = frozenset(lives[:LEAST_LOST])
             if held is None or not told <= held.lives:
-                self._blame(fingerprint, told)
-
-    def _blame(self, fingerprint: int, lives: frozenset[entries.Life]) -> None:
+                # Hosts that told each other anew each time would never forget.
+                self._blame(fingerprint, told, left_ms)
+
+    def _blame(
+        self,
+        fingerprint: int,
+        lives: frozenset[entries.Life],
+        most_ms: float = QUARANTINE_MS,
+    ) -> None:
         now_ms = self._clock.now_ms()
         if self._answered.get(fingerprint, 0.0) > now_ms:
             return
@@ -112,7 +124,7 @@
         if held is not None and held.is_quarantined:
             return
         lost = lives if held is None else held.lives | lives
-        self._hold(fingerprint, lost)
+        self._hold(fingerprint, lost, most_ms)
         if self._held[fingerprint].is_quarantined:
             log.warning(
                 "request quarantined",
@@ -126,10 +138,15 @@
             return None
         return held
 
-    def _hold(self, fingerprint: int, lives: frozenset[entries.Life]) -> None:
+    def _hold(
+        self,
+        fingerprint: int,
+        lives: frozenset[entries.Life],
+        most_ms: float = QUARANTINE_MS,
+    ) -> None:
         is_quarantined = len(lives) >= LEAST_LOST
         lasts_ms = QUARANTINE_MS if is_quarantined else SUSPICION_MS
-        until_ms = self._clock.now_ms() + lasts_ms
+        until_ms = self._clock.now_ms() + min(lasts_ms, most_ms)
         self._held[fingerprint] = _Held(lives, until_ms)
         self._held.move_to_end(fingerprint)
         if len(self._held) > MOST_HELD:
--- a/greengagedale/gateway/reader.py
+++ b/greengagedale/gateway/reader.py
@@ -63,7 +63,8 @@
         self._roster = roster
         self._alive = alive
         self._keeper = roster_lib.Keeper(clock)
-        self._is_roster_read = False
+        # As last read or written in this turn; None if it must be read.
+        self._stored: roster_lib.Listed | None = None
         self._roster_due_ms = float("-inf")
         self._on_change = on_change
         self._clock = clock
@@ -150,7 +151,7 @@
         """Watches until the store is lost or it is another host's turn."""
         self._failing.clear()
         self._keeper.start_turn()
-        self._is_roster_read = False
+        self._stored = None
         tasks = [
             asyncio.create_task(self._follow("routes", self._watch_routes)),
             asyncio.create_task(
@@ -191,24 +192,24 @@
         """Lists the hosts that are new, and takes off those that are gone."""
         if self._clock.now_ms() < self._roster_due_ms:
             return
-        got: roster_lib.Listed | source_lib.Unavailable | None = None
-        if not self._is_roster_read:
+        if self._stored is None:
             got = await self._source.read_roster()
         else:
-            held = self._roster.listed
-            hosts = self._keeper.due(held, self._alive())
-            if hosts is not None:
-                wanted = roster_lib.Listed(held.revision, hosts)
-                got = await self._source.write_roster(wanted)
+            hosts = self._keeper.due(self._stored, self._alive())
+            if hosts is None:
+                return
+            got = await self._source.write_roster(
+                self._stored._replace(hosts=hosts)
+            )
         if isinstance(got, source_lib.Unavailable):
             log.warning("hosts not listed", extra={"reason": got.detail})
             # The answer may be lost, or another host may have written.
-            self._is_roster_read = False
+            self._stored = None
             self._roster_due_ms = self._clock.now_ms() + ROSTER_PAUSE_MS
-        elif got is not None:
-            self._is_roster_read = True
-            if self._roster.adopt(got):
-                self._on_change()
+            return
+        self._stored = got
+        if self._roster.adopt(got):
+            self._on_change()
 
     async def _step_routes(self) -> str | None:
         return await self._take_routes(await self._source.read_routes())
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -145,6 +145,18 @@
     assert not crashes.refuses(1)
 
 
+def test_hosts_that_tell_each_other_forget_in_the_end(crashes, clock):
+    other = crashes_lib.Crashes(clock)
+    for name in "abc":
+        crashes.note_lost(1, (name, 1))
+    crashes.note_lost(2, ("a", 1))
+    for _ in range(2 * int(crashes_lib.QUARANTINE_MS / 1000.0)):
+        clock.advance(1000.0)
+        other.learn(crashes.suspects())
+        crashes.learn(other.suspects())
+    assert crashes.suspects() == other.suspects() == []
+
+
 def test_one_life_that_loses_all_answers_blames_no_request(crashes):
     for _ in range(10):
         crashes.note_lost(1, ("a", 1))
--- a/tests/gateway/test_reader.py
+++ b/tests/gateway/test_reader.py
@@ -232,6 +232,13 @@
     assert bench.roster.listed.revision == 10
 
 
+async def test_list_of_hosts_that_is_gone_is_written_anew(bench):
+    await settled(lambda: bench.source.roster.hosts == ("m",))
+    bench.source.roster = roster_lib.NONE_LISTED
+    bench.alive = ["m", "a"]
+    await settled(lambda: bench.source.roster.hosts == ("a", "m"))
+
+
 # Guards against DRAIN on atcu-search, day store-turns-hosts-away: the store
 # turned other hosts away and served this one; an upstream that had left went
 # on getting requests for 3.7 s, as its entry was taken for a lapsed one.
