A search that ends for a dead shard does not name its deadline as the reason

Two tests of the runner failed once each beside a load of 15 on 8 cores (test_reason_of_a_hopeless_search_is_its_shards, test_searches_without_hope_are_refused_but_for_a_probe), not in 16 runs after. Traced: when a search is past its cutoff and a missing shard is known to be down while its last attempt still runs, no failure is in yet, and the reason told was 'deadline' (status 504) long before it. It is 'no_progress' now. The other test met shards logged in the order of a set of tasks; they come in the order of the route now.

--- a/greengagedale/gateway/runner.py
+++ b/greengagedale/gateway/runner.py
@@ -167,7 +167,15 @@
                 fetch.was_sent and not task.done()
                 for task, fetch in made.items()
             )
-            return self._without_answer(parts.failures, has_begun)
+            is_late = self._tools.clock.now_ms() >= deadline_ms
+            return self._without_answer(
+                parts.failures,
+                has_begun,
+                # Before the deadline, it ended for shards that are down.
+                outcomes.Reason.DEADLINE
+                if is_late
+                else outcomes.Reason.NO_PROGRESS,
+            )
         return self._merged(plan, fanout, parts.answers)
 
     def _merged(
@@ -231,7 +239,11 @@
                 hopeful = len(waiting)
                 until_ms = cutoff_ms
             else:
-                shards = (made[task].service for task in waiting)
+                shards = (
+                    fetch.service
+                    for task, fetch in made.items()
+                    if task in waiting
+                )
                 hopeful = sum(map(self._answers, shards))
                 until_ms = min(until_ms, now_ms + LATE_CHECK_MS)
             if hopeful < missing:
@@ -280,13 +292,17 @@
         )
 
     def _without_answer(
-        self, failures: list[fetches.Failure], has_begun: bool = False
+        self,
+        failures: list[fetches.Failure],
+        has_begun: bool = False,
+        unended: outcomes.Reason = outcomes.Reason.DEADLINE,
     ) -> outcomes.NotRun | outcomes.Unknown:
         """Returns the outcome of a call that too few services answered.
 
         Args:
             failures: How the services failed that have ended.
             has_begun: Whether others may have run it.
+            unended: Why no more was waited for, if none has failed yet.
         """
         reasons = [failure.reason for failure in failures]
         if outcomes.Reason.DEADLINE in reasons:
@@ -294,8 +310,7 @@
         if any(failure.answer is not None for failure in failures):
             return outcomes.Unknown(outcomes.Reason.REJECTED)
         if has_begun:
-            reason = reasons[-1] if reasons else outcomes.Reason.DEADLINE
-            return outcomes.Unknown(reason)
+            return outcomes.Unknown(reasons[-1] if reasons else unended)
         ends = [end for failure in failures for end in failure.ends]
         reason = reasons[-1] if reasons else outcomes.Reason.NO_REPLICA
         retry_after_ms = max(
--- a/tests/gateway/test_runner.py
+++ b/tests/gateway/test_runner.py
@@ -419,3 +419,13 @@
     await bench.run(single())
     assert len(bench.link.sent) == 2
     assert bench.budgets.of("s").left(bench.clock.now_ms()) == 2.0
+
+
+# Guards against a wrong reason: a search that ended because its shard was down
+# was told to have met its deadline, if the shard's own failure was not in yet.
+async def test_reason_is_not_the_deadline_while_a_dead_shard_is_still_tried():
+    bench = Bench()
+    add_shards(bench, "a", delay_ms=300.0)
+    bench.add("x", "x", [(75.0, unreachable())] * 9)
+    outcome = await bench.run(fanout("ax", least=1.0))
+    assert outcome == outcomes.Unknown(outcomes.Reason.NO_PROGRESS)
