Quarantined requests are told before other suspects

Found by reading the diff: while many answers are lost, the 16 latest suspects crowd a quarantined request out of the exchanges, so that a host that starts would let it through once more. The test fails on the code before.

--- a/greengagedale/gateway/crashes.py
+++ b/greengagedale/gateway/crashes.py
@@ -28,7 +28,7 @@
 PROOF_MS = 300_000.0
 # Requests held of each sort; the oldest go first.
 MOST_HELD = 2048
-# Suspects told in one exchange, the latest first.
+# Suspects told in one exchange: those in quarantine first, the latest first.
 MOST_TOLD = 16
 
 
@@ -89,16 +89,17 @@
             self._answered.popitem(last=False)
 
     def suspects(self) -> list[Suspect]:
-        """Returns what other hosts should know, the latest first."""
+        """Returns what other hosts should know."""
         now_ms = self._clock.now_ms()
-        latest = list(self._held.items())[-MOST_TOLD:]
+        latest = [*reversed(self._held.items())]
+        latest.sort(key=lambda item: not item[1].is_quarantined)
         return [
             Suspect(
                 fingerprint,
                 tuple(sorted(held.lives)),
                 held.until_ms - now_ms,
             )
-            for fingerprint, held in reversed(latest)
+            for fingerprint, held in latest[:MOST_TOLD]
             if held.until_ms > now_ms
         ]
 
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -173,6 +173,14 @@
     assert len(crashes._held) == len(crashes._answered)
 
 
+def test_quarantine_is_told_first_among_many_suspects(crashes):
+    for name in "abc":
+        crashes.note_lost(1, (name, 1))
+    for number in range(2, 2 + 2 * crashes_lib.MOST_TOLD):
+        crashes.note_lost(number, ("a", 1))
+    assert crashes.suspects()[0].fingerprint == 1
+
+
 def test_same_request_has_the_same_fingerprint_on_all_hosts():
     first, second = Bench(), Bench()
     calls_made = [each.call(target=POISON) for each in (first, second)]
