A request is judged for crashes once its call has ended

Callers of grown sites were refused searches as quarantined: a search over 36 shards lost three of them to resets before the first one answered, and its retries, and the same search elsewhere, were refused. The test fails on the code before.

--- a/greengagedale/gateway/crashes.py
+++ b/greengagedale/gateway/crashes.py
@@ -9,6 +9,9 @@
 """
 
 import collections
+from collections.abc import Iterator
+import contextlib
+import dataclasses
 import logging
 from typing import NamedTuple
 
@@ -56,6 +59,12 @@
         return len(self.lives) >= LEAST_LOST
 
 
+@dataclasses.dataclass(slots=True)
+class _Watched:
+    calls: int
+    lost: set[entries.Life]
+
+
 class Crashes:
     """What a host knows of such requests."""
 
@@ -64,6 +73,7 @@
         self._held: collections.OrderedDict[int, _Held] = (
             collections.OrderedDict()
         )
+        self._watched: dict[int, _Watched] = {}
         self._answered: collections.OrderedDict[int, float] = (
             collections.OrderedDict()
         )
@@ -76,9 +86,30 @@
         self._hold(fingerprint, held.lives)
         return True
 
+    @contextlib.contextmanager
+    def watching(self, fingerprint: int) -> Iterator[None]:
+        """Holds judgement on a request while a call of it runs.
+
+        A search may lose several upstreams before the first one answers.
+        """
+        watched = self._watched.setdefault(fingerprint, _Watched(0, set()))
+        watched.calls += 1
+        try:
+            yield
+        finally:
+            watched.calls -= 1
+            if watched.calls == 0:
+                del self._watched[fingerprint]
+                if watched.lost:
+                    self._blame(fingerprint, frozenset(watched.lost))
+
     def note_lost(self, fingerprint: int, life: entries.Life) -> None:
         """Takes in that an upstream was lost while it had a request."""
-        self._blame(fingerprint, frozenset((life,)))
+        watched = self._watched.get(fingerprint)
+        if watched is None:
+            self._blame(fingerprint, frozenset((life,)))
+        else:
+            watched.lost.add(life)
 
     def note_answer(self, fingerprint: int) -> None:
         """Takes in that an upstream ran a request and answered."""
--- a/greengagedale/gateway/runner.py
+++ b/greengagedale/gateway/runner.py
@@ -89,15 +89,18 @@
         deadline_ms -= DEADLINE_MARGIN_MS
         if deadline_ms <= self._tools.clock.now_ms():
             return outcomes.NotRun(outcomes.Reason.DEADLINE, 0)
-        if self._tools.crashes.refuses(calls.fingerprint_of(call)):
+        crashes = self._tools.crashes
+        fingerprint = calls.fingerprint_of(call)
+        if crashes.refuses(fingerprint):
             return outcomes.NotRun(
                 outcomes.Reason.QUARANTINED, QUARANTINE_RETRY_MS
             )
-        if plan.fanout is not None:
-            return await self._gather(
-                call, plan, plan.fanout, deadline_ms, steps
-            )
-        return await self._single(call, plan, deadline_ms, steps)
+        with crashes.watching(fingerprint):
+            if plan.fanout is not None:
+                return await self._gather(
+                    call, plan, plan.fanout, deadline_ms, steps
+                )
+            return await self._single(call, plan, deadline_ms, steps)
 
     async def _single(
         self,
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -127,6 +127,22 @@
     assert isinstance(outcome, outcomes.Ran)
 
 
+# Guards against refusing searches of a grown site: many shards lost answers at
+# once, before the first one answered, and retries were refused.
+async def test_search_that_loses_many_shards_first_goes_on_to_retry():
+    bench = Bench(burst=100.0)
+    shards = [f"s{number}" for number in range(9)]
+    for shard in shards:
+        bench.add(shard + "a", shard)
+        bench.add(shard + "b", shard)
+        in_turn = [(0.0, lost()), (20.0, None)]
+        for copy in "ab":
+            bench.link.scripts[shard + copy] = in_turn
+    outcome = await bench.run(fanout(shards, least=1.0), target=POISON)
+    assert isinstance(outcome, outcomes.Ran)
+    assert bench.tools.crashes.suspects() == []
+
+
 def test_quarantine_ends_once_the_request_has_not_come_for_long(crashes, clock):
     for name in "abc":
         crashes.note_lost(1, (name, 1))
