The soak's budget check counts requests in the order they were sent

Found by reading the diff: proofs.budgets wants rising lists, but the soak keeps requests in the order in which they ended, and a bisection over them counts wrong.

--- a/proofs/gateway_soak.py
+++ b/proofs/gateway_soak.py
@@ -422,8 +422,12 @@
                 if upstream.service == service
                 for request in upstream.requests
             ]
+            # Kept in the order in which requests ended.
+            requests_ms = sorted(
+                sent.sent_ms for sent in self._sent if sent.kind == kind
+            )
             excess = budgets.worst_excess(
-                [sent.sent_ms for sent in self._sent if sent.kind == kind],
+                requests_ms,
                 budgets.extras_of(arrivals),
                 ALLOWANCE,
             )
--- a/tests/proofs/test_gateway_soak.py
+++ b/tests/proofs/test_gateway_soak.py
@@ -40,6 +40,13 @@
         self.runs = {"q1": 1}
 
 
+class _BookingSite:
+    def __init__(self, arrivals):
+        upstream = _Upstream()
+        upstream.service, upstream.requests = "one", arrivals
+        self.upstreams = {"one-0": upstream}
+
+
 class _Site:
     upstreams = {f"s{i}-0": _Upstream() for i in (1, 2, 3)}
 
@@ -90,3 +97,21 @@
 def test_good_answers_pass():
     assert check("find", WHOLE) == []
     assert check("book", reply(503), runs=0) == []
+
+
+def test_requests_that_ended_out_of_order_count_in_their_windows():
+    arrivals = [
+        messages.Request(b"POST", b"/", ((b"request-id", b"q1"),), b"", at_ms)
+        for at_ms in range(15_000, 15_012)
+    ]
+    sent = [
+        gateway_soak.Sent("q", float(at_ms), "book", "h0", 1, None)
+        for at_ms in range(0, 20_000, 10)
+    ]
+    left = []
+    for history in (sent, sent[::-1]):
+        soak = gateway_soak.Soak(_BookingSite(arrivals), seed=1)
+        soak._sent = history
+        soak._check_budgets()
+        left.append(soak.least_left)
+    assert left[0] == left[1]
