Removed entries are told from lapsed ones by how many vanish together

Cause: a host that took over reading had heard of two hosts that read in vain, held the store for one that comes back from an outage, and kept the entry that was gone. Who is turned away says nothing of the entries: the store served their writers.

Upstreams that can't write lapse together. Entries that vanish around trouble are now kept in use only if at least half of all do so; fewer have left. What is held back is not told to peers either.

Ruled out: sequences or ages of entries (heartbeats wake no watch, so what is held of them is as old as their last change).

The listed test never handed the removal to the host (its store had no change to watch), so that no mend could have turned it green. It hands it out now and asks who gets work; it fails on the code before (a, b and gone), as does test_few_that_vanish_around_an_outage_have_left.

--- a/greengagedale/gateway/exchange.py
+++ b/greengagedale/gateway/exchange.py
@@ -243,9 +243,7 @@
             table.routes if table is not None and has_newer else None,
             held.routes_revision,
             held.version,
-            [*held.upstreams.values()]
-            if held.version > hello.version
-            else None,
+            held.in_force if held.version > hello.version else None,
             self._roster.listed
             if self._roster.listed.revision > hello.roster_revision
             else None,
--- a/greengagedale/gateway/registry.py
+++ b/greengagedale/gateway/registry.py
@@ -2,8 +2,10 @@
 
 Both only move forward: a configuration by its version, the upstreams by the
 revision of the store they are as of. An entry that vanishes while, or shortly
-after, the store was in trouble may only have lapsed there; it is kept until
-the upstream has had time to write again.
+after, the store was in trouble may only have lapsed there. Upstreams that
+can't write lapse together, so the entries themselves tell: if at least half of
+them vanish, they are kept until their upstreams have had time to write again.
+Fewer have left, and the others were written meanwhile.
 """
 
 import logging
@@ -19,6 +21,9 @@
 # Upstreams whose entries lapsed in an outage of the store are listed again
 # within about 2 s of its return (platform's figure); the rest is margin.
 LAPSE_GRACE_MS = 2300.0
+# Share of all upstreams that vanish together if the store lost their writes:
+# an outage that outlasts the time of an entry by half a heartbeat takes half.
+LAPSED_SHARE = 0.5
 
 
 class Version(NamedTuple):
@@ -50,7 +55,10 @@
         self.version = Version(0, 0)
         self.upstreams: dict[str, entries.Upstream] = {}
         self._by_service: dict[str, list[entries.Upstream]] = {}
+        # When entries that vanished around an outage are gone for good.
         self._missing: dict[str, float] = {}
+        # Whether those are so many that the store must have lost them.
+        self._has_lapsed = False
         self._trouble_until_ms = float("-inf")
 
     @property
@@ -63,6 +71,17 @@
         """Version of the routes in force; 0 if none are known."""
         return 0 if self.table is None else self.table.version
 
+    @property
+    def in_force(self) -> list[entries.Upstream]:
+        """The upstreams without those that vanished and are not kept."""
+        if self._has_lapsed:
+            return [*self.upstreams.values()]
+        return [
+            upstream
+            for name, upstream in self.upstreams.items()
+            if name not in self._missing
+        ]
+
     def of_service(self, service: str) -> list[entries.Upstream]:
         """Returns the upstreams of a service that take new work."""
         return self._by_service.get(service, [])
@@ -179,9 +198,11 @@
         ):
             self._missing.setdefault(name, self._trouble_until_ms)
             log.info(
-                "upstream entry vanished around an outage of the store; kept",
+                "upstream entry vanished around an outage of the store",
                 extra={
                     "upstream": name,
+                    "missing": len(self._missing),
+                    "of": len(self.upstreams),
                     "for_ms": round(self._trouble_until_ms - now_ms),
                 },
             )
@@ -208,8 +229,13 @@
             self._remove(name, "entry removed, as a peer says")
 
     def _index(self) -> None:
+        lapsed = LAPSED_SHARE * len(self.upstreams)
+        # Holds until the last of them is back or gone.
+        self._has_lapsed = bool(self._missing) and (
+            self._has_lapsed or len(self._missing) >= lapsed
+        )
         by_service: dict[str, list[entries.Upstream]] = {}
-        for upstream in self.upstreams.values():
+        for upstream in self.in_force:
             if not upstream.is_leaving:
                 by_service.setdefault(upstream.service, []).append(upstream)
         self._by_service = by_service
--- a/tests/gateway/test_reader.py
+++ b/tests/gateway/test_reader.py
@@ -251,8 +251,10 @@
     )
     for name in ("h1", "h2"):
         made.fleet.hear(host_state(name, read_age_ms=1e9))
+    made.source.changes.put_nowait(source_lib.UpstreamChange("gone", None))
     task = asyncio.create_task(made.reader.run())
-    await settled(lambda: made.source.calls["watch"] == 2)
+    await settled(lambda: made.source.calls["watch"] >= 2)
     await asyncio.sleep(0.02)
-    assert made.names() == ["a", "b"]
+    in_use = [held.name for held in made.registry.of_service("s")]
+    assert sorted(in_use) == ["a", "b"]
     task.cancel()
--- a/tests/gateway/test_registry.py
+++ b/tests/gateway/test_registry.py
@@ -109,6 +109,32 @@
     assert names(registry) == ["a", "b"]
 
 
+# Guards against DRAIN on atcu-search, day store-turns-hosts-away: one upstream
+# left while the store turned hosts away, and went on getting requests.
+def test_few_that_vanish_around_an_outage_have_left(registry, clock):
+    more = [upstream(name) for name in "abcde"]
+    registry.apply_list(source.UpstreamsListed(more, 6))
+    registry.note_trouble()
+    registry.apply_changes(change("a", None, 7))
+    assert names(registry) == ["b", "c", "d", "e"]
+    peer = registry_lib.Registry(clock)
+    peer.adopt(registry.in_force, registry.version)
+    assert names(peer) == ["b", "c", "d", "e"]
+
+
+def test_many_that_vanish_around_an_outage_are_kept_until_the_last_is_back(
+    registry,
+):
+    more = [upstream(name) for name in "abcde"]
+    registry.apply_list(source.UpstreamsListed(more, 6))
+    registry.note_trouble()
+    for revision, name in enumerate("abc", 7):
+        registry.apply_changes(change(name, None, revision))
+    assert names(registry) == ["a", "b", "c", "d", "e"]
+    registry.apply_changes(change("a", upstream("a", sequence=2), 10))
+    assert names(registry) == ["a", "b", "c", "d", "e"]
+
+
 def test_leaving_upstream_that_vanishes_in_an_outage_is_gone(registry):
     leaving = upstream("a", is_leaving=True, sequence=2)
     registry.apply_changes(change("a", leaving, 6))
