A process is alive if it answers a probe, not if its listener is open

A probe took a connection that stayed open for 25 ms for a sign of life; on a busy machine a process that ends may not get to run for longer. The probe now asks for the health page and counts only an answer; a connection that ends without one is followed by another. test_process_that_ends_slowly_is_gone fails on the code before.

--- a/greengagedale/upstreams/probes.py
+++ b/greengagedale/upstreams/probes.py
@@ -5,8 +5,9 @@
 
 from greengagedale.upstreams import base
 
-# A process that ends closes its listener within this time of its connections.
-_STAYS_OPEN_MS = 25.0
+_HEALTH_REQUEST = (
+    b"GET /v1/health HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n\r\n"
+)
 # Pause before the next connection to a process that ended the last one.
 _PAUSE_MS = 5.0
 _MS_PER_S = 1000.0
@@ -20,24 +21,35 @@
         """Tells whether nothing listens there any more."""
 
 
-class _ClosedByPeer(asyncio.Protocol):
-    """Notes that the other side has ended a connection."""
+class _FirstWord(asyncio.Protocol):
+    """Notes whether the other side says anything before it ends."""
 
     def __init__(self) -> None:
-        self.ended = asyncio.Event()
+        self.said: asyncio.Future[bool] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+    def data_received(self, data: bytes) -> None:
+        """Notes an answer."""
+        del data
+        self._settle(True)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Notes the end."""
         del exc
-        self.ended.set()
+        self._settle(False)
+
+    def _settle(self, has_said: bool) -> None:
+        if not self.said.done():
+            self.said.set_result(has_said)
 
 
 class TcpProber(Prober):
     """Opens a fresh connection; only a refusal proves that nothing listens.
 
-    A process that ends may still have its listener open for a moment. A
-    connection that ends at once is therefore no sign of life, and another one
-    is opened.
+    A process that ends may have its listener open for a while, longer on a
+    busy machine. Only an answer on the connection is therefore a sign of life;
+    if the connection ends without one, another one is opened.
     """
 
     def __init__(self, timeout_ms: float) -> None:
@@ -48,7 +60,7 @@
         address, _, port = upstream.endpoint.rpartition(":")
         try:
             async with asyncio.timeout(self._timeout_s):
-                while not await _stays_open(address, int(port)):
+                while not await _answers(address, int(port)):
                     await asyncio.sleep(_PAUSE_MS / _MS_PER_S)
         except ConnectionRefusedError:
             return True
@@ -57,16 +69,12 @@
         return False
 
 
-async def _stays_open(address: str, port: int) -> bool:
+async def _answers(address: str, port: int) -> bool:
+    """Tells whether whatever listens there answers before it ends."""
     loop = asyncio.get_running_loop()
-    transport, opened = await loop.create_connection(
-        _ClosedByPeer, address, port
-    )
+    transport, opened = await loop.create_connection(_FirstWord, address, port)
     try:
-        async with asyncio.timeout(_STAYS_OPEN_MS / _MS_PER_S):
-            await opened.ended.wait()
-    except TimeoutError:
-        return True
+        transport.write(_HEALTH_REQUEST % address.encode())
+        return await opened.said
     finally:
         transport.abort()
-    return False
--- a/tests/upstreams/test_probes.py
+++ b/tests/upstreams/test_probes.py
@@ -46,3 +46,23 @@
     await asyncio.sleep(0.005)
     listener.close()
     assert await probing
+
+
+# Guards against a third crash by one request on a busy machine: a process that
+# ends may not get to run, so that its listener stays open for longer.
+async def test_process_that_ends_slowly_is_gone(prober, listener):
+    upstream = upstream_at(listener)
+    probing = asyncio.create_task(prober.is_gone(upstream))
+    await asyncio.sleep(0.1)
+    listener.close()
+    assert await probing
+
+
+async def test_process_that_answers_is_not_gone_and_is_not_waited_for(prober):
+    async def answer(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 503 Service Unavailable\r\n\r\n")
+
+    server = await asyncio.start_server(answer, "127.0.0.1", 0)
+    async with server, asyncio.timeout(TIMEOUT_MS / 2000.0):
+        assert not await prober.is_gone(upstream_at(server.sockets[0]))
