Answers without end are broken off

Tried on what landed: an upstream that pours a body or header lines without end made the client grow by 680 and 435 MB in 2 s; hosts have 430 to 552 MB. Nothing bounded what is read of heads, bodies, trailers, chunk extensions, informational answers or answers to other requests (http1.client), of bodies (the aiohttp adapters), nor of what frames and follows a caller's body (http1.server; its headers and body were bounded).

All are bounded now; past a bound the connection is closed, the attempt may have run, and a line "answer too large" says what came. Bounds are the settings upstreams.max_head_bytes (64 KiB) and upstreams.max_body_bytes (1 MiB, as much as a caller may send by default); the store and peers may answer with 32 MiB.

Tests, each failing before: ten kinds of answers without end in test_client.py, body and chunks in test_http.py (aiohttp bounds heads itself), three kinds of requests in test_server.py. Largest answers allowed pass, in one piece and in chunks of 16 bytes.

--- a/greengagedale/callers/http_client.py
+++ b/greengagedale/callers/http_client.py
@@ -5,6 +5,7 @@
 import aiohttp
 import msgspec
 
+from greengagedale import http_bodies
 from greengagedale import outcomes
 from greengagedale.callers import base
 from greengagedale.callers import wire
@@ -43,7 +44,9 @@
                 params=params,
                 timeout=aiohttp.ClientTimeout(total=_LOCATE_TIMEOUT_S),
             ) as response:
-                body = await response.read()
+                body = await http_bodies.read_whole(
+                    response, http_bodies.MOST_DOCUMENT_BYTES
+                )
             return msgspec.json.decode(body, type=base.Located)
         except (aiohttp.ClientError, OSError, msgspec.DecodeError):
             return None
@@ -69,7 +72,10 @@
                 timeout=timeout,
                 allow_redirects=False,
             ) as response:
-                return _result_of(response.status, await response.read())
+                answered = await http_bodies.read_whole(
+                    response, http_bodies.MOST_DOCUMENT_BYTES
+                )
+                return _result_of(response.status, answered)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             return resends.Unreached()
         except (aiohttp.ClientError, OSError):
--- a/greengagedale/commands/remote.py
+++ b/greengagedale/commands/remote.py
@@ -9,6 +9,7 @@
 import typer
 
 from greengagedale import exceptions
+from greengagedale import http_bodies
 from greengagedale import loops
 from greengagedale.config import options
 
@@ -102,7 +103,10 @@
                 method, f"http://{endpoint}{path}", data=body, headers=headers
             ) as response,
         ):
-            decoded = msgspec.json.decode(await response.read())
+            encoded = await http_bodies.read_whole(
+                response, http_bodies.MOST_DOCUMENT_BYTES
+            )
+            decoded = msgspec.json.decode(encoded)
             version = response.headers.get("ETag")
             return Reply(
                 response.status, decoded, version and version.strip('"')
--- a/greengagedale/config/gateway.py
+++ b/greengagedale/config/gateway.py
@@ -15,6 +15,7 @@
 _LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 _HOUR_S = 3600.0
 _MOST_EXTRA = 1_000_000.0
+_MOST_BYTES = 1024.0 * 1024.0 * 1024.0
 _REQUIRED = object()
 
 
@@ -126,6 +127,18 @@
     timeout_ms: float
 
 
+class UpstreamsSettings(NamedTuple):
+    """What upstreams may answer; connections with more on them are closed.
+
+    Attributes:
+        max_head_bytes: Status line, headers and trailers of an answer.
+        max_body_bytes: Body without framing.
+    """
+
+    max_head_bytes: float
+    max_body_bytes: float
+
+
 class PeersSettings(NamedTuple):
     """Other hosts that are known from the start; they may be gone."""
 
@@ -179,6 +192,13 @@
         StoreSettings,
         {"endpoint": Endpoint(), "timeout_ms": Number(1.0, 60_000.0, 1500.0)},
     ),
+    "upstreams": (
+        UpstreamsSettings,
+        {
+            "max_head_bytes": Number(1024.0, _MOST_BYTES, 64.0 * 1024.0),
+            "max_body_bytes": Number(1024.0, _MOST_BYTES, 1024.0 * 1024.0),
+        },
+    ),
     "peers": (PeersSettings, {"seeds": Endpoints(())}),
     "retries": (
         RetrySettings,
@@ -199,6 +219,7 @@
     host: HostSettings
     gateway: GatewaySection
     platform: StoreSettings
+    upstreams: UpstreamsSettings
     peers: PeersSettings
     retries: RetrySettings
     shutdown: ShutdownSettings
--- a/greengagedale/http1/client.py
+++ b/greengagedale/http1/client.py
@@ -2,25 +2,46 @@
 
 An answer counts only if it is whole: framed, or ended by an orderly close.
 What comes at any other moment, or after an answer, belongs to no request; the
-connection is then closed and never used again.
+connection is then closed and never used again. So is one on which more comes
+than any answer may have.
 """
 
 import asyncio
 from collections.abc import Callable
 import dataclasses
+import logging
 import socket
-from typing import Self, cast
+from typing import NamedTuple, Self, cast
 
 import httptools
 
 from greengagedale.http1 import messages
 
+log = logging.getLogger(__name__)
+
 Accept = Callable[[messages.Reply], bool]
 
+# Answers that may be passed over while one request waits for its own; an
+# upstream was seen to repeat one answer.
+MOST_PASSED_OVER = 4
 _INFORMATIONAL = range(100, 200)
 _BODILESS = frozenset({204, 304})
 
 
+class ReplyLimits(NamedTuple):
+    """What a server may answer; a connection with more on it is closed.
+
+    Attributes:
+        max_head_bytes: Status line, headers and trailers of an answer with the
+            informational ones before it. The framing of chunks may have so
+            much, and besides as much as the body.
+        max_body_bytes: Body without framing.
+    """
+
+    max_head_bytes: int = 64 * 1024
+    max_body_bytes: int = 1024 * 1024
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Broken:
     """No whole answer came.
@@ -42,12 +63,15 @@
         keep_alive_ms: How long the server keeps it while idle, if it says so.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, limits: ReplyLimits | None = None) -> None:
         self.used_ms = 0.0
         self.keep_alive_ms: float | None = None
         self._transport: asyncio.Transport | None = None
         self._parser: httptools.HttpResponseParser | None = None
         self._future: asyncio.Future[messages.Reply | Broken] | None = None
+        self._limits = limits or ReplyLimits()
+        self._received_bytes = 0
+        self._passed_over = 0
         self._accept: Accept = _accept_any
         self._is_head = False
         self._is_spoilt = False
@@ -55,16 +79,30 @@
         self._begin()
 
     @classmethod
-    async def open(cls, address: str, port: int, timeout_s: float) -> Self:
+    async def open(
+        cls,
+        address: str,
+        port: int,
+        timeout_s: float,
+        limits: ReplyLimits | None = None,
+    ) -> Self:
         """Connects.
 
+        Args:
+            address: IP number of the server.
+            port: Its TCP port.
+            timeout_s: When to give up.
+            limits: What the server may answer, if not the usual.
+
         Raises:
             OSError: The connection was refused or took too long
                 (`TimeoutError`).
         """
         loop = asyncio.get_running_loop()
         async with asyncio.timeout(timeout_s):
-            _, connection = await loop.create_connection(cls, address, port)
+            _, connection = await loop.create_connection(
+                lambda: cls(limits), address, port
+            )
         return connection
 
     @property
@@ -100,6 +138,8 @@
         self._accept = accept or _accept_any
         self._is_head = is_head
         self._parser = httptools.HttpResponseParser(self)
+        self._received_bytes = 0
+        self._passed_over = 0
         self._begin()
         self._transport.write(data)
         try:
@@ -146,6 +186,7 @@
         if self._future is None or self._parser is None:
             self.close()
             return
+        self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
@@ -154,6 +195,8 @@
                 self._finish(Broken(f"not HTTP: {exc!r}", sent=True))
                 self.close()
                 return
+        if self._done is None:
+            self._check_size()
         self._settle()
 
     # Called by the parser.
@@ -178,6 +221,9 @@
             (b"content-length", b"transfer-encoding")
         )
         self._in_body = True
+        length = messages.first_value(tuple(self._headers), b"content-length")
+        if length is not None and not self._is_head:
+            self._declared_bytes = int(length)
         if self._is_head and self._status not in _INFORMATIONAL:
             self._is_spoilt = True
             self._complete()
@@ -209,15 +255,50 @@
             and held.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         )
 
+    def _check_size(self) -> None:
+        """Ends the exchange if more has come than one answer may have."""
+        limits = self._limits
+        body_bytes = len(self._body)
+        head_bytes = self._received_bytes - body_bytes
+        is_too_large = (
+            max(body_bytes, self._declared_bytes) > limits.max_body_bytes
+            or head_bytes > limits.max_head_bytes + body_bytes
+            or self._passed_over > MOST_PASSED_OVER
+        )
+        if not is_too_large or self._future is None:
+            return
+        log.warning(
+            "answer too large",
+            extra={
+                "server": self._peer(),
+                "head_bytes": head_bytes,
+                "body_bytes": body_bytes,
+                "declared_bytes": self._declared_bytes,
+                "passed_over": self._passed_over,
+            },
+        )
+        self._finish(Broken("the answer is too large", sent=True))
+        self.abort()
+        self._parser = None
+        self._begin()
+
+    def _peer(self) -> str:
+        assert self._transport is not None
+        name = self._transport.get_extra_info("peername")
+        return ":".join(map(str, name[:2])) if name else "unknown"
+
     def _begin(self) -> None:
         self._status = 0
         self._headers: list[tuple[bytes, bytes]] = []
         self._body = bytearray()
+        self._declared_bytes = 0
         self._until_eof = False
         self._in_body = False
 
     def _complete(self) -> None:
-        if self._done is not None:
+        if self._done is not None or (
+            len(self._body) > self._limits.max_body_bytes
+        ):
             return
         reply = messages.Reply(
             self._status,
@@ -232,6 +313,8 @@
             # An answer to an earlier request; this one's is still to come,
             # but the connection has shown that it can't be trusted.
             self._is_spoilt = True
+            self._passed_over += 1
+            self._received_bytes = 0
             self._begin()
 
     def _settle(self) -> None:
--- a/greengagedale/http1/server.py
+++ b/greengagedale/http1/server.py
@@ -20,6 +20,8 @@
 # After a refusal of a request that is not read to its end, input is read and
 # thrown away this long, as closing with unread bytes would reset the answer.
 LINGER_S = 0.5
+# Most that the loop reads at once.
+_READ_BYTES = 256 * 1024
 # Accepted connections that wait for the process; a full queue costs seconds.
 BACKLOG = 1024
 
@@ -35,7 +37,9 @@
     """What a client may send, and how long it may take.
 
     Attributes:
-        max_header_bytes: Request line and headers together.
+        max_header_bytes: Request line, headers and trailers together. The
+            framing of chunks may have twice as much, and besides as much as
+            the body.
         max_body_bytes: Body without framing.
         header_timeout_ms: From the first byte to the end of the headers; a
             body may pause no longer than this either.
@@ -195,9 +199,9 @@
                 self._refuse(_BAD_REQUEST, f"malformed request: {error}")
         if len(self._waiting) > MOST_PIPELINED:
             self.close()
-        if self._in_headers and not self._is_refused:
+        if self._is_reading and not self._is_refused:
             self._size += len(data)
-            self._check_header_size()
+            self._check_size()
 
     # Called by the parser.
 
@@ -217,6 +221,9 @@
         """Takes a header."""
         self._headers.append((name.lower(), value))
         self._header_bytes += len(name) + len(value) + 4
+        is_trailer = not self._in_headers
+        if is_trailer and self._header_bytes > self._limits.max_header_bytes:
+            self._refuse(_HEADERS_TOO_LARGE, "the trailers are too large")
 
     def on_headers_complete(self) -> None:
         """Checks the headers."""
@@ -271,8 +278,13 @@
         self._size = 0
         self._received_ms = 0.0
 
-    def _check_header_size(self) -> None:
-        if self._size > 2 * self._limits.max_header_bytes:
+    def _check_size(self) -> None:
+        """Bounds what is not the body, wherever it stands in the request."""
+        most_bytes = 2 * self._limits.max_header_bytes
+        if not self._in_headers:
+            # The first read may have begun with the end of another request.
+            most_bytes += 2 * len(self._body) + _READ_BYTES
+        if self._size > most_bytes:
             self._refuse(_HEADERS_TOO_LARGE, "the headers are too large")
 
     def _next(self) -> None:
--- a/greengagedale/platform/store.py
+++ b/greengagedale/platform/store.py
@@ -34,6 +34,9 @@
 # Slow stores were seen to take about 300 ms; hosts must hear of a reader that
 # has lost the store while others can still take over in time.
 _PULSE_TIMEOUT_MS = 800.0
+# Lists have pages of about 1 MB, but a watch may bring all changes of some
+# seconds, each of 1 MB at most (platform's figures).
+_ANSWER_LIMITS = client.ReplyLimits(max_body_bytes=32 * 1024 * 1024)
 
 
 class _Event(msgspec.Struct):
@@ -254,7 +257,10 @@
         connection = self._take()
         if connection is None:
             connection = await client.Connection.open(
-                self._address, self._port, self._timeout_ms / _MS_PER_S
+                self._address,
+                self._port,
+                self._timeout_ms / _MS_PER_S,
+                _ANSWER_LIMITS,
             )
         reply = await connection.exchange(data)
         if connection.is_usable and len(self._idle) < _MOST_IDLE:
--- a/greengagedale/store/http.py
+++ b/greengagedale/store/http.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from greengagedale import connectors
+from greengagedale import http_bodies
 from greengagedale import metrics as metrics_lib
 from greengagedale.store import base
 from greengagedale.store import wire
@@ -192,7 +193,10 @@
                 timeout=aiohttp.ClientTimeout(total=total_s),
                 trace_request_ctx=progress,
             ) as response:
-                reply = _Reply(response.status, await response.read())
+                body_read = await http_bodies.read_whole(
+                    response, http_bodies.MOST_DOCUMENT_BYTES
+                )
+                reply = _Reply(response.status, body_read)
         except (aiohttp.ClientError, OSError) as error:
             sent = progress.connected
             self._count(operation, "no_reply" if sent else "unreachable")
--- a/greengagedale/upstreams/channels.py
+++ b/greengagedale/upstreams/channels.py
@@ -13,6 +13,7 @@
 import aiohttp
 
 from greengagedale import connectors
+from greengagedale import http_bodies
 
 _MS_PER_S = 1000.0
 _KEEP_ALIVE_S = 3600.0
@@ -154,7 +155,9 @@
         with contextlib.suppress(aiohttp.ClientError, OSError):
             async with asyncio.timeout(_PROBE_TIMEOUT_S):
                 async with channel.session.get(self._probe_url) as response:
-                    await response.read()
+                    await http_bodies.read_whole(
+                        response, http_bodies.MOST_UPSTREAM_BYTES
+                    )
             if response.status == _STATUS_OK:
                 self._idle.insert(0, channel)
                 return True
--- a/greengagedale/upstreams/http.py
+++ b/greengagedale/upstreams/http.py
@@ -7,6 +7,7 @@
 import aiohttp
 import msgspec
 
+from greengagedale import http_bodies
 from greengagedale import outcomes
 from greengagedale.query import attempts
 from greengagedale.query import echoes
@@ -204,7 +205,10 @@
                 async with channel.session.request(
                     method, url, data=data, allow_redirects=False
                 ) as response:
-                    reply = _Reply(response.status, await response.read())
+                    body = await http_bodies.read_whole(
+                        response, http_bodies.MOST_UPSTREAM_BYTES
+                    )
+                    reply = _Reply(response.status, body)
             return reply
         except (aiohttp.ClientError, OSError) as error:
             log.debug("attempt at %s failed: %r", upstream.name, error)
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -20,7 +20,7 @@
     """Starts servers that answer each request by a script."""
     servers = []
 
-    async def start(script):
+    async def start(script, limits=None):
         async def handle(reader, writer):
             while True:
                 try:
@@ -32,7 +32,7 @@
         server = await asyncio.start_server(handle, "127.0.0.1", 0)
         servers.append(server)
         port = server.sockets[0].getsockname()[1]
-        return await client.Connection.open("127.0.0.1", port, 1.0)
+        return await client.Connection.open("127.0.0.1", port, 1.0, limits)
 
     yield start
     for server in servers:
@@ -191,3 +191,71 @@
     )
     reply = await connection.exchange(REQUEST, is_head=True)
     assert (reply.status, reply.body) == (200, b"")
+
+
+LIMITS = client.ReplyLimits(max_head_bytes=2000, max_body_bytes=100_000)
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+ENDLESS = {
+    "status line": (b"HTTP/1.1 200 ", b"x" * 1000),
+    "header lines": (b"HTTP/1.1 200 OK\r\n", b"X-A: b\r\n" * 100),
+    "one header": (b"HTTP/1.1 200 OK\r\nX-A: ", b"b" * 1000),
+    "informational": (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n" * 50),
+    "body until the end": (UNFRAMED, b"b" * 10_000),
+    "chunks": (CHUNKED, b"3e8\r\n" + b"b" * 1000 + b"\r\n"),
+    "tiny chunks": (CHUNKED, b"1\r\nb\r\n" * 100),
+    "chunk extension": (CHUNKED + b"1;", b"x" * 1000),
+    "trailers": (CHUNKED + b"0\r\n", b"X-A: b\r\n" * 100),
+    "other answers": (b"", OTHERS),
+}
+
+
+# Guards against hosts that run out of memory: an upstream may send what is no
+# answer without end until its connection is closed.
+@pytest.mark.parametrize("what", ENDLESS)
+async def test_answer_without_end_is_broken_off(scripted, what):
+    head, piece = ENDLESS[what]
+    ended = asyncio.Event()
+    poured = 0
+
+    async def pour(writer):
+        nonlocal poured
+        writer.write(head)
+        try:
+            while not writer.is_closing():
+                writer.write(piece)
+                poured += len(piece)
+                await writer.drain()
+                await asyncio.sleep(0)
+        except ConnectionError:
+            pass
+        ended.set()
+
+    connection = await scripted(pour, LIMITS)
+    async with asyncio.timeout(5.0):
+        reply = await connection.exchange(REQUEST, is_r1)
+        await ended.wait()
+    assert isinstance(reply, client.Broken)
+    assert reply.sent
+    assert not connection.is_usable
+    assert len(connection._body) <= LIMITS.max_body_bytes
+
+
+@pytest.mark.parametrize("is_chunked", [False, True])
+async def test_largest_answer_that_is_allowed_passes(scripted, is_chunked):
+    body = b"b" * LIMITS.max_body_bytes
+    data = b"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n" + body
+    if is_chunked:
+        chunk = b"10\r\n" + body[:16] + b"\r\n"
+        data = CHUNKED + chunk * (len(body) // 16) + b"0\r\n\r\n"
+    connection = await scripted(writes(data), LIMITS)
+    reply = await connection.exchange(REQUEST)
+    assert reply.body == body
+    assert connection.is_usable
+
+
+async def test_answer_that_is_told_to_be_too_long_is_not_read(scripted):
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: 100001\r\n\r\n"
+    connection = await scripted(writes(head), LIMITS)
+    async with asyncio.timeout(1.0):
+        reply = await connection.exchange(REQUEST)
+    assert isinstance(reply, client.Broken)
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -191,3 +191,38 @@
             listener.close()
 
     asyncio.run(run())
+
+
+CHUNKED = b"POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+# Guards against hosts that run out of memory: what frames a body, and what
+# follows it, counts as well as the headers before it.
+@pytest.mark.parametrize(
+    ("head", "piece"),
+    [
+        (CHUNKED + b"0\r\n", b"X-A: b\r\n" * 100),
+        (CHUNKED + b"0\r\nX-A: ", b"b" * 1000),
+        (CHUNKED + b"1;", b"x" * 1000),
+    ],
+)
+async def test_request_whose_framing_has_no_end_is_refused(echo, head, piece):
+    reader, writer = await asyncio.open_connection("127.0.0.1", echo.port)
+    writer.write(head)
+    poured = 0
+    async with asyncio.timeout(5.0):
+        try:
+            while poured < 10_000_000:
+                writer.write(piece)
+                poured += len(piece)
+                await writer.drain()
+                if reader.at_eof() or reader._buffer:
+                    break
+                await asyncio.sleep(0)
+        except ConnectionError:
+            pass
+    answer = await reader.read(100)
+    assert answer.startswith(b"HTTP/1.1 431") or poured < 2_000_000
+    assert poured < 10_000_000
+    assert echo.seen == []
+    writer.close()
--- a/tests/upstreams/test_http.py
+++ b/tests/upstreams/test_http.py
@@ -1,9 +1,12 @@
 """The adapter sends each action once, whatever the upstream answers."""
 
+import asyncio
+
 from aiohttp import test_utils
 from aiohttp import web
 import pytest
 
+from greengagedale import http_bodies
 from greengagedale import outcomes
 from greengagedale.upstreams import base
 from greengagedale.upstreams import http
@@ -69,3 +72,45 @@
     assert outcomes.of_attempts([end], end.reason, 0) == outcomes.NotRun(
         outcomes.Reason.DEADLINE, 0
     )
+
+
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+ENDLESS = {
+    "header lines": (b"HTTP/1.1 200 OK\r\n", b"X-A: b\r\n" * 1000),
+    "one header": (b"HTTP/1.1 200 OK\r\nX-A: ", b"b" * 10_000),
+    "body until the end": (b"HTTP/1.1 200 OK\r\n\r\n", b"b" * 100_000),
+    "chunks": (CHUNKED, b"2710\r\n" + b"b" * 10_000 + b"\r\n"),
+    "trailers": (CHUNKED + b"0\r\n", b"X-A: b\r\n" * 1000),
+}
+
+
+# Guards against hosts that run out of memory: an upstream may send what is no
+# answer without end until its connection is closed.
+@pytest.mark.parametrize("what", ENDLESS)
+async def test_answer_without_end_is_broken_off(transport, what):
+    head, piece = ENDLESS[what]
+    ended = asyncio.Event()
+    poured = 0
+
+    async def pour(reader, writer):
+        nonlocal poured
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(head)
+        try:
+            while True:
+                writer.write(piece)
+                poured += len(piece)
+                await writer.drain()
+                await asyncio.sleep(0)
+        except ConnectionError:
+            ended.set()
+
+    server = await asyncio.start_server(pour, "127.0.0.1", 0)
+    async with server, asyncio.timeout(20.0):
+        port = server.sockets[0].getsockname()[1]
+        upstream = base.Upstream("u-1", f"127.0.0.1:{port}", "dc-a", 1, 1)
+        end = await transport.act(upstream, ACTION)
+        await ended.wait()
+    assert end.written
+    assert not end.refused
+    assert poured < 16 * http_bodies.MOST_UPSTREAM_BYTES
