Upstreams that say that they leave or want nothing get nothing new

New on the wire: Server-Leaving in any answer, and Retry-After with a 503. Both were read nowhere. The adapter decodes them once (upstreams.notice_of); gateway.notices decides. From such an answer on this host sends that life of the upstream nothing: it is no candidate for attempts, hedges or retries, what waits for a connection to it goes elsewhere at once, and the last look is just before the bytes are written, so that both bounds hold for any number of connections. Answers to other requests of the right upstream count, answers of another upstream at its address (421) do not. Times are bounded to a minute; dates and what can't be read count as none.

Hosts tell each other lives that leave for a minute and keep them for ten, so that a host that starts from a stale copy of the list learns of them. A shard all of whose upstreams leave is left out of searches; parts that they still bring are used. A caller that can't be served is told when the first upstreams take work again.

--- /dev/null
+++ b/bench/endless.py
@@ -0,0 +1,112 @@
+"""Upstreams that answer without end, beside good ones."""
+
+import asyncio
+from collections.abc import Iterable
+import statistics
+import time
+
+from bench import cases
+from bench import overhead
+from greengagedale import loops
+from standins import pouring
+from standins import users_site
+
+_UPSTREAMS = 20
+_RATE_PER_S = 20.0
+_LEFT_MS = 1000
+# Stated targets: growth of a host's memory, and of the latency of searches.
+_MOST_GROWTH_MIB = 16.0
+_MOST_RATIO = 1.5
+_SAMPLE_S = 0.1
+_MS_PER_S = 1000.0
+
+
+class Endless(cases.Case):
+    """Memory of a host, and latency of its searches, before and meanwhile."""
+
+    name = "endless"
+    shapes = ("tuners",)
+    duration_s = 30.0
+
+    def run(self, context: cases.Context) -> Iterable[cases.Row]:
+        """Measures a calm time, then one beside such upstreams."""
+        before, meanwhile = loops.run(_measure(context))
+        ratio = meanwhile["p99_ms"] / before["p99_ms"]
+        growth_mib = meanwhile["peak_mib"] - before["peak_mib"]
+        row = cases.Row(
+            self.name, context.shape.name, "calm", context.seed, before
+        )
+        yield row
+        yield row._replace(
+            policy=f"{_UPSTREAMS} without end",
+            figures={
+                **meanwhile,
+                "growth_mib": growth_mib,
+                "p99_ratio": ratio,
+            },
+            target=f"growth {_MOST_GROWTH_MIB:.0f} MiB, p99 x {_MOST_RATIO}",
+            met=growth_mib <= _MOST_GROWTH_MIB
+            and ratio <= _MOST_RATIO
+            and not meanwhile["failed"],
+        )
+
+
+async def _measure(
+    context: cases.Context,
+) -> tuple[dict[str, float], dict[str, float]]:
+    folder = context.folder / "gateway"
+    folder.mkdir()
+    async with users_site.running_site(folder, hosts=1) as site:
+        host = site.hosts[0]
+        await _load(host, 2.0)
+        before = await _load(host, context.duration_s)
+        async with pouring.listed(site, _UPSTREAMS):
+            pressing = asyncio.create_task(_press(host))
+            meanwhile = await _load(host, context.duration_s)
+            pressing.cancel()
+    return before, meanwhile
+
+
+async def _load(
+    host: users_site.HostProcess, duration_s: float
+) -> dict[str, float]:
+    """Searches at the rate; returns latency, failures and peak memory."""
+    peak = asyncio.create_task(_peak_mib(host.pid, duration_s))
+    running = []
+    for number in range(int(duration_s * _RATE_PER_S)):
+        running.append(asyncio.create_task(_search(host, number)))
+        await asyncio.sleep(1.0 / _RATE_PER_S)
+    took_ms = [ms for ms in await asyncio.gather(*running) if ms is not None]
+    cuts = statistics.quantiles(took_ms, n=100)
+    return {
+        "p50_ms": cuts[49],
+        "p99_ms": cuts[98],
+        "failed": len(running) - len(took_ms),
+        "peak_mib": await peak,
+    }
+
+
+async def _press(host: users_site.HostProcess) -> None:
+    """Sends requests to the upstreams without end, as many as searches."""
+    async with asyncio.TaskGroup() as group:
+        while True:
+            asked = host.get(pouring.PATH, request_id="p", deadline_ms=_LEFT_MS)
+            group.create_task(asked)
+            await asyncio.sleep(1.0 / _RATE_PER_S)
+
+
+async def _search(host: users_site.HostProcess, number: int) -> float | None:
+    """Returns how long a search took, or None if it was not answered."""
+    began_s = time.monotonic()
+    reply = await host.search(f"e{number}", _LEFT_MS)
+    if getattr(reply, "status", 0) != 200:
+        return None
+    return (time.monotonic() - began_s) * _MS_PER_S
+
+
+async def _peak_mib(pid: int, duration_s: float) -> float:
+    peak_mib = 0.0
+    for _ in range(int(duration_s / _SAMPLE_S)):
+        peak_mib = max(peak_mib, overhead.resident_mib(pid))
+        await asyncio.sleep(_SAMPLE_S)
+    return peak_mib
--- a/greengagedale/gateway/calls.py
+++ b/greengagedale/gateway/calls.py
@@ -65,7 +65,6 @@
         headers: To be passed on.
         body: As the upstream gave it.
         load: The upstream's load, if told.
-        is_leaving: Whether the upstream closes the connection after it.
     """
 
     status: int
@@ -73,7 +72,6 @@
     headers: messages.Headers
     body: bytes
     load: Load | None
-    is_leaving: bool
 
     @property
     def is_success(self) -> bool:
--- a/greengagedale/gateway/daemon.py
+++ b/greengagedale/gateway/daemon.py
@@ -20,6 +20,7 @@
 from greengagedale.gateway import fetches
 from greengagedale.gateway import fleet as fleet_lib
 from greengagedale.gateway import metrics as metrics_lib
+from greengagedale.gateway import notices as notices_lib
 from greengagedale.gateway import pacing
 from greengagedale.gateway import pools as pools_lib
 from greengagedale.gateway import reader as reader_lib
@@ -30,6 +31,7 @@
 from greengagedale.gateway import splits
 from greengagedale.gateway import stopping
 from greengagedale.gateway import turns as turns_lib
+from greengagedale.http1 import client
 from greengagedale.http1 import messages
 from greengagedale.http1 import server
 from greengagedale.platform import callers
@@ -142,6 +144,7 @@
         self._fleet = fleet_lib.Fleet(settings.host.name, clock)
         self._roster = roster_lib.Roster(settings.host.name, clock)
         self._crashes = crashes_lib.Crashes(clock)
+        self._notices = notices_lib.Notices(clock)
         self._own = _OwnState(settings, self._registry)
         self._store = store_lib.PlatformStore.from_config(
             settings.platform.endpoint,
@@ -154,6 +157,7 @@
             self._registry,
             self._roster,
             self._crashes,
+            self._notices,
             list(settings.peers.seeds),
             clock,
             rng,
@@ -169,7 +173,14 @@
             clock,
         )
         self._own.reader = self._reader
-        self._pools = pools_lib.Pools(clock)
+        self._pools = pools_lib.Pools(
+            self._notices,
+            client.ReplyLimits(
+                int(settings.upstreams.max_head_bytes),
+                int(settings.upstreams.max_body_bytes),
+            ),
+            clock,
+        )
         self._scores = scores_lib.Scores(settings.host.data_centre, clock, rng)
         retries = settings.retries
         self._budgets = pacing.Budgets(
@@ -179,9 +190,12 @@
             clock.now_ms(),
         )
         self._tools = fetches.Tools(
-            link_lib.PlatformLink(self._pools, self._most_connections, clock),
+            link_lib.PlatformLink(
+                self._pools, self._notices, self._most_connections, clock
+            ),
             self._scores,
             self._registry.of_service,
+            self._notices,
             self._registry.disown,
             self._crashes,
             clock,
@@ -320,6 +334,7 @@
                 upstream.life for upstream in self._registry.upstreams.values()
             }
             self._pools.sweep(lives)
+            self._notices.forget_old()
             self._budgets.forget_unused(self._clock.now_ms())
             if self._registry.table is not None:
                 self._runner.forget_others(self._registry.table.routes)
--- a/greengagedale/gateway/exchange.py
+++ b/greengagedale/gateway/exchange.py
@@ -17,6 +17,7 @@
 from greengagedale.gateway import crashes as crashes_lib
 from greengagedale.gateway import entries
 from greengagedale.gateway import fleet as fleet_lib
+from greengagedale.gateway import notices as notices_lib
 from greengagedale.gateway import packing
 from greengagedale.gateway import plans
 from greengagedale.gateway import registry as registry_lib
@@ -42,6 +43,7 @@
 # A peer that does not answer for this long is given up on for the round.
 TIMEOUT_MS = 600.0
 _MS_PER_S = 1000.0
+_NEWS_LIMITS = client.ReplyLimits(max_body_bytes=packing.MOST_BYTES)
 _PATH = b"/peers/exchange"
 _STATUS_OK = 200
 _STATUS_MISSING = 404
@@ -58,6 +60,7 @@
         version: How new its list of upstreams is.
         roster_revision: How new its list of hosts is.
         suspects: Requests that may crash upstreams.
+        leaving: Lives of upstreams that said that they leave.
     """
 
     own: fleet_lib.HostState
@@ -67,6 +70,7 @@
     version: registry_lib.Version
     roster_revision: int
     suspects: list[crashes_lib.Suspect]
+    leaving: list[entries.Life]
 
 
 class News(NamedTuple):
@@ -82,6 +86,7 @@
         upstreams: All upstreams, if its list is newer.
         roster: The list of hosts, if it is newer.
         suspects: Requests that may crash upstreams.
+        leaving: Lives of upstreams that said that they leave.
     """
 
     own: fleet_lib.HostState
@@ -93,6 +98,7 @@
     upstreams: list[entries.Upstream] | None
     roster: roster_lib.Listed | None
     suspects: list[crashes_lib.Suspect]
+    leaving: list[entries.Life]
 
 
 _hello_decoder = msgspec.msgpack.Decoder(Hello)
@@ -109,6 +115,7 @@
         registry: registry_lib.Registry,
         roster: roster_lib.Roster,
         crashes: crashes_lib.Crashes,
+        notices: notices_lib.Notices,
         seeds: list[str],
         clock: clocks.Clock,
         rng: random.Random,
@@ -121,6 +128,7 @@
             registry: What this host knows of the platform.
             roster: Which hosts there are.
             crashes: Requests that crash upstreams.
+            notices: What upstreams say of themselves.
             seeds: Endpoints of hosts to ask before any is known.
             clock: Clock of the process.
             rng: Draws peers.
@@ -130,6 +138,7 @@
         self._registry = registry
         self._roster = roster
         self._crashes = crashes
+        self._notices = notices
         self._seeds = seeds
         self._clock = clock
         self._rng = rng
@@ -147,6 +156,7 @@
             return messages.Response(400)
         self._fleet.hear(hello.own)
         self._crashes.learn(hello.suspects)
+        self._notices.learn(hello.leaving)
         for sighting in hello.others:
             self._fleet.hear_sighting(sighting)
         if (
@@ -210,6 +220,7 @@
             self._registry.version,
             self._roster.listed.revision,
             self._crashes.suspects(),
+            self._notices.leaving(),
         )
         try:
             async with asyncio.timeout(TIMEOUT_MS / _MS_PER_S):
@@ -248,11 +259,13 @@
             if self._roster.listed.revision > hello.roster_revision
             else None,
             self._crashes.suspects(),
+            self._notices.leaving(),
         )
 
     def _learn(self, news: News) -> None:
         self._fleet.hear(news.own)
         self._crashes.learn(news.suspects)
+        self._notices.learn(news.leaving)
         self._fleet.hear_addresses(news.addresses, news.others)
         for sighting in news.others:
             self._fleet.hear_sighting(sighting)
@@ -278,7 +291,7 @@
         if connection is None or not connection.is_usable:
             address, _, port = endpoint.rpartition(":")
             connection = await client.Connection.open(
-                address, int(port), TIMEOUT_MS / _MS_PER_S
+                address, int(port), TIMEOUT_MS / _MS_PER_S, _NEWS_LIMITS
             )
         headers = ((b"host", endpoint.encode()),)
         reply = await connection.exchange(
--- a/greengagedale/gateway/fetches.py
+++ b/greengagedale/gateway/fetches.py
@@ -10,6 +10,7 @@
 from greengagedale.gateway import crashes as crashes_lib
 from greengagedale.gateway import entries
 from greengagedale.gateway import metrics as metrics_lib
+from greengagedale.gateway import notices as notices_lib
 from greengagedale.gateway import pacing
 from greengagedale.gateway import plans
 from greengagedale.gateway import scores as scores_lib
@@ -94,7 +95,8 @@
     Attributes:
         link: Sends attempts.
         scores: Chooses upstreams.
-        candidates: Returns the upstreams of a service.
+        listed: Returns the upstreams of a service.
+        notices: What they say of themselves.
         disown: Called with an upstream whose address is another's.
         crashes: Knows requests that crash upstreams.
         clock: Clock of the process.
@@ -104,13 +106,22 @@
 
     link: calls.UpstreamLink
     scores: scores_lib.Scores
-    candidates: Callable[[str], list[entries.Upstream]]
+    listed: Callable[[str], list[entries.Upstream]]
+    notices: notices_lib.Notices
     disown: Callable[[entries.Upstream], None]
     crashes: crashes_lib.Crashes
     clock: clocks.Clock
     metrics: metrics_lib.Metrics
     background: set[asyncio.Task[None]]
 
+    def candidates(self, service: str) -> list[entries.Upstream]:
+        """Returns the upstreams of a service that take work now."""
+        return self.notices.takers(self.listed(service))
+
+    def opens_in_ms(self, service: str) -> float:
+        """Returns when an upstream of a service takes work, or infinity."""
+        return self.notices.opens_in_ms(self.listed(service))
+
 
 _Task = asyncio.Task[calls.Answer | outcomes.AttemptEnd]
 
@@ -271,6 +282,9 @@
             self._tried,
         )
         if choice is None:
+            opens_in_ms = tools.opens_in_ms(self.service)
+            if opens_in_ms < float("inf"):
+                self._retry_after_ms = int(opens_in_ms)
             return outcomes.Reason.NO_REPLICA
         upstream = choice.upstream
         if self._is_too_late(choice, now_ms) and (
--- /dev/null
+++ b/greengagedale/gateway/notices.py
@@ -0,0 +1,162 @@
+"""What upstreams say of themselves in their answers, beside the store.
+
+An upstream that says that it leaves, or that it wants nothing for a while, gets
+nothing new from this host from that answer on, whatever the store lists. What
+waits for a connection to it goes elsewhere.
+"""
+
+import collections
+from collections.abc import Callable, Iterable
+import logging
+from typing import NamedTuple
+
+from greengagedale import clocks
+from greengagedale.gateway import entries
+
+log = logging.getLogger(__name__)
+
+# Longest time for which an upstream may turn this host away with one answer; a
+# mistaken figure takes it out of service no longer.
+MOST_HOLD_MS = 60_000.0
+# Lives that are leaving are told to other hosts for this long: upstreams drain
+# for seconds, and stale copies of the list are seconds old.
+TELL_MS = 60_000.0
+# They are kept for longer, so that none is learned anew from a host that heard
+# of it late. An upstream that stays after all is known by a new life.
+KEEP_MS = 600_000.0
+# Lives held; the oldest go first. More than the upstreams of the largest fleet.
+MOST_HELD = 8192
+# Lives told in one exchange, the latest first.
+MOST_TOLD = 64
+
+
+class Notice(NamedTuple):
+    """What one answer says of its upstream.
+
+    Attributes:
+        is_leaving: Whether it is leaving.
+        hold_ms: How long it wants nothing from this host; 0 if it wants more.
+    """
+
+    is_leaving: bool
+    hold_ms: float
+
+
+class Notices:
+    """What a host has been told by upstreams, and by hosts that were told.
+
+    Attributes:
+        on_notice: Called with a life that takes no work any more.
+    """
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self._clock = clock
+        self._leaving: collections.OrderedDict[entries.Life, float] = (
+            collections.OrderedDict()
+        )
+        self._held_until_ms: dict[entries.Life, float] = {}
+        self.on_notice: Callable[[entries.Life], None] = _ignore
+
+    def hear(self, upstream: entries.Upstream, notice: Notice) -> None:
+        """Takes in what an answer of an upstream says."""
+        if notice.is_leaving and upstream.life not in self._leaving:
+            log.info(
+                "upstream leaving, as it says",
+                extra={
+                    "upstream": upstream.name,
+                    "service": upstream.service,
+                    "born_ms": upstream.born_ms,
+                    "listed_as_leaving": upstream.is_leaving,
+                },
+            )
+            self._note_leaving(upstream.life)
+        if notice.hold_ms > 0.0:
+            self._hold(upstream, min(MOST_HOLD_MS, notice.hold_ms))
+
+    def takes_work(self, upstream: entries.Upstream) -> bool:
+        """Tells whether anything new may be sent to an upstream now."""
+        life = upstream.life
+        if life in self._leaving:
+            return False
+        until_ms = self._held_until_ms.get(life)
+        return until_ms is None or until_ms <= self._clock.now_ms()
+
+    def takers(
+        self, upstreams: Iterable[entries.Upstream]
+    ) -> list[entries.Upstream]:
+        """Returns those of some upstreams that take work now."""
+        return [each for each in upstreams if self.takes_work(each)]
+
+    def opens_in_ms(self, upstreams: Iterable[entries.Upstream]) -> float:
+        """Returns when the first of some upstreams takes work, or infinity."""
+        now_ms = self._clock.now_ms()
+        waits_ms = (
+            max(0.0, self._held_until_ms.get(each.life, now_ms) - now_ms)
+            for each in upstreams
+            if each.life not in self._leaving
+        )
+        return min(waits_ms, default=float("inf"))
+
+    def leaving(self) -> list[entries.Life]:
+        """Returns lives that other hosts should know to be leaving."""
+        oldest_ms = self._clock.now_ms() - TELL_MS
+        told = [
+            life
+            for life, since_ms in self._leaving.items()
+            if since_ms >= oldest_ms
+        ]
+        return told[-MOST_TOLD:]
+
+    def learn(self, lives: Iterable[entries.Life]) -> None:
+        """Takes in lives that leave, as another host was told."""
+        # Sequences of the codec are not always tuples.
+        for name, born_ms in lives:
+            life = (name, born_ms)
+            if life not in self._leaving:
+                log.info(
+                    "upstream leaving, as a peer was told",
+                    extra={"upstream": name, "born_ms": born_ms},
+                )
+                self._note_leaving(life)
+
+    def forget_old(self) -> None:
+        """Drops what no longer matters."""
+        now_ms = self._clock.now_ms()
+        while self._leaving:
+            life, since_ms = next(iter(self._leaving.items()))
+            if now_ms - since_ms < KEEP_MS:
+                break
+            del self._leaving[life]
+        self._held_until_ms = {
+            life: until_ms
+            for life, until_ms in self._held_until_ms.items()
+            if until_ms > now_ms
+        }
+
+    def _note_leaving(self, life: entries.Life) -> None:
+        self._leaving[life] = self._clock.now_ms()
+        if len(self._leaving) > MOST_HELD:
+            self._leaving.popitem(last=False)
+        self.on_notice(life)
+
+    def _hold(self, upstream: entries.Upstream, hold_ms: float) -> None:
+        now_ms = self._clock.now_ms()
+        until_ms = now_ms + hold_ms
+        held_until_ms = self._held_until_ms.get(upstream.life, now_ms)
+        if until_ms <= held_until_ms:
+            return
+        self._held_until_ms[upstream.life] = until_ms
+        if held_until_ms <= now_ms:
+            log.info(
+                "upstream wants nothing for a while",
+                extra={
+                    "upstream": upstream.name,
+                    "service": upstream.service,
+                    "for_ms": round(hold_ms),
+                },
+            )
+        self.on_notice(upstream.life)
+
+
+def _ignore(life: entries.Life) -> None:
+    del life
--- a/greengagedale/gateway/pools.py
+++ b/greengagedale/gateway/pools.py
@@ -5,6 +5,7 @@
 
 from greengagedale import clocks
 from greengagedale.gateway import entries
+from greengagedale.gateway import notices as notices_lib
 from greengagedale.http1 import client
 
 log = logging.getLogger(__name__)
@@ -18,6 +19,10 @@
 _MS_PER_S = 1000.0
 
 
+class WorkUnwantedError(Exception):
+    """The upstream has said that it takes nothing new."""
+
+
 class Pool:
     """Connections to one life of an upstream.
 
@@ -26,10 +31,17 @@
     """
 
     def __init__(
-        self, upstream: entries.Upstream, most: int, clock: clocks.Clock
+        self,
+        upstream: entries.Upstream,
+        most: int,
+        notices: notices_lib.Notices,
+        limits: client.ReplyLimits,
+        clock: clocks.Clock,
     ) -> None:
         self.upstream = upstream
         self.most = most
+        self._limits = limits
+        self._notices = notices
         self._clock = clock
         self._idle: list[client.Connection] = []
         self._held = 0
@@ -44,13 +56,22 @@
 
         Raises:
             OSError: None can be opened, or not in time.
+            WorkUnwantedError: The upstream says that it takes nothing new,
+                perhaps while this waits.
         """
         while True:
+            self._check_wanted()
             connection = self._take_idle(newest_idle_ms)
             if connection is not None:
                 return connection
             if self._held < self.most:
-                return await self._open()
+                connection = await self._open()
+                try:
+                    self._check_wanted()
+                except WorkUnwantedError:
+                    self.give_back(connection)
+                    raise
+                return connection
             self._freed.clear()
             await self._freed.wait()
 
@@ -64,6 +85,10 @@
             self._held -= 1
         self._freed.set()
 
+    def wake(self) -> None:
+        """Lets those that wait look again whether the upstream takes work."""
+        self._freed.set()
+
     def sweep(self) -> None:
         """Closes connections that have been idle too long."""
         kept = []
@@ -83,6 +108,10 @@
             connection.close()
             self._held -= 1
 
+    def _check_wanted(self) -> None:
+        if not self._notices.takes_work(self.upstream):
+            raise WorkUnwantedError(self.upstream.name)
+
     async def _open(self) -> client.Connection:
         self._held += 1
         try:
@@ -90,6 +119,7 @@
                 self.upstream.address,
                 self.upstream.port,
                 CONNECT_TIMEOUT_MS / _MS_PER_S,
+                self._limits,
             )
         except BaseException:
             self._held -= 1
@@ -122,9 +152,17 @@
 class Pools:
     """The pools of all upstreams."""
 
-    def __init__(self, clock: clocks.Clock) -> None:
+    def __init__(
+        self,
+        notices: notices_lib.Notices,
+        limits: client.ReplyLimits,
+        clock: clocks.Clock,
+    ) -> None:
+        self._notices = notices
+        self._limits = limits
         self._clock = clock
-        self._pools: dict[tuple[str, int], Pool] = {}
+        self._pools: dict[entries.Life, Pool] = {}
+        notices.on_notice = self._wake
 
     def of(self, upstream: entries.Upstream, most: int) -> Pool:
         """Returns the pool of an upstream.
@@ -135,12 +173,19 @@
         """
         pool = self._pools.get(upstream.life)
         if pool is None:
-            pool = Pool(upstream, most, self._clock)
+            pool = Pool(
+                upstream, most, self._notices, self._limits, self._clock
+            )
             self._pools[upstream.life] = pool
         pool.most = most
         return pool
 
-    def sweep(self, lives: set[tuple[str, int]]) -> None:
+    def _wake(self, life: entries.Life) -> None:
+        pool = self._pools.get(life)
+        if pool is not None:
+            pool.wake()
+
+    def sweep(self, lives: set[entries.Life]) -> None:
         """Closes idle connections that are too old or to lives not listed."""
         for life in [life for life in self._pools if life not in lives]:
             self._pools.pop(life).close()
--- a/greengagedale/gateway/runner.py
+++ b/greengagedale/gateway/runner.py
@@ -146,7 +146,9 @@
             shard for shard in fanout.shards if self._tools.candidates(shard)
         ]
         if len(held) < fanout.least_parts:
-            return outcomes.NotRun(outcomes.Reason.NO_REPLICA, RETRY_AFTER_MS)
+            return outcomes.NotRun(
+                outcomes.Reason.NO_REPLICA, self._enough_open_in_ms(fanout)
+            )
         spare = sum(map(self._answers, held)) - fanout.least_parts
         if spare < 0 and not self._may_probe(plan):
             return outcomes.NotRun(outcomes.Reason.NO_PROGRESS, int(PROBE_MS))
@@ -202,10 +204,19 @@
             )
         )
 
+    def _enough_open_in_ms(self, fanout: plans.Fanout) -> int:
+        """Returns when enough shards have upstreams that take work."""
+        waits_ms = sorted(map(self._tools.opens_in_ms, fanout.shards))
+        wait_ms = waits_ms[fanout.least_parts - 1]
+        if wait_ms == float("inf"):
+            return RETRY_AFTER_MS
+        return max(RETRY_AFTER_MS, int(wait_ms))
+
     def _answers(self, shard: str) -> bool:
         """Tells whether any upstream of a shard answers."""
-        held = self._tools.candidates(shard)
-        is_down = self._tools.scores.is_down(held)
+        held = self._tools.listed(shard)
+        # With none listed, attempts still run at upstreams that leave.
+        is_down = bool(held) and self._tools.scores.is_down(held)
         if is_down != (shard in self._down):
             self._down.symmetric_difference_update((shard,))
             log.info(
--- a/greengagedale/platform/link.py
+++ b/greengagedale/platform/link.py
@@ -6,6 +6,7 @@
 from greengagedale import outcomes
 from greengagedale.gateway import calls
 from greengagedale.gateway import entries
+from greengagedale.gateway import notices as notices_lib
 from greengagedale.gateway import pools as pools_lib
 from greengagedale.http1 import client
 from greengagedale.http1 import messages
@@ -26,6 +27,7 @@
     def __init__(
         self,
         pools: pools_lib.Pools,
+        notices: notices_lib.Notices,
         most_connections: Callable[[entries.Upstream], int],
         clock: clocks.Clock,
     ) -> None:
@@ -33,10 +35,12 @@
 
         Args:
             pools: The connections.
+            notices: Hears what answers say of their upstreams.
             most_connections: How many this host may hold to an upstream.
             clock: Clock of the process.
         """
         self._pools = pools
+        self._notices = notices
         self._most_connections = most_connections
         self._clock = clock
 
@@ -49,6 +53,8 @@
         age_ms = _ANY_AGE_MS if attempt.is_repeatable else _RECENT_MS
         try:
             connection = await pool.take(age_ms)
+        except pools_lib.WorkUnwantedError:
+            return _not_written(outcomes.Reason.DRAINING)
         except OSError:
             return _not_written(outcomes.Reason.CONNECT_FAILED)
         # A connection may have taken long, or the process have stood still.
@@ -59,7 +65,7 @@
         try:
             reply = await connection.exchange(
                 upstreams.encode(attempt, left_ms),
-                lambda reply: upstreams.belongs(attempt.call, reply),
+                lambda reply: self._accept(attempt, reply),
                 attempt.call.message.method == b"HEAD",
             )
             if isinstance(reply, messages.Reply):
@@ -72,6 +78,11 @@
             )
         return upstreams.decode(attempt.call, reply)
 
+    def _accept(self, attempt: calls.Attempt, reply: messages.Reply) -> bool:
+        """Tells whether an answer is to this attempt; hears what it says."""
+        self._notices.hear(attempt.upstream, upstreams.notice_of(reply))
+        return upstreams.belongs(attempt.call, reply)
+
 
 def _not_written(reason: outcomes.Reason) -> outcomes.AttemptEnd:
     return outcomes.AttemptEnd(reason, written=False, refused=False)
--- a/greengagedale/platform/upstreams.py
+++ b/greengagedale/platform/upstreams.py
@@ -2,6 +2,7 @@
 
 from greengagedale import outcomes
 from greengagedale.gateway import calls
+from greengagedale.gateway import notices
 from greengagedale.http1 import messages
 
 _REQUEST_ID = b"request-id"
@@ -12,9 +13,18 @@
 _NOT_RUN = b"not-executed"
 _LOAD = b"server-load"
 _ENCODING = b"content-encoding"
+# The upstream takes nothing new, whatever its entry in the store says.
+_LEAVING = b"server-leaving"
+_YES = b"1"
+# With a refusal: seconds in which the upstream wants nothing from this host.
+_RETRY_AFTER = b"retry-after"
+_STATUS_TURNED_AWAY = 503
+_MS_PER_S = 1000.0
 _STATUS_OTHER_UPSTREAM = 421
 _STATUS_SUCCESS = 2
 _LOAD_FIELDS = 3
+# Longer numbers are no sensible times.
+_MOST_DIGITS = 12
 # These concern one connection only.
 _HOP_BY_HOP = frozenset(
     {
@@ -73,10 +83,32 @@
         _end_to_end(reply.headers),
         reply.body,
         _load(reply),
-        reply.header(b"connection") == b"close",
     )
 
 
+def notice_of(reply: messages.Reply) -> notices.Notice:
+    """Decodes what an answer says of its upstream.
+
+    An upstream that is not the expected one speaks of itself alone.
+    """
+    if reply.status == _STATUS_OTHER_UPSTREAM:
+        return notices.Notice(is_leaving=False, hold_ms=0.0)
+    told = reply.header(_RETRY_AFTER)
+    is_turned_away = reply.status == _STATUS_TURNED_AWAY and told is not None
+    return notices.Notice(
+        reply.header(_LEAVING) == _YES,
+        _seconds(told or b"") * _MS_PER_S if is_turned_away else 0.0,
+    )
+
+
+def _seconds(told: bytes) -> float:
+    """Returns a number of seconds; 0 for a date and what can't be read."""
+    whole, _, fraction = told.partition(b".")
+    digits = whole + fraction
+    is_number = digits.isdigit() and len(digits) <= _MOST_DIGITS
+    return float(told) if is_number else 0.0
+
+
 def _is_trustworthy(
     call: calls.Call, reply: messages.Reply, signature: bytes | None
 ) -> bool:
--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -14,6 +14,7 @@
 from standins import faultproxy
 from standins import member as member_lib
 from standins import platform as platform_lib
+from standins import pouring as pouring_lib
 from standins import records
 from standins import shapes
 from standins import upstream as upstream_lib
@@ -126,6 +127,14 @@
     typer.echo(msgspec.json.encode(used))
 
 
+@app.command()
+def pouring(
+    ports: Annotated[str, typer.Option(help="Ports to answer on, by comma.")],
+) -> None:
+    """Run back ends that answer without end."""
+    loops.run(pouring_lib.serve([int(port) for port in ports.split(",")]))
+
+
 @app.command()
 def settings(
     shape: ShapePath,
--- /dev/null
+++ b/standins/pouring.py
@@ -0,0 +1,91 @@
+"""Back ends that answer without end, in a process of their own."""
+
+import asyncio
+from collections.abc import AsyncIterator, Sequence
+import contextlib
+import itertools
+import sys
+
+from standins import users_site
+from standins import users_upstream
+
+_ADDRESS = users_site.ADDRESS
+_START_S = 10.0
+_POLL_S = 0.05
+SERVICE = "pouring"
+PATH = "/pour/x"
+_OK = b"HTTP/1.1 200 OK\r\n"
+# What the answers have without end, after their first bytes.
+KINDS = {
+    "body": (_OK + b"\r\n", b"b" * 65_536),
+    "chunks": (
+        _OK + b"Transfer-Encoding: chunked\r\n\r\n",
+        b"10000\r\n" + b"b" * 65_536 + b"\r\n",
+    ),
+    "headers": (_OK, b"X-A: b\r\n" * 8_192),
+    "informational": (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n" * 2_048),
+}
+
+
+async def serve(ports: Sequence[int]) -> None:
+    """Answers on some ports, each with the next kind, until cancelled."""
+    kinds = itertools.cycle(KINDS.values())
+    for port, (head, piece) in zip(ports, kinds, strict=False):
+        await asyncio.start_server(_pouring(head, piece), _ADDRESS, port)
+    await asyncio.Event().wait()
+
+
+@contextlib.asynccontextmanager
+async def listed(site: users_site.Site, count: int) -> AsyncIterator[None]:
+    """Runs such back ends as a service of a site, with a route to them."""
+    ports = [users_site.free_port() for _ in range(count)]
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "standins",
+        "pouring",
+        "--ports",
+        ",".join(map(str, ports)),
+        cwd=users_site.ROOT,
+    )
+    try:
+        for port in ports:
+            await _listening(port)
+        for number, port in enumerate(ports):
+            made = users_upstream.UsersUpstream(f"pouring-{number}", SERVICE)
+            made.port = port
+            entry = made.next_entry(_ADDRESS, "ready")
+            site.store.put("servers", made.name, entry)
+        route = users_site.route("pour", "/pour/", service=SERVICE)
+        site.store.put("config", "main", users_site.configuration(5, [route]))
+        yield
+    finally:
+        process.kill()
+        await process.wait()
+
+
+def _pouring(
+    head: bytes, piece: bytes
+) -> "asyncio.streams._ClientConnectedCallback":
+    async def pour(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(head)
+            while True:
+                writer.write(piece)
+                await writer.drain()
+        writer.close()
+
+    return pour
+
+
+async def _listening(port: int) -> None:
+    async with asyncio.timeout(_START_S):
+        while True:
+            with contextlib.suppress(OSError):
+                _, writer = await asyncio.open_connection(_ADDRESS, port)
+                writer.close()
+                return
+            await asyncio.sleep(_POLL_S)
--- a/standins/users_upstream.py
+++ b/standins/users_upstream.py
@@ -20,6 +20,10 @@
             (no signature), `foreign` (answers with another request's id) or
             `lost` (runs and closes the connection).
         delay_ms: Time that a request runs.
+        is_leaving: Whether its answers say that it leaves.
+        hold_ms: Time in which it wants nothing, told when it is full.
+        leaving_told_ms: When it first said so, by the monotonic clock.
+        holds_told_ms: When it told such times, and until when each lasts.
         runs: Requests that it ran, by id.
         requests: All requests that came.
     """
@@ -30,11 +34,16 @@
         self.body = body
         self.mode = "ok"
         self.delay_ms = 0.0
+        self.is_leaving = False
+        self.hold_ms = 0.0
+        self.leaving_told_ms: float | None = None
+        self.holds_told_ms: list[tuple[float, float]] = []
         self.runs: collections.Counter[str] = collections.Counter()
         self.requests: list[messages.Request] = []
         self.port = 0
         self._sequence = 0
-        self._server = server.Server(self, clocks.MonotonicClock())
+        self._clock = clocks.MonotonicClock()
+        self._server = server.Server(self, self._clock)
 
     async def start(self, address: str, port: int) -> None:
         """Begins to listen."""
@@ -63,11 +72,20 @@
     async def handle(self, request: messages.Request) -> messages.Response:
         """Answers a request."""
         self.requests.append(request)
+        response = await self._respond(request)
+        if not self.is_leaving:
+            return response
+        if self.leaving_told_ms is None:
+            self.leaving_told_ms = self._clock.now_ms()
+        headers = (*response.headers, (b"Server-Leaving", b"1"))
+        return response._replace(headers=headers)
+
+    async def _respond(self, request: messages.Request) -> messages.Response:
         expected = (request.header(b"target-instance") or b"").decode()
         if expected != self.name:
             return messages.Response(421)
         if self.mode == "full":
-            return messages.Response(503, ((b"Not-Executed", b"1"),))
+            return self._turn_away()
         request_id = (request.header(b"request-id") or b"").decode()
         self.runs[request_id] += 1
         await asyncio.sleep(self.delay_ms / _MS_PER_S)
@@ -81,3 +99,12 @@
             headers.append((b"Server-Seal", signature.encode()))
         status = 500 if self.mode == "failing" else 200
         return messages.Response(status, tuple(headers), self.body)
+
+    def _turn_away(self) -> messages.Response:
+        headers = [(b"Not-Executed", b"1")]
+        if self.hold_ms > 0.0:
+            now_ms = self._clock.now_ms()
+            self.holds_told_ms.append((now_ms, now_ms + self.hold_ms))
+            told = b"%.3f" % (self.hold_ms / _MS_PER_S)
+            headers.append((b"Retry-After", told))
+        return messages.Response(503, tuple(headers))
--- a/tests/gateway/test_mutations.py
+++ b/tests/gateway/test_mutations.py
@@ -23,6 +23,7 @@
 from greengagedale.gateway import exchange
 from greengagedale.gateway import fetches
 from greengagedale.gateway import fleet
+from greengagedale.gateway import notices
 from greengagedale.gateway import plans
 from greengagedale.gateway import registry
 from greengagedale.gateway import roster
@@ -210,13 +211,14 @@
             held,
             roster.Roster(name, clock),
             crashes.Crashes(clock),
+            notices.Notices(clock),
             [],
             clock,
             random.Random(1),
         )
         for name, held in (("a", knowing), ("b", fresh))
     )
-    hello = exchange.Hello(host_state("b"), [], 0, 0, fresh.version, 0, [])
+    hello = exchange.Hello(host_state("b"), [], 0, 0, fresh.version, 0, [], [])
     asking._learn(asked._news(hello))
     return fresh.is_ready and fresh.routes_version == 4
 
--- a/tests/gateway_scripts.py
+++ b/tests/gateway_scripts.py
@@ -12,6 +12,7 @@
 from greengagedale.gateway import fetches
 from greengagedale.gateway import fleet
 from greengagedale.gateway import metrics
+from greengagedale.gateway import notices
 from greengagedale.gateway import pacing
 from greengagedale.gateway import plans
 from greengagedale.gateway import runner
@@ -55,7 +56,7 @@
 
 def answer(upstream_name, body=b"", status=200, signature=None):
     return calls.Answer(
-        status, signature or f"sig-{upstream_name}", (), body, None, False
+        status, signature or f"sig-{upstream_name}", (), body, None
     )
 
 
@@ -107,11 +108,13 @@
         self.steps = []
         self._numbers = itertools.count()
         self.metrics = metrics.Metrics()
+        self.notices = notices.Notices(self.clock)
         rng = random.Random(1)
         self.tools = fetches.Tools(
             self.link,
             scores.Scores("here", self.clock, rng),
             lambda service: self.upstreams.get(service, []),
+            self.notices,
             self.disowned.append,
             crashes.Crashes(self.clock),
             self.clock,
--- a/tests/integration/test_gateway.py
+++ b/tests/integration/test_gateway.py
@@ -6,13 +6,17 @@
 
 import pytest
 
+from bench import overhead
 from greengagedale.http1 import client
+from standins import pouring
 from standins.users_site import RECORD
 from standins.users_site import configuration
 from standins.users_site import route
 from standins.users_site import running_site
 
 IN_FORCE_S = 3.0
+# Stated target for 20 such upstreams.
+MOST_GROWTH_MIB = 16.0
 
 
 @pytest.fixture
@@ -251,3 +255,30 @@
     assert len(lines) == 1
     assert lines[0]["detail"] == "2 of 3 parts"
     assert any(step[2] == "s1" for step in lines[0]["steps"])
+
+
+# Guards against hosts that run out of memory beside upstreams that answer
+# without end; `scripts/bench endless` measures the same for longer.
+async def test_memory_is_bounded_beside_upstreams_that_answer_without_end(site):
+    host = site.hosts[0]
+    before_mib = await searched(host)
+    async with pouring.listed(site, 20), asyncio.TaskGroup() as group:
+        for number in range(100):
+            asked = host.get(
+                pouring.PATH, request_id=f"p{number}", deadline_ms=3000
+            )
+            group.create_task(asked)
+        meanwhile_mib = await searched(host)
+    assert meanwhile_mib - before_mib <= MOST_GROWTH_MIB
+    assert any(line["message"] == "answer too large" for line in host.lines())
+
+
+async def searched(host):
+    """Searches for a while; returns the host's peak memory."""
+    peak_mib = 0.0
+    for number in range(60):
+        reply = await host.search(f"m{number}", 1000)
+        assert reply.status == 200
+        peak_mib = max(peak_mib, overhead.resident_mib(host.pid))
+        await asyncio.sleep(0.05)
+    return peak_mib
--- a/tests/platform/test_codecs.py
+++ b/tests/platform/test_codecs.py
@@ -286,3 +286,55 @@
 def test_question_where_to_connect_names_the_data_centre(codec, target, asked):
     request = messages.Request(b"GET", target, (), b"", 0.0)
     assert codec.decode_locate(request) == asked
+
+
+def reply_of(status, **headers):
+    named = tuple(
+        (name.replace("_", "-").encode(), value)
+        for name, value in headers.items()
+    )
+    return messages.Reply(status, named, b"", True)
+
+
+@pytest.mark.parametrize(
+    ("told", "hold_ms"),
+    [
+        (b"2", 2000.0),
+        (b"0.25", 250.0),
+        (b".5", 500.0),
+        (b"0", 0.0),
+        (b"-1", 0.0),
+        (b"1e9", 0.0),
+        (b"1.2.3", 0.0),
+        (b"", 0.0),
+        (b".", 0.0),
+        (b"nan", 0.0),
+        (b"9" * 400, 0.0),
+        (b"Fri, 04 Dec 2026 09:00:00 GMT", 0.0),
+        (b"\xff", 0.0),
+    ],
+)
+def test_time_that_an_upstream_asks_for_is_seconds(told, hold_ms):
+    notice = upstreams.notice_of(reply_of(503, retry_after=told))
+    assert notice.hold_ms == hold_ms
+
+
+@pytest.mark.parametrize("status", [200, 429, 500])
+def test_time_to_retry_after_counts_with_refusals_alone(status):
+    notice = upstreams.notice_of(reply_of(status, retry_after=b"5"))
+    assert notice.hold_ms == 0.0
+
+
+@pytest.mark.parametrize(
+    ("status", "told", "is_leaving"),
+    [
+        (200, b"1", True),
+        (503, b"1", True),
+        (200, b"0", False),
+        (200, b"yes", False),
+        (421, b"1", False),
+    ],
+)
+def test_upstream_that_leaves_says_so_in_any_answer(status, told, is_leaving):
+    notice = upstreams.notice_of(reply_of(status, server_leaving=told))
+    assert notice.is_leaving == is_leaving
--- a/tests/platform/test_link.py
+++ b/tests/platform/test_link.py
@@ -1,12 +1,16 @@
 """Attempts over connections: what was written, what was not."""
 
+import asyncio
+
 from gateway_scripts import upstream
 import pytest
 
 from greengagedale import clocks
 from greengagedale import outcomes
 from greengagedale.gateway import calls
+from greengagedale.gateway import notices as notices_lib
 from greengagedale.gateway import pools
+from greengagedale.http1 import client
 from greengagedale.http1 import messages
 from greengagedale.platform import link
 from standins import users_site
@@ -27,8 +31,18 @@
 
 
 @pytest.fixture
-def send(clock, server):
-    held = link.PlatformLink(pools.Pools(clock), lambda entry: 2, clock)
+def notices(clock):
+    return notices_lib.Notices(clock)
+
+
+@pytest.fixture
+def send(clock, notices, server):
+    held = link.PlatformLink(
+        pools.Pools(notices, client.ReplyLimits(), clock),
+        notices,
+        lambda entry: 2,
+        clock,
+    )
 
     async def call(left_ms=500.0, port=None, **fields):
         message = messages.Request(
@@ -88,3 +102,70 @@
     got = await send()
     assert got.refused
     assert got.reason is outcomes.Reason.NO_REPLICA
+
+
+NOT_WANTED = outcomes.AttemptEnd(
+    outcomes.Reason.DRAINING, written=False, refused=False
+)
+
+
+@pytest.mark.parametrize("mode", ["ok", "full", "failing", "unsigned"])
+async def test_upstream_that_says_it_leaves_gets_nothing_new(
+    send, server, mode
+):
+    server.is_leaving = True
+    server.mode = mode
+    await send()
+    assert await send() == NOT_WANTED
+    assert len(server.requests) == 1
+    server.is_leaving, server.mode = False, "ok"
+    assert (await send(born_ms=2)).body == b"done"
+
+
+async def test_answer_to_another_request_tells_that_its_upstream_leaves(
+    send, server
+):
+    server.is_leaving = True
+    server.mode = "foreign"
+    asked = asyncio.create_task(send())
+    while server.leaving_told_ms is None:
+        await asyncio.sleep(0.005)
+    await asyncio.sleep(0.02)
+    assert await send() == NOT_WANTED
+    asked.cancel()
+
+
+async def test_other_upstream_at_the_address_speaks_for_itself_only(
+    send, server
+):
+    server.is_leaving = True
+    server.name = "other"
+    await send()
+    server.name, server.is_leaving = "u", False
+    assert (await send()).body == b"done"
+
+
+async def test_attempts_that_wait_for_an_upstream_that_leaves_end_at_once(
+    send, server
+):
+    server.delay_ms = 50.0
+    sent = [asyncio.create_task(send()) for _ in range(5)]
+    await asyncio.sleep(0.02)
+    server.is_leaving = True
+    results = await asyncio.gather(*sent)
+    assert results[2:] == [NOT_WANTED] * 3
+    assert len(server.requests) == 2
+
+
+async def test_upstream_gets_nothing_until_the_time_it_asked_for_is_over(
+    send, server, clock
+):
+    server.mode = "full"
+    server.hold_ms = 1500.0
+    await send()
+    server.mode = "ok"
+    clock.advance(1400.0)
+    assert await send() == NOT_WANTED
+    clock.advance(101.0)
+    assert (await send()).body == b"done"
+    assert len(server.requests) == 2
