Callers keep addresses for as long as they may; cutoffs go by their clock

Time line of such a check, from a host's log and the time left that callers tell (404 ms if they do nothing before): of 45 checks at one host 9 came with 404 ms left, 3 with 397 to 399 (a new connection), 28 with 389 or 390 (asked where to connect, then connected) and 5 with 382 or 383. The host itself took 16 to 61.6 ms for each of the 45, so the 15 ms before it decide.

Locate answers had a TTL of 1 s, so most requests asked anew before. The template now takes the platform's bound (setting gateway.locate_ttl_s, in place of locate_ttl_ms). The cutoff counted from the request's arrival. What a caller waited before is known: the longest time left that callers of the route told lately, less what it tells. Its answer goes out sooner by that, not before half the aim; callers that seem to have waited over a third of the aim are taken for less patient ones.

--- a/greengagedale/config/gateway.py
+++ b/greengagedale/config/gateway.py
@@ -109,7 +109,7 @@
         locate_endpoint: For callers that ask where to connect.
         peer_endpoint: For other hosts.
         metrics_endpoint: For metrics; none if it is left out.
-        locate_ttl_ms: How long callers keep the answer to where to connect.
+        locate_ttl_s: How long callers keep the answer to where to connect.
     """
 
     caller_endpoint: str
@@ -117,7 +117,7 @@
     locate_endpoint: str
     peer_endpoint: str
     metrics_endpoint: str | None
-    locate_ttl_ms: float
+    locate_ttl_s: float
 
 
 class StoreSettings(NamedTuple):
@@ -185,7 +185,7 @@
             "locate_endpoint": Endpoint(),
             "peer_endpoint": Endpoint(),
             "metrics_endpoint": Endpoint(None),
-            "locate_ttl_ms": Number(1.0, 60_000.0, 1000.0),
+            "locate_ttl_s": Number(0.001, 60.0, 1.0),
         },
     ),
     "platform": (
--- a/greengagedale/gateway/daemon.py
+++ b/greengagedale/gateway/daemon.py
@@ -264,7 +264,7 @@
             codec,
             self._own,
             self._fleet,
-            self._settings.gateway.locate_ttl_ms,
+            self._settings.gateway.locate_ttl_s * _MS_PER_S,
         )
         handlers: list[server.Handler] = [
             self._exchange,
--- a/greengagedale/gateway/pacing.py
+++ b/greengagedale/gateway/pacing.py
@@ -13,10 +13,44 @@
 _LATEST_HEDGE_SHARE = 0.45
 _EARLIEST_HEDGE_FACTOR = 1.5
 _LEAST_MS = 1.0
+# The longest time left that callers told is held for this long, twice at most.
+_PATIENCE_MS = 30_000.0
+# A caller that seems to have waited for more than this share of the aim is
+# taken for one that was less patient from the start.
+_MOST_WAITED_SHARE = 0.35
 # A process that has not run for this long stood still; it ticks more often.
 STOOD_STILL_MS = 500.0
 
 
+class Patience:
+    """How long callers of a route wait at most, from what they tell.
+
+    A caller tells what is left of its time when it sends a request. Before
+    that it may have asked where to connect, and have opened a connection. The
+    longest time told is that of callers that had to do neither.
+    """
+
+    def __init__(self) -> None:
+        self._longest_ms = 0.0
+        self._longest_before_ms = 0.0
+        self._since_ms = float("-inf")
+
+    def note(self, left_ms: float, now_ms: float) -> None:
+        """Takes in the time left that a caller told."""
+        age_ms = now_ms - self._since_ms
+        if age_ms >= _PATIENCE_MS:
+            is_recent = age_ms < 2.0 * _PATIENCE_MS
+            self._longest_before_ms = self._longest_ms if is_recent else 0.0
+            self._longest_ms = 0.0
+            self._since_ms = now_ms
+        self._longest_ms = max(self._longest_ms, left_ms)
+
+    @property
+    def longest_ms(self) -> float:
+        """The longest time that callers told lately."""
+        return max(self._longest_ms, self._longest_before_ms)
+
+
 class Pace:
     """Latencies of the attempts on one route.
 
@@ -28,6 +62,7 @@
 
     def __init__(self, aim_ms: float) -> None:
         self.aim_ms = aim_ms
+        self._patience = Patience()
         self._median = latencies.LatencyWindow(0.5)
         self._late = latencies.LatencyWindow(_HEDGE_QUANTILE)
 
@@ -36,6 +71,18 @@
         self._median.record(latency_ms)
         self._late.record(latency_ms)
 
+    def waited_ms(self, left_ms: float, now_ms: float) -> float:
+        """Returns how long a caller had waited when it sent its request.
+
+        Args:
+            left_ms: The time left that it told.
+            now_ms: The time now.
+        """
+        self._patience.note(left_ms, now_ms)
+        waited_ms = self._patience.longest_ms - left_ms
+        is_likely = waited_ms <= _MOST_WAITED_SHARE * self.aim_ms
+        return waited_ms if is_likely else 0.0
+
     def usual_ms(self) -> float:
         """Returns the usual latency of an attempt."""
         median_ms = self._median.quantile_ms()
--- a/greengagedale/gateway/runner.py
+++ b/greengagedale/gateway/runner.py
@@ -19,6 +19,8 @@
 # host is late by a part of the aim.
 CUTOFF_MARGIN_MS = 8.0
 CUTOFF_MARGIN_SHARE = 0.04
+# No answer goes out with parts missing sooner than this share of the aim.
+EARLIEST_CUTOFF_SHARE = 0.5
 # Final answers leave this much before the caller's deadline.
 DEADLINE_MARGIN_MS = 12.0
 # When nothing is listed for a service, or all that is refuses.
@@ -152,7 +154,9 @@
         spare = sum(map(self._answers, held)) - fanout.least_parts
         if spare < 0 and not self._may_probe(plan):
             return outcomes.NotRun(outcomes.Reason.NO_PROGRESS, int(PROBE_MS))
-        cutoff_ms = call.received_ms + _cutoff_after_ms(plan)
+        cutoff_ms = call.received_ms + _cutoff_after_ms(
+            plan.aim_ms, self._waited_ms(call, plan)
+        )
         # Shards that are down will be missing; only the rest may be left out.
         slack = fetches.Slack(max(0, spare))
         fetching = [
@@ -183,6 +187,14 @@
             )
         return self._merged(plan, fanout, parts.answers)
 
+    def _waited_ms(self, call: calls.Call, plan: plans.Plan) -> float:
+        """Returns how long a caller had waited when it sent its request."""
+        if call.deadline_ms is None:
+            return 0.0
+        return self.pace_of(plan).waited_ms(
+            call.deadline_ms - call.received_ms, call.received_ms
+        )
+
     def _merged(
         self,
         plan: plans.Plan,
@@ -333,7 +345,12 @@
         return outcomes.of_attempts(ends, reason, retry_after_ms)
 
 
-def _cutoff_after_ms(plan: plans.Plan) -> float:
-    """Returns the age at which an answer with enough parts goes out."""
-    margin_ms = CUTOFF_MARGIN_MS + CUTOFF_MARGIN_SHARE * plan.aim_ms
-    return max(0.5 * plan.aim_ms, plan.aim_ms - margin_ms)
+def _cutoff_after_ms(aim_ms: float, waited_ms: float) -> float:
+    """Returns the age at which an answer with enough parts goes out.
+
+    Args:
+        aim_ms: The route's aim, which counts from the caller's first step.
+        waited_ms: How long the caller had waited when it sent the request.
+    """
+    margin_ms = CUTOFF_MARGIN_MS + CUTOFF_MARGIN_SHARE * aim_ms
+    return max(EARLIEST_CUTOFF_SHARE * aim_ms, aim_ms - margin_ms - waited_ms)
--- a/standins/users_site.py
+++ b/standins/users_site.py
@@ -34,6 +34,7 @@
     "budgetRatio": 0.2,
     "budgetBurst": 56,
     "graceS": 3,
+    "ttl_max_s": 1,
 }
 METRICS_PORT = 9464
 _PORT_KEYS = ("http", "ready", "directory", "control", "metrics")
--- a/tests/commands/test_settings.py
+++ b/tests/commands/test_settings.py
@@ -44,7 +44,7 @@
 def test_gateway_settings_are_shown_with_defaults(run):
     code, printed = run("show", GATEWAY)
     assert code == 0
-    assert json.loads(printed.out)["gateway"]["locate_ttl_ms"] == 1000.0
+    assert json.loads(printed.out)["gateway"]["locate_ttl_s"] == 1.0
 
 
 def test_mistakes_of_gateway_settings_are_named(run):
--- a/tests/config/test_gateway_settings.py
+++ b/tests/config/test_gateway_settings.py
@@ -29,7 +29,7 @@
 
 def test_good_settings_have_defaults():
     settings = gateway.GatewaySettings.from_config(GOOD)
-    assert settings.gateway.locate_ttl_ms == 1000.0
+    assert settings.gateway.locate_ttl_s == 1.0
     assert settings.gateway.metrics_endpoint is None
     assert settings.peers.seeds == ()
 
@@ -40,9 +40,9 @@
         ("host", "name", "Not A Name"),
         ("host", "name", 5),
         ("gateway", "peer_endpoint", "10.0.0.1"),
-        ("gateway", "locate_ttl_ms", "1000"),
-        ("gateway", "locate_ttl_ms", 0),
-        ("gateway", "locate_ttl_s", 1),
+        ("gateway", "locate_ttl_s", "1"),
+        ("gateway", "locate_ttl_s", 0),
+        ("gateway", "locate_ttl_ms", 1000),
         ("peers", "seeds", "10.0.0.1:80"),
         ("peers", "seeds", [5]),
         ("retries", "ratio", 1.5),
--- a/tests/gateway/test_pacing.py
+++ b/tests/gateway/test_pacing.py
@@ -40,3 +40,26 @@
     assert budgets.of("s") is held
     budgets.forget_unused(3.0 * WINDOW_MS)
     assert budgets.of("s") is not held
+
+
+@pytest.fixture
+def pace():
+    return pacing.Pace(aim_ms=72.0)
+
+
+def test_time_that_a_caller_waited_is_what_others_had_left_besides(pace):
+    assert pace.waited_ms(404.0, 0.0) == 0.0
+    assert pace.waited_ms(390.0, 10.0) == 14.0
+    assert pace.waited_ms(404.0, 20.0) == 0.0
+
+
+def test_caller_with_less_patience_did_not_wait(pace):
+    pace.waited_ms(404.0, 0.0)
+    assert pace.waited_ms(300.0, 10.0) == 0.0
+
+
+def test_longest_patience_is_forgotten_in_the_end(pace):
+    pace.waited_ms(404.0, 0.0)
+    for now_ms in range(10_000, 100_000, 10_000):
+        waited_ms = pace.waited_ms(390.0, float(now_ms))
+    assert waited_ms == 0.0
