One malformed message no longer ends a process or stops its reading

Reported by operators of similar systems; it could happen here. A host that was told of a peer without a usable endpoint raised ValueError in its next round, and the process ended (exit by _check_end); peers pass such an address on, so that a whole fleet would have ended. An unexpected error while changes of the list were taken in ended that task alone, without a line: the host went on with old knowledge and said that it heard from the store.

Hosts without usable endpoints are not taken in; rounds, reading and upkeep go on after an unexpected error, with a log line, and the list is read again as a whole.

--- a/greengagedale/gateway/daemon.py
+++ b/greengagedale/gateway/daemon.py
@@ -329,16 +329,23 @@
     async def _keep_up(self) -> None:
         while True:
             await asyncio.sleep(_UPKEEP_S)
-            self._share_burst()
-            lives = {
-                upstream.life for upstream in self._registry.upstreams.values()
-            }
-            self._pools.sweep(lives)
-            self._notices.forget_old()
-            self._budgets.forget_unused(self._clock.now_ms())
-            if self._registry.table is not None:
-                self._runner.forget_others(self._registry.table.routes)
-            self._scores.forget_others(lives)
+            try:
+                self._share_burst()
+                self._forget_old()
+            except Exception:
+                log.exception("upkeep failed")
+
+    def _forget_old(self) -> None:
+        """Drops what is kept for upstreams and routes that are gone."""
+        lives = {
+            upstream.life for upstream in self._registry.upstreams.values()
+        }
+        self._pools.sweep(lives)
+        self._notices.forget_old()
+        self._budgets.forget_unused(self._clock.now_ms())
+        if self._registry.table is not None:
+            self._runner.forget_others(self._registry.table.routes)
+        self._scores.forget_others(lives)
 
 
 class _MetricsHandler(server.Handler):
--- a/greengagedale/gateway/exchange.py
+++ b/greengagedale/gateway/exchange.py
@@ -176,7 +176,7 @@
         """Asks peers, round after round."""
         for made in itertools.count():
             peers = self._peers()
-            await asyncio.gather(*(self._ask(peer) for peer in peers))
+            await asyncio.gather(*(self._try_to_ask(peer) for peer in peers))
             self._registry.expire()
             self._wake.clear()
             is_new = made < FIRST_ROUNDS and not self._registry.version.revision
@@ -210,6 +210,13 @@
         lost = [state.address.peer_endpoint for state in self._fleet.states()]
         return [each for each in {*self._seeds, *lost} if each not in known]
 
+    async def _try_to_ask(self, endpoint: str) -> None:
+        """Asks a peer; whatever it answers, the next rounds go on."""
+        try:
+            await self._ask(endpoint)
+        except Exception:
+            log.exception("exchange failed", extra={"endpoint": endpoint})
+
     async def _ask(self, endpoint: str) -> None:
         own = self._own_state()
         hello = Hello(
--- a/greengagedale/gateway/fleet.py
+++ b/greengagedale/gateway/fleet.py
@@ -75,6 +75,16 @@
         """Name of the host."""
         return self.address.name
 
+    @property
+    def has_endpoints(self) -> bool:
+        """Whether others can connect where it says that it listens."""
+        return all(
+            map(
+                _is_endpoint,
+                (self.address.caller_endpoint, self.address.peer_endpoint),
+            )
+        )
+
     @property
     def may_be_handed_out(self) -> bool:
         """Whether callers may be sent to it, if it lives."""
@@ -108,6 +118,10 @@
             self.on_own_state(address.incarnation)
             return
         held = self._known.get(address.name)
+        is_new = held is None or held.state.address != address
+        if is_new and not state.has_endpoints:
+            log.warning("unusable host", extra={"address": address})
+            return
         if held is not None and (
             (sighting.incarnation, sighting.beat)
             <= (held.state.sighting.incarnation, held.state.sighting.beat)
@@ -115,7 +129,7 @@
             return
         self._known[address.name] = _Known(state, self._clock.now_ms())
         self._refusing.discard(address.peer_endpoint)
-        if held is None or held.state.address != address:
+        if is_new:
             log.info(
                 "host found",
                 extra={
@@ -223,5 +237,10 @@
         return age_ms + self._clock.now_ms() - heard_ms
 
 
+def _is_endpoint(text: str) -> bool:
+    address, _, port = text.rpartition(":")
+    return bool(address) and port.isdigit() and 0 < int(port) < 1 << 16
+
+
 def _ignore(incarnation: int) -> None:
     del incarnation
--- a/greengagedale/gateway/reader.py
+++ b/greengagedale/gateway/reader.py
@@ -177,7 +177,13 @@
     ) -> None:
         pause_ms = _FIRST_PAUSE_MS
         while True:
-            problem = await step()
+            try:
+                problem = await step()
+            except Exception as error:
+                # What can't be taken in is read again as a whole.
+                log.exception("reading failed", extra={"what": what})
+                self._must_list = True
+                problem = repr(error)
             if problem is None:
                 pause_ms = _FIRST_PAUSE_MS
                 self._failing.discard(what)
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -48,6 +48,18 @@
     assert fleet.most_seen() == 2
 
 
+# Guards against a process that ends for one malformed message.
+@pytest.mark.parametrize(
+    "endpoint", ["", "a", "a:", ":80", "a:0", "a:70000", "a:x", "a:-1"]
+)
+@pytest.mark.parametrize("field", ["caller_endpoint", "peer_endpoint"])
+def test_host_without_usable_endpoints_is_not_taken_in(fleet, field, endpoint):
+    told = state("a")
+    address = told.address._replace(**{field: endpoint})
+    fleet.hear(told._replace(address=address))
+    assert fleet.alive() == []
+
+
 def test_earlier_life_of_this_host_is_told(fleet):
     told = []
     fleet.on_own_state = told.append
--- a/tests/gateway/test_reader.py
+++ b/tests/gateway/test_reader.py
@@ -239,6 +239,26 @@
     await settled(lambda: bench.source.roster.hosts == ("a", "m"))
 
 
+# Guards against a host that goes on with old knowledge, or a process that
+# ends, for one message that can't be taken in.
+async def test_reading_goes_on_after_an_unexpected_error(bench, monkeypatch):
+    apply_changes = bench.registry.apply_changes
+    failed = []
+
+    def fail_once(changed):
+        if not failed:
+            failed.append(changed)
+            raise KeyError("a fault")
+        apply_changes(changed)
+
+    monkeypatch.setattr(bench.registry, "apply_changes", fail_once)
+    entry = upstream("c")
+    bench.source.upstreams.append(entry)
+    bench.source.changes.put_nowait(source_lib.UpstreamChange("c", entry))
+    await settled(lambda: bench.names() == ["a", "b", "c"])
+    assert bench.source.calls["list"] >= 1
+
+
 # Guards against DRAIN on atcu-search, day store-turns-hosts-away: the store
 # turned other hosts away and served this one; an upstream that had left went
 # on getting requests for 3.7 s, as its entry was taken for a lapsed one.
