A refusal that may be of an earlier request proves nothing

Reported by operators of similar systems; it could happen here, on both kinds of host. An upstream that sends a second copy of a refusal late, on a connection in use again, made the next request "not run" though it ran: refusals of the object API's upstreams named no attempt, and refusals on the platform were taken without the request's id. A copy that came while the connection was idle was taken for the next answer too (aiohttp keeps such bytes).

Refusals may name the attempt now (attempt_id, echoed by the stand-ins); one that names none counts only as the first answer on its connection, else the attempt may have run. A connection on which another attempt's answer came is closed; it was used on, out of step.

Tests, failing before (refused, though run): test_copy_of_an_earlier_refusal_is_no_proof, test_refusal_that_may_be_of_an_earlier_request_is_no_proof. Not covered: cancels and health checks, whose answers name nothing.

--- a/greengagedale/http1/client.py
+++ b/greengagedale/http1/client.py
@@ -61,11 +61,13 @@
     Attributes:
         used_ms: When its last answer came, by the clock of the pool.
         keep_alive_ms: How long the server keeps it while idle, if it says so.
+        is_new: Whether no answer has come on it yet.
     """
 
     def __init__(self, limits: ReplyLimits | None = None) -> None:
         self.used_ms = 0.0
         self.keep_alive_ms: float | None = None
+        self.is_new = True
         self._transport: asyncio.Transport | None = None
         self._parser: httptools.HttpResponseParser | None = None
         self._future: asyncio.Future[messages.Reply | Broken] | None = None
@@ -322,6 +324,7 @@
         if self._done is None:
             return
         done, self._done = self._done, None
+        self.is_new = False
         transport = self._transport
         if transport is not None and transport.get_write_buffer_size() > 0:
             # Answered before the request was sent; the rest of its body is
--- a/greengagedale/platform/link.py
+++ b/greengagedale/platform/link.py
@@ -62,6 +62,7 @@
         if left_ms <= 0.0:
             pool.give_back(connection)
             return _not_written(outcomes.Reason.DEADLINE)
+        is_first = connection.is_new
         try:
             reply = await connection.exchange(
                 upstreams.encode(attempt, left_ms),
@@ -70,6 +71,12 @@
             )
             if isinstance(reply, messages.Reply):
                 _note_keep_alive(connection, reply)
+                if not is_first and not upstreams.names_request(reply):
+                    # May be a copy of an earlier answer; this one's may come.
+                    connection.close()
+                    return outcomes.AttemptEnd(
+                        outcomes.Reason.REPLY_LOST, written=True, refused=False
+                    )
         finally:
             pool.give_back(connection)
         if isinstance(reply, client.Broken):
--- a/greengagedale/platform/upstreams.py
+++ b/greengagedale/platform/upstreams.py
@@ -57,12 +57,21 @@
 def belongs(call: calls.Call, reply: messages.Reply) -> bool:
     """Tells whether an answer may be to this request.
 
-    Refusals may come without the request's id.
+    Refusals may come without the request's id; see `names_request`.
     """
     request_id = reply.header(_REQUEST_ID)
     return request_id is None or request_id.decode("latin-1") == call.request_id
 
 
+def names_request(reply: messages.Reply) -> bool:
+    """Tells whether an answer says which request it is to.
+
+    Without that, only the first one on a connection is known to be its own:
+    upstreams may send a copy of an earlier answer late.
+    """
+    return reply.header(_REQUEST_ID) is not None
+
+
 def decode(
     call: calls.Call, reply: messages.Reply
 ) -> calls.Answer | outcomes.AttemptEnd:
--- a/greengagedale/upstreams/channels.py
+++ b/greengagedale/upstreams/channels.py
@@ -39,12 +39,18 @@
 
 
 class Channel:
-    """One connection, opened by its first request."""
+    """One connection, opened by its first request.
 
-    __slots__ = ("session",)
+    Attributes:
+        session: Holds the connection.
+        is_new: Whether no answer has come on it yet.
+    """
+
+    __slots__ = ("is_new", "session")
 
     def __init__(self, session: aiohttp.ClientSession) -> None:
         self.session = session
+        self.is_new = True
 
     @classmethod
     def from_config(cls, options: ChannelOptions) -> Self:
@@ -94,6 +100,7 @@
 
     def give_back(self, channel: Channel) -> None:
         """Takes back a channel whose request has its whole answer."""
+        channel.is_new = False
         if len(self._idle) < _MOST_IDLE:
             self._idle.append(channel)
         else:
@@ -159,6 +166,7 @@
                         response, http_bodies.MOST_UPSTREAM_BYTES
                     )
             if response.status == _STATUS_OK:
+                channel.is_new = False
                 self._idle.insert(0, channel)
                 return True
         await channel.session.close()
--- a/greengagedale/upstreams/http.py
+++ b/greengagedale/upstreams/http.py
@@ -35,8 +35,17 @@
 
 
 class _Reply(NamedTuple):
+    """An answer.
+
+    Attributes:
+        status: Status code.
+        body: Whole body.
+        is_in_step: Whether it is to the request that waited for it.
+    """
+
     status: int
     body: bytes
+    is_in_step: bool
 
 
 class HttpTransport(base.UpstreamTransport):
@@ -84,7 +93,7 @@
             limit=request.limit,
             timeout_ms=request.timeout_ms,
         )
-        got = await self._post(upstream, "/v1/search", body)
+        got = await self._post(upstream, "/v1/search", body, attempt.attempt_id)
         if isinstance(got, outcomes.AttemptEnd):
             return got
         if got.status != _STATUS_OK:
@@ -108,7 +117,11 @@
             timeout_ms=action.timeout_ms,
         )
         got = await self._post(
-            upstream, "/v1/act", body, action.timeout_ms / _MS_PER_S
+            upstream,
+            "/v1/act",
+            body,
+            action.attempt_id,
+            action.timeout_ms / _MS_PER_S,
         )
         if isinstance(got, outcomes.AttemptEnd):
             return got
@@ -177,10 +190,16 @@
         upstream: base.Upstream,
         path: str,
         body: Any,
+        attempt_id: str,
         timeout_s: float | None = None,
     ) -> _Reply | outcomes.AttemptEnd:
         return await self._call(
-            upstream, "POST", path, wire.encode(body), timeout_s
+            upstream,
+            "POST",
+            path,
+            wire.encode(body),
+            timeout_s,
+            attempt_id=attempt_id,
         )
 
     async def _call(
@@ -191,10 +210,12 @@
         data: bytes | None,
         timeout_s: float | None,
         fresh: bool = False,
+        attempt_id: str | None = None,
     ) -> _Reply | outcomes.AttemptEnd:
         """Makes one call on a channel of its own.
 
-        The channel is used again only if the whole answer has come.
+        The channel is used again only if the whole answer has come, and no
+        other one in its place.
         """
         pool = self._pool(upstream)
         channel = pool.take(fresh)
@@ -208,13 +229,17 @@
                     body = await http_bodies.read_whole(
                         response, http_bodies.MOST_UPSTREAM_BYTES
                     )
-                    reply = _Reply(response.status, body)
+                    reply = _Reply(
+                        response.status,
+                        body,
+                        _is_in_step(body, attempt_id, channel.is_new),
+                    )
             return reply
         except (aiohttp.ClientError, OSError) as error:
             log.debug("attempt at %s failed: %r", upstream.name, error)
             return _end_of_failure(error)
         finally:
-            if reply is None:
+            if reply is None or not reply.is_in_step:
                 pool.discard(channel)
             else:
                 pool.give_back(channel)
@@ -233,6 +258,23 @@
         task.add_done_callback(self._background.discard)
 
 
+def _is_in_step(body: bytes, attempt_id: str | None, is_first: bool) -> bool:
+    """Tells whether an answer is to an attempt, and no copy of an earlier one.
+
+    Args:
+        body: Body of the answer.
+        attempt_id: The attempt; None if answers don't name it.
+        is_first: Whether it is the first answer on its connection.
+    """
+    if attempt_id is None:
+        return True
+    try:
+        echoed = wire.echo_decoder.decode(body).attempt_id
+    except msgspec.DecodeError:
+        return is_first
+    return is_first if echoed is None else echoed == attempt_id
+
+
 def _written(reason: outcomes.Reason) -> outcomes.AttemptEnd:
     return outcomes.AttemptEnd(reason, written=True, refused=False)
 
@@ -251,8 +293,9 @@
 
 
 def _end_of_refusal(got: _Reply) -> outcomes.AttemptEnd:
-    """Only a well-formed refusal counts as proof that nothing ran."""
-    if got.status not in (wire.STATUS_REFUSED, wire.STATUS_NOT_HELD):
+    """Only a well-formed refusal of the attempt proves that nothing ran."""
+    is_refusal = got.status in (wire.STATUS_REFUSED, wire.STATUS_NOT_HELD)
+    if not got.is_in_step or not is_refusal:
         return _written(outcomes.Reason.REPLY_LOST)
     try:
         reply = wire.refusal_decoder.decode(got.body)
--- a/greengagedale/upstreams/wire.py
+++ b/greengagedale/upstreams/wire.py
@@ -1,6 +1,6 @@
 """Messages of the upstreams' HTTP protocol, in JSON."""
 
-from typing import Any, TypedDict
+from typing import Any, NotRequired, TypedDict
 
 import msgspec
 
@@ -56,10 +56,21 @@
 
 
 class RefusalReply(TypedDict):
-    """Answer with status 503 or 409: the upstream did not run the request."""
+    """Answer with status 503 or 409: the upstream did not run the request.
+
+    Without the attempt's id it is proof only if it is the first answer on its
+    connection, as an upstream may send a copy of an earlier one.
+    """
 
     refused: str
     retry_after_ms: int
+    attempt_id: NotRequired[str]
+
+
+class Echo(msgspec.Struct):
+    """What tells which attempt any answer is to; None if it does not say."""
+
+    attempt_id: str | None = None
 
 
 class CancelBody(TypedDict):
@@ -81,6 +92,7 @@
 
 search_reply_decoder = msgspec.json.Decoder(SearchReply)
 action_reply_decoder = msgspec.json.Decoder(ActionReply)
+echo_decoder = msgspec.json.Decoder(Echo)
 refusal_decoder = msgspec.json.Decoder(RefusalReply)
 health_decoder = msgspec.json.Decoder(HealthReply)
 hits_decoder = msgspec.json.Decoder(list[hits.Hit])
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -117,10 +117,10 @@
             body["high"],
         )
         if holding not in self._control["holdings"]:
-            return self._refuse("not_held", wire.STATUS_NOT_HELD)
+            return self._refuse(body, "not_held", wire.STATUS_NOT_HELD)
         refused = await self._enter(body["attempt_id"], body["timeout_ms"])
         if refused:
-            return self._refuse(refused)
+            return self._refuse(body, refused)
         try:
             self._note("search", body, text=body["text"], holding=holding)
             self._crash_if_poisoned(body["text"])
@@ -136,7 +136,7 @@
         await self._arrive(request)
         refused = await self._enter(body["attempt_id"], body["timeout_ms"])
         if refused:
-            return self._refuse(refused)
+            return self._refuse(body, refused)
         try:
             self._note("act", body, key=body["key"], asked=body["body"])
             self._crash_if_poisoned(str(body["body"]))
@@ -308,9 +308,16 @@
         )
 
     def _refuse(
-        self, reason: str, status: int = wire.STATUS_REFUSED
+        self,
+        asked: wire.SearchBody | wire.ActionBody,
+        reason: str,
+        status: int = wire.STATUS_REFUSED,
     ) -> web.Response:
-        body = wire.RefusalReply(refused=reason, retry_after_ms=_RETRY_AFTER_MS)
+        body = wire.RefusalReply(
+            refused=reason,
+            retry_after_ms=_RETRY_AFTER_MS,
+            attempt_id=asked["attempt_id"],
+        )
         return _json(body, status)
 
 
--- a/standins/users_upstream.py
+++ b/standins/users_upstream.py
@@ -82,11 +82,11 @@
 
     async def _respond(self, request: messages.Request) -> messages.Response:
         expected = (request.header(b"target-instance") or b"").decode()
+        request_id = (request.header(b"request-id") or b"").decode()
         if expected != self.name:
-            return messages.Response(421)
+            return messages.Response(421, _named(request_id))
         if self.mode == "full":
-            return self._turn_away()
-        request_id = (request.header(b"request-id") or b"").decode()
+            return self._turn_away(request_id)
         self.runs[request_id] += 1
         await asyncio.sleep(self.delay_ms / _MS_PER_S)
         if self.mode == "lost":
@@ -100,11 +100,15 @@
         status = 500 if self.mode == "failing" else 200
         return messages.Response(status, tuple(headers), self.body)
 
-    def _turn_away(self) -> messages.Response:
-        headers = [(b"Not-Executed", b"1")]
+    def _turn_away(self, request_id: str) -> messages.Response:
+        headers = [*_named(request_id), (b"Not-Executed", b"1")]
         if self.hold_ms > 0.0:
             now_ms = self._clock.now_ms()
             self.holds_told_ms.append((now_ms, now_ms + self.hold_ms))
             told = b"%.3f" % (self.hold_ms / _MS_PER_S)
             headers.append((b"Retry-After", told))
         return messages.Response(503, tuple(headers))
+
+
+def _named(request_id: str) -> messages.Headers:
+    return ((b"Request-Id", request_id.encode()),)
--- a/tests/platform/test_link.py
+++ b/tests/platform/test_link.py
@@ -1,6 +1,7 @@
 """Attempts over connections: what was written, what was not."""
 
 import asyncio
+import contextlib
 
 from gateway_scripts import upstream
 import pytest
@@ -169,3 +170,27 @@
     clock.advance(101.0)
     assert (await send()).body == b"done"
     assert len(server.requests) == 2
+
+
+REFUSED = b"HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+
+
+# Guards against a request that ran and is said not to have run: its upstream
+# sends a second copy of an earlier refusal late, on the same connection.
+async def test_refusal_that_may_be_of_an_earlier_request_is_no_proof(send):
+    asked = []
+
+    async def refuse(reader, writer):
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                asked.append(await reader.readuntil(b"\r\n\r\n"))
+                writer.write(REFUSED)
+
+    listener = await asyncio.start_server(refuse, "127.0.0.1", 0)
+    async with listener:
+        port = listener.sockets[0].getsockname()[1]
+        results = [await send(port=port) for _ in range(3)]
+    # The second connection's first answer is its own again.
+    assert [result.refused for result in results] == [True, False, True]
+    assert results[1].written
+    assert len(asked) == 3
--- a/tests/upstreams/test_http.py
+++ b/tests/upstreams/test_http.py
@@ -1,9 +1,12 @@
 """The adapter sends each action once, whatever the upstream answers."""
 
 import asyncio
+import contextlib
+import re
 
 from aiohttp import test_utils
 from aiohttp import web
+import msgspec
 import pytest
 
 from greengagedale import http_bodies
@@ -74,6 +77,63 @@
     )
 
 
+REFUSAL = {"refused": "overloaded", "retry_after_ms": 5}
+
+
+def written(status, body):
+    encoded = msgspec.json.encode(body)
+    head = b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\n" % status
+    return head + b"Content-Length: %d\r\n\r\n" % len(encoded) + encoded
+
+
+@pytest.fixture
+async def copying():
+    """An upstream that refuses the first action, and sends that twice."""
+    runs = []
+
+    async def serve(reader, writer):
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                length = re.search(rb"(?i)content-length: (\d+)", head)
+                asked = await reader.readexactly(int(length.group(1)))
+                name = msgspec.json.decode(asked)["attempt_id"]
+                writer.write(written(503, serve.refusal))
+                if name == ACTION.attempt_id:
+                    continue
+                runs.append(name)
+                await asyncio.sleep(0.05)
+                writer.write(written(200, {"attempt_id": name, "body": 1}))
+
+    serve.refusal = REFUSAL
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    yield base.Upstream("u-1", f"127.0.0.1:{port}", "dc-a", 1, 1), runs, serve
+    server.close()
+
+
+# Guards against an action that ran and is said not to have run: its upstream
+# sends a second copy of an earlier refusal late, on the same connection.
+@pytest.mark.parametrize("names_attempt", [False, True])
+async def test_copy_of_an_earlier_refusal_is_no_proof(
+    transport, copying, names_attempt
+):
+    upstream, runs, serve = copying
+    if names_attempt:
+        serve.refusal = {**REFUSAL, "attempt_id": ACTION.attempt_id}
+    first = await transport.act(upstream, ACTION)
+    assert first.refused
+    second = await transport.act(upstream, ACTION._replace(attempt_id="b.0"))
+    assert runs == ["b.0"]
+    assert outcomes.of_attempts([second], second.reason, 0) == (
+        outcomes.Unknown(outcomes.Reason.REPLY_LOST)
+    )
+    # The connection is out of step, so the next action has another one.
+    third = await transport.act(upstream, ACTION._replace(attempt_id="c.0"))
+    assert runs == ["b.0", "c.0"]
+    del third
+
+
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 ENDLESS = {
     "header lines": (b"HTTP/1.1 200 OK\r\n", b"X-A: b\r\n" * 1000),
