Searches that queues make late are refused before they are sent

Steps of their lines: one or two shards "too late" on arrival took the place of the one that may be missing, then the retry of a refused part was "too late" and ended the search, while eight other shards worked on for nobody. That work is what made the queues long.

A search of which too many parts would come too late is now refused as not run before anything is sent, with the time after which enough queues are short; only after a queue was seen to be too long in the last second, so that calm hosts pay nothing. A retry that is too late takes the place of a part that may be missing, or goes out if the part is needed: a late answer is worth more than none.

--- a/greengagedale/gateway/fetches.py
+++ b/greengagedale/gateway/fetches.py
@@ -287,10 +287,14 @@
                 self._retry_after_ms = int(opens_in_ms)
             return outcomes.Reason.NO_REPLICA
         upstream = choice.upstream
-        if self._is_too_late(choice, now_ms) and (
-            what != "attempt" or self._slack.take()
+        if is_too_late(choice, self._useful_until_ms, now_ms) and (
+            what == "hedge" or self._slack.take()
         ):
             # What would be answered too late only lengthens the queue.
+            if is_too_late(
+                choice, self._useful_until_ms, self._call.received_ms
+            ):
+                tools.scores.note_flood(now_ms)
             tools.metrics.refusals.inc("too_late", what)
             self._retry_after_ms = int(
                 choice.queued_ms - (self._useful_until_ms - now_ms)
@@ -343,10 +347,6 @@
         arrived_ms = self._tools.clock.now_ms() + ON_THE_WAY_MS
         self._budget.settle(arrived_ms)
 
-    def _is_too_late(self, choice: scores_lib.Choice, now_ms: float) -> bool:
-        left_ms = max(0.0, self._useful_until_ms - now_ms)
-        return choice.queued_ms > TOO_LATE_FACTOR * left_ms
-
     def _reserve_share(self, what: str) -> float:
         """Returns the part of the burst that an attempt leaves to others."""
         share = PRIORITY_RESERVE_SHARE if self._plan.priority > 1 else 0.0
@@ -454,6 +454,14 @@
         )
 
 
+def is_too_late(
+    choice: scores_lib.Choice, useful_until_ms: float, now_ms: float
+) -> bool:
+    """Tells whether an answer is likely to come when it is of no use."""
+    left_ms = max(0.0, useful_until_ms - now_ms)
+    return choice.queued_ms > TOO_LATE_FACTOR * left_ms
+
+
 async def _end_in_time(task: _Task) -> None:
     await asyncio.wait([task], timeout=LOSER_MS / _MS_PER_S)
     task.cancel()
--- a/greengagedale/gateway/runner.py
+++ b/greengagedale/gateway/runner.py
@@ -157,6 +157,9 @@
         cutoff_ms = call.received_ms + _cutoff_after_ms(
             plan.aim_ms, self._waited_ms(call, plan)
         )
+        refusal = self._refusal_by_queues(plan, fanout, held, cutoff_ms)
+        if refusal is not None:
+            return refusal
         # Shards that are down will be missing; only the rest may be left out.
         slack = fetches.Slack(max(0, spare))
         fetching = [
@@ -187,6 +190,45 @@
             )
         return self._merged(plan, fanout, parts.answers)
 
+    def _refusal_by_queues(
+        self,
+        plan: plans.Plan,
+        fanout: plans.Fanout,
+        shards: list[str],
+        cutoff_ms: float,
+    ) -> outcomes.NotRun | None:
+        """Refuses a search of which too many parts would come too late.
+
+        Otherwise the other shards would work for a search that fails.
+        """
+        scores = self._tools.scores
+        now_ms = self._tools.clock.now_ms()
+        if not scores.may_be_flooded(now_ms):
+            return None
+        usual_ms = self.pace_of(plan).usual_ms()
+        choices = (
+            scores.choose(self._tools.candidates(shard), usual_ms)
+            for shard in shards
+            if self._answers(shard)
+        )
+        waits_ms = [
+            choice.queued_ms - (cutoff_ms - now_ms)
+            if fetches.is_too_late(choice, cutoff_ms, now_ms)
+            else 0.0
+            for choice in choices
+            if choice is not None
+        ]
+        if len(waits_ms) < fanout.least_parts:
+            # Shards are down; this search goes out to find out about them.
+            return None
+        wait_ms = sorted(waits_ms)[fanout.least_parts - 1]
+        if wait_ms <= 0.0:
+            return None
+        scores.note_flood(now_ms)
+        return outcomes.NotRun(
+            outcomes.Reason.OVERLOADED, max(RETRY_AFTER_MS, int(wait_ms))
+        )
+
     def _waited_ms(self, call: calls.Call, plan: plans.Plan) -> float:
         """Returns how long a caller had waited when it sent its request."""
         if call.deadline_ms is None:
--- a/greengagedale/gateway/scores.py
+++ b/greengagedale/gateway/scores.py
@@ -40,6 +40,9 @@
 # An upstream that fell silent, or could not be reached, is held for silent
 # until it answers, or for this long.
 _SILENCE_HOLD_MS = 3000.0
+# Queues that were too long lately may still be; longer than what upstreams say
+# of their load is used.
+_FLOOD_MS = 1000.0
 # Scores this close are equal; one of them is drawn.
 _TIE_SHARE = 0.1
 
@@ -207,6 +210,7 @@
         self._clock = clock
         self._rng = rng
         self._scores: dict[tuple[str, int], Score] = {}
+        self._flooded_ms = float("-inf")
 
     def of(self, upstream: entries.Upstream) -> Score:
         """Returns the score of an upstream's present life."""
@@ -225,6 +229,14 @@
             if life in lives or score.running
         }
 
+    def note_flood(self, now_ms: float) -> None:
+        """Takes in that a queue was too long for an attempt."""
+        self._flooded_ms = now_ms
+
+    def may_be_flooded(self, now_ms: float) -> bool:
+        """Tells whether any queue was too long lately."""
+        return now_ms - self._flooded_ms < _FLOOD_MS
+
     def is_down(self, upstreams: Iterable[entries.Upstream]) -> bool:
         """Tells whether none of these upstreams answers."""
         now_ms = self._clock.now_ms()
