Request lines say whether they may be repeated, and their attempts' limit

On call, a failed request without a second attempt had no word why. Lines carry may_repeat and max_attempts; a search's steps say how long its caller had waited before, and how many shards' queues refused it.

--- a/greengagedale/gateway/edge.py
+++ b/greengagedale/gateway/edge.py
@@ -196,6 +196,8 @@
             "request",
             request_id=call.request_id,
             route=plan.name,
+            may_repeat=plan.is_idempotent,
+            max_attempts=plan.max_attempts,
             version=version,
             upstreams_version=self._registry.version,
             outcome=tag,
--- a/greengagedale/gateway/runner.py
+++ b/greengagedale/gateway/runner.py
@@ -154,10 +154,12 @@
         spare = sum(map(self._answers, held)) - fanout.least_parts
         if spare < 0 and not self._may_probe(plan):
             return outcomes.NotRun(outcomes.Reason.NO_PROGRESS, int(PROBE_MS))
-        cutoff_ms = call.received_ms + _cutoff_after_ms(
-            plan.aim_ms, self._waited_ms(call, plan)
-        )
-        refusal = self._refusal_by_queues(plan, fanout, held, cutoff_ms)
+        waited_ms = self._waited_ms(call, plan)
+        if waited_ms > 0.0:
+            steps.append(_step("waited", f"{waited_ms:.0f} ms before"))
+        after_ms = _cutoff_after_ms(plan.aim_ms, waited_ms)
+        cutoff_ms = call.received_ms + after_ms
+        refusal = self._refusal_by_queues(plan, fanout, held, cutoff_ms, steps)
         if refusal is not None:
             return refusal
         # Shards that are down will be missing; only the rest may be left out.
@@ -196,6 +198,7 @@
         fanout: plans.Fanout,
         shards: list[str],
         cutoff_ms: float,
+        steps: list[fetches.Step],
     ) -> outcomes.NotRun | None:
         """Refuses a search of which too many parts would come too late.
 
@@ -225,6 +228,8 @@
         if wait_ms <= 0.0:
             return None
         scores.note_flood(now_ms)
+        late = sum(wait_ms > 0.0 for wait_ms in waits_ms)
+        steps.append(_step("too late", f"queues of {late} shards"))
         return outcomes.NotRun(
             outcomes.Reason.OVERLOADED, max(RETRY_AFTER_MS, int(wait_ms))
         )
@@ -387,6 +392,11 @@
         return outcomes.of_attempts(ends, reason, retry_after_ms)
 
 
+def _step(what: str, reason: str) -> fetches.Step:
+    """Returns what was found out about a request when it came."""
+    return fetches.Step(0.0, what, "", "", reason)
+
+
 def _cutoff_after_ms(aim_ms: float, waited_ms: float) -> float:
     """Returns the age at which an answer with enough parts goes out.
 
