Mutations of the new mechanisms

Each turns its check red: notices of upstreams, entries that vanish, answers without end, refusals without an id, long queues, callers' clocks.

--- a/tests/gateway/test_mutations.py
+++ b/tests/gateway/test_mutations.py
@@ -24,9 +24,11 @@
 from greengagedale.gateway import fetches
 from greengagedale.gateway import fleet
 from greengagedale.gateway import notices
+from greengagedale.gateway import pacing
 from greengagedale.gateway import plans
 from greengagedale.gateway import registry
 from greengagedale.gateway import roster
+from greengagedale.gateway import runner
 from greengagedale.gateway import scores
 from greengagedale.gateway import source
 from greengagedale.gateway import stopping
@@ -275,6 +277,94 @@
     return isinstance(outcome, outcomes.NotRun)
 
 
+async def what_upstreams_say_binds():
+    """An upstream that says that it leaves gets nothing new."""
+    bench = Bench()
+    bench.add("a")
+    leaving = notices.Notice(is_leaving=True, hold_ms=0.0)
+    bench.notices.hear(bench.upstreams["s"][0], leaving)
+    await bench.run(single())
+    return bench.link.sent == []
+
+
+async def few_that_vanish_have_left():
+    """One entry that vanishes around an outage is not kept in use."""
+    held = registry.Registry(clocks.ManualClock(10_000.0))
+    listed = [upstream(name) for name in "abcde"]
+    held.apply_list(source.UpstreamsListed(listed, 5))
+    held.note_trouble()
+    gone = source.UpstreamChange("a", None)
+    held.apply_changes(source.UpstreamsChanged([gone], 6))
+    return "a" not in [each.name for each in held.of_service("s")]
+
+
+async def answers_have_an_end():
+    """A body that is longer than allowed is not read to its end."""
+    connection = client.Connection(client.ReplyLimits(max_body_bytes=100))
+    connection.connection_made(_Transport())
+    waiting = asyncio.ensure_future(connection.exchange(b""))
+    await asyncio.sleep(0)
+    connection.data_received(b"HTTP/1.1 200 OK\r\n\r\n")
+    for _ in range(10):
+        connection.data_received(b"b" * 100)
+    await asyncio.sleep(0.01)
+    is_broken_off = waiting.done()
+    waiting.cancel()
+    return is_broken_off
+
+
+async def nameless_refusals_may_be_copies():
+    """Only the first answer on a connection needs no request's id."""
+    refusal = messages.Reply(503, ((b"not-executed", b"1"),), b"", True)
+    return not upstreams.names_request(refusal)
+
+
+async def flooded_searches_are_not_sent():
+    """Nothing is sent for a search that queues make late."""
+    bench = Bench()
+    for shard in "abc":
+        bench.add(shard, shard)
+        score = bench.tools.scores.of(bench.upstreams[shard][0])
+        score.note_load(calls.Load(2, 60, 2), bench.clock.now_ms())
+    bench.tools.scores.note_flood(bench.clock.now_ms())
+    await bench.run(fanout("abc"))
+    return bench.link.sent == []
+
+
+async def callers_clocks_count():
+    """A caller that has waited is answered sooner."""
+    bench = Bench(burst=0.0, ratio=0.0)
+    bench.add("a", "a")
+    bench.add("still", "still", [(400.0, None)] * 9)
+    plan = fanout(["a", "still"])
+    await bench.run(plan, left_ms=1000.0)
+    began_ms = bench.clock.now_ms()
+    await bench.run(plan, left_ms=970.0)
+    return bench.clock.now_ms() - began_ms < 75.0
+
+
+class _Transport:
+    """A transport that takes everything."""
+
+    def get_extra_info(self, name):
+        del name
+
+    def get_write_buffer_size(self):
+        return 0
+
+    def is_closing(self):
+        return False
+
+    def write(self, data):
+        del data
+
+    def abort(self):
+        pass
+
+    def close(self):
+        pass
+
+
 def return_at_once(self, tokens, now_ms):
     del now_ms
     self._saved += tokens
@@ -308,6 +398,42 @@
 
 
 MUTATIONS = {
+    "ignore_notices": (
+        what_upstreams_say_binds,
+        notices.Notices,
+        "takes_work",
+        always(True),
+    ),
+    "keep_what_vanishes": (
+        few_that_vanish_have_left,
+        registry,
+        "LAPSED_SHARE",
+        0.0,
+    ),
+    "read_without_end": (
+        answers_have_an_end,
+        client.Connection,
+        "_check_size",
+        always(None),
+    ),
+    "trust_nameless_refusals": (
+        nameless_refusals_may_be_copies,
+        upstreams,
+        "names_request",
+        always(True),
+    ),
+    "send_into_queues": (
+        flooded_searches_are_not_sent,
+        runner.Runner,
+        "_refusal_by_queues",
+        always(None),
+    ),
+    "cut_by_own_clock": (
+        callers_clocks_count,
+        pacing.Pace,
+        "waited_ms",
+        always(0.0),
+    ),
     "drop_lengths": (
         nothing_is_smuggled,
         messages,
