Added hosts take a share of the burst once the others divide by them

Hosts that are new on the list join at first: the others divide by them at once, they keep the share of a host that is not listed until every sharing host is heard to go by that list (hosts tell its revision with their sightings), or has had 60 s, twice the time after which one that hears of nobody drops its share. Restarts change no name and so wait for nothing; the first list of a fleet has nobody to wait for. Price: one more write for each group of hosts that is added.

Ruled out: waiting on each host for all others to confirm (every restart beside a lost host would wait for 30 s).

--- a/greengagedale/gateway/daemon.py
+++ b/greengagedale/gateway/daemon.py
@@ -84,9 +84,11 @@
         self,
         settings: config.GatewaySettings,
         registry: registry_lib.Registry,
+        roster: roster_lib.Roster,
     ) -> None:
         self._settings = settings
         self._registry = registry
+        self._roster = roster
         self._incarnation = int(time.time() * _MS_PER_S)
         self._beat = 0
         self.reader: reader_lib.Reader | None = None
@@ -110,6 +112,7 @@
             self._registry.is_ready,
             self.is_leaving,
             -1.0 if self.reader is None else self.reader.read_age_ms,
+            self._roster.listed.revision,
         )
         return fleet_lib.HostState(address, sighting)
 
@@ -145,7 +148,7 @@
         self._roster = roster_lib.Roster(settings.host.name, clock)
         self._crashes = crashes_lib.Crashes(clock)
         self._notices = notices_lib.Notices(clock)
-        self._own = _OwnState(settings, self._registry)
+        self._own = _OwnState(settings, self._registry, self._roster)
         self._store = store_lib.PlatformStore.from_config(
             settings.platform.endpoint,
             settings.platform.timeout_ms,
@@ -285,9 +288,14 @@
             self._fleet, self._settings.host.name, ahead, self._clock
         )
 
-    def _alive(self) -> list[str]:
-        others = [state.name for state in self._fleet.alive()]
-        return [self._settings.host.name, *others]
+    def _alive(self) -> dict[str, int]:
+        """Returns the living hosts and the list of hosts that each goes by."""
+        own = {self._settings.host.name: self._roster.listed.revision}
+        others = {
+            state.name: state.sighting.roster_revision
+            for state in self._fleet.alive()
+        }
+        return {**others, **own}
 
     def _hosts(self) -> int:
         listed = len(self._roster.listed.hosts)
--- a/greengagedale/gateway/fleet.py
+++ b/greengagedale/gateway/fleet.py
@@ -54,6 +54,7 @@
         is_leaving: Whether it is on its way out.
         read_age_ms: Age of its own last word from the store as it said this;
             negative if it does not read the store.
+        roster_revision: Revision of the list of hosts that it goes by.
     """
 
     name: str
@@ -62,6 +63,7 @@
     is_ready: bool
     is_leaving: bool
     read_age_ms: float
+    roster_revision: int
 
 
 class HostState(NamedTuple):
--- a/greengagedale/gateway/reader.py
+++ b/greengagedale/gateway/reader.py
@@ -42,7 +42,7 @@
         registry: registry_lib.Registry,
         turns: turns_lib.ReadingTurns,
         roster: roster_lib.Roster,
-        alive: Callable[[], list[str]],
+        alive: Callable[[], dict[str, int]],
         on_change: Callable[[], None],
         clock: clocks.Clock,
     ) -> None:
@@ -53,7 +53,8 @@
             registry: What to keep up to date.
             turns: Tells whether this host should read.
             roster: Which hosts there are.
-            alive: Returns the names of hosts that are heard of, with this one.
+            alive: Returns the hosts that are heard of, with this one, and the
+                revision of the list of hosts that each goes by.
             on_change: Called after anything has changed.
             clock: Clock of the process.
         """
@@ -201,12 +202,10 @@
         if self._stored is None:
             got = await self._source.read_roster()
         else:
-            hosts = self._keeper.due(self._stored, self._alive())
-            if hosts is None:
+            wanted = self._keeper.due(self._stored, self._alive())
+            if wanted is None:
                 return
-            got = await self._source.write_roster(
-                self._stored._replace(hosts=hosts)
-            )
+            got = await self._source.write_roster(wanted)
         if isinstance(got, source_lib.Unavailable):
             log.warning("hosts not listed", extra={"reason": got.detail})
             # The answer may be lost, or another host may have written.
--- a/greengagedale/gateway/roster.py
+++ b/greengagedale/gateway/roster.py
@@ -5,9 +5,14 @@
 the others they happen to hear of would reckon with different numbers, and
 those that are cut off with the lowest. They go by a list in the platform's
 store instead, which the host that reads the store keeps.
+
+A host that is new on the list joins at first: the others divide by it at once,
+but it takes a full share only once they are known to do so, or have dropped
+their shares. Shares then add up to no more than the bound though each host
+learns of the list at a time of its own, or not at all.
 """
 
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 import logging
 from typing import NamedTuple
 
@@ -33,10 +38,17 @@
     Attributes:
         revision: Revision of the store that wrote the list; 0 if there is none.
         hosts: Names of the hosts, in order.
+        joining: Those of them that have no full share yet.
     """
 
     revision: int
     hosts: tuple[str, ...]
+    joining: tuple[str, ...] = ()
+
+    @property
+    def sharing(self) -> frozenset[str]:
+        """Names of the hosts that have a full share."""
+        return frozenset(self.hosts).difference(self.joining)
 
 
 NONE_LISTED = Listed(0, ())
@@ -66,7 +78,8 @@
             extra={
                 "revision": listed.revision,
                 "hosts": len(listed.hosts),
-                "is_listed": self._own_name in listed.hosts,
+                "joining": len(listed.joining),
+                "has_share": self._own_name in listed.sharing,
             },
         )
         return True
@@ -86,8 +99,8 @@
     def share_of(self, burst: float) -> float:
         """Returns this host's share of a burst that is for all hosts."""
         unconfirmed_ms = self._clock.now_ms() - self._confirmed_ms
-        is_listed = self._own_name in self.listed.hosts
-        if not is_listed or unconfirmed_ms > LAPSE_MS:
+        has_share = self._own_name in self.listed.sharing
+        if not has_share or unconfirmed_ms > LAPSE_MS:
             return min(UNLISTED_SHARE, UNLISTED_PART * burst)
         return (1.0 - UNLISTED_PART) * burst / len(self.listed.hosts)
 
@@ -98,19 +111,21 @@
     def __init__(self, clock: clocks.Clock) -> None:
         self._clock = clock
         self._heard_ms: dict[str, float] = {}
+        self._revision = 0
+        self._listed_ms = float("-inf")
 
     def start_turn(self) -> None:
         """Forgets when hosts were heard of, as this host did not look."""
         self._heard_ms.clear()
+        self._revision = 0
 
-    def due(
-        self, listed: Listed, alive: Collection[str]
-    ) -> tuple[str, ...] | None:
-        """Returns the hosts to list, or None if the list is right.
+    def due(self, listed: Listed, alive: Mapping[str, int]) -> Listed | None:
+        """Returns the list to write, or None if it is right.
 
         Args:
             listed: The list in the store.
-            alive: Names of the hosts that are heard of, with this one.
+            alive: The hosts that are heard of, with this one, and the revision
+                of the list that each goes by.
         """
         now_ms = self._clock.now_ms()
         for name in listed.hosts:
@@ -121,5 +136,29 @@
             for name in listed.hosts
             if now_ms - self._heard_ms[name] < GONE_AFTER_MS
         )
-        wanted = tuple(sorted({*staying, *alive}))
-        return None if wanted == listed.hosts else wanted
+        hosts = tuple(sorted({*staying, *alive}))
+        wanted = listed._replace(
+            hosts=hosts, joining=self._joining(listed, hosts, alive)
+        )
+        return None if wanted == listed else wanted
+
+    def _joining(
+        self, listed: Listed, hosts: tuple[str, ...], alive: Mapping[str, int]
+    ) -> tuple[str, ...]:
+        """Returns which of the hosts have no full share yet."""
+        now_ms = self._clock.now_ms()
+        if listed.revision != self._revision:
+            self._revision = listed.revision
+            self._listed_ms = now_ms
+        if not listed.hosts:
+            # Nobody has had a share before.
+            return ()
+        all_know = all(
+            alive.get(name, -1) >= listed.revision for name in listed.sharing
+        )
+        if all_know or now_ms - self._listed_ms > GONE_AFTER_MS:
+            waiting: frozenset[str] = frozenset()
+        else:
+            waiting = frozenset(listed.joining)
+        new = frozenset(hosts).difference(listed.hosts)
+        return tuple(name for name in hosts if name in waiting | new)
--- a/greengagedale/platform/documents.py
+++ b/greengagedale/platform/documents.py
@@ -87,6 +87,7 @@
 
 class _RosterSpec(msgspec.Struct):
     hosts: list[str]
+    joining: list[str] = []
 
 
 class Roster(msgspec.Struct):
@@ -98,7 +99,9 @@
     @property
     def listed(self) -> roster.Listed:
         """The list that it holds."""
-        return roster.Listed(self.meta.revision, tuple(self.spec.hosts))
+        return roster.Listed(
+            self.meta.revision, tuple(self.spec.hosts), tuple(self.spec.joining)
+        )
 
 
 def encode_roster(name: str, listed: roster.Listed) -> bytes:
@@ -112,7 +115,8 @@
     if listed.revision:
         # The store refuses to replace an object of another revision.
         meta["revision"] = listed.revision
-    return msgspec.json.encode({"meta": meta, "spec": {"hosts": listed.hosts}})
+    spec = {"hosts": listed.hosts, "joining": listed.joining}
+    return msgspec.json.encode({"meta": meta, "spec": spec})
 
 
 def decode_routes(document: Any) -> plans.Routes | None:
--- a/tests/gateway_scripts.py
+++ b/tests/gateway_scripts.py
@@ -47,6 +47,7 @@
         "is_ready": True,
         "is_leaving": False,
         "read_age_ms": -1.0,
+        "roster_revision": 0,
         **fields,
     }
     return fleet.HostState(
