--- a/proofs/gateway_soak.py
+++ b/proofs/gateway_soak.py
@@ -39,12 +39,9 @@
 # Extra attempts are scarce here, and several lives of hosts fit in a window, so
 # that each spends what there is.
 ALLOWANCE = budgets.Allowance(window_ms=8000.0, ratio=0.005, burst=12.0)
-BOUNDS = {
-    **users_site.BOUNDS,
-    "budgetWindowS": ALLOWANCE.window_ms / 1000.0,
-    "budgetRatio": ALLOWANCE.ratio,
-    "budgetBurst": ALLOWANCE.burst,
-}
+# A life of a host lasts for some of these windows, so that it has something to
+# spend: a new process has nothing in its first window.
+SHORT_ALLOWANCE = ALLOWANCE._replace(window_ms=1500.0)
 _FAULT_S = (0.3, 2.5)
 _PAUSE_S = (0.1, 0.8)
 _SPENDING_S = (0.3, 1.0)
@@ -91,11 +88,17 @@
         least_left: Extra attempts that were left in the tightest window.
     """
 
-    def __init__(self, site: users_site.Site, seed: int) -> None:
+    def __init__(
+        self,
+        site: users_site.Site,
+        seed: int,
+        allowance: budgets.Allowance = ALLOWANCE,
+    ) -> None:
         self.violations: list[str] = []
         self.counts: collections.Counter[str] = collections.Counter()
         self.least_left = float("inf")
         self._site = site
+        self._allowance = allowance
         self._rng = random.Random(seed)
         # Of its own, so that the other faults of a seed stay as they are.
         self._own_rng = random.Random(f"{seed} budgets")
@@ -429,7 +432,7 @@
             excess = budgets.worst_excess(
                 requests_ms,
                 budgets.extras_of(arrivals),
-                ALLOWANCE,
+                self._allowance,
             )
             self.least_left = min(self.least_left, -excess)
             if excess > 0.0:
@@ -476,10 +479,21 @@
                 self._violate(f"{host.name} does not serve again: {reply}")
 
 
-async def run_seed(seed: int, duration_s: float, folder: pathlib.Path) -> Soak:
+async def run_seed(
+    seed: int,
+    duration_s: float,
+    folder: pathlib.Path,
+    allowance: budgets.Allowance = ALLOWANCE,
+) -> Soak:
     """Runs one seed on a site of its own."""
-    async with users_site.running_site(folder, HOSTS, REPLICAS, BOUNDS) as site:
-        soak = Soak(site, seed)
+    bounds = {
+        **users_site.BOUNDS,
+        "budgetWindowS": allowance.window_ms / 1000.0,
+        "budgetRatio": allowance.ratio,
+        "budgetBurst": allowance.burst,
+    }
+    async with users_site.running_site(folder, HOSTS, REPLICAS, bounds) as site:
+        soak = Soak(site, seed, allowance)
         await soak.run(duration_s)
         return soak
 
@@ -488,6 +502,9 @@
     seed: Annotated[int, typer.Option(help="First seed.")] = 1,
     count: Annotated[int, typer.Option(help="How many seeds.")] = 10,
     run_s: Annotated[float, typer.Option(help="Length of each run.")] = 20.0,
+    window_s: Annotated[
+        float, typer.Option(help="Window of the budget of extra attempts.")
+    ] = ALLOWANCE.window_ms / 1000.0,
     keep: Annotated[
         pathlib.Path | None, typer.Option(help="Where logs are kept.")
     ] = None,
@@ -495,13 +512,14 @@
     """Run seeds, print what each found and a summary."""
     counts: collections.Counter[str] = collections.Counter()
     failed = []
+    allowance = ALLOWANCE._replace(window_ms=1000.0 * window_s)
     for number in range(seed, seed + count):
         with tempfile.TemporaryDirectory() as scratch:
             folder = pathlib.Path(scratch)
             if keep is not None:
                 folder = keep / str(number)
                 folder.mkdir(parents=True, exist_ok=True)
-            done = loops.run(run_seed(number, run_s, folder))
+            done = loops.run(run_seed(number, run_s, folder, allowance))
         typer.echo(
             f"seed {number}: {len(done.violations)}"
             f" (extras left {done.least_left:.1f})"
--- a/tests/proofs/test_gateway_soak.py
+++ b/tests/proofs/test_gateway_soak.py
@@ -34,6 +34,14 @@
     assert done.least_left >= 0.0
 
 
+# Guards against a check of the budget that no host has the means to break.
+async def test_lives_of_hosts_that_spend_stay_within_the_budget(tmp_path):
+    done = await gateway_soak.run_seed(
+        404, 8.0, tmp_path, gateway_soak.SHORT_ALLOWANCE
+    )
+    assert done.least_left >= 0.0
+
+
 class _Upstream:
     def __init__(self, body=b"x" * 16):
         self.body = body
