Hosts that know nobody wait before they read the store

A host that knows of no other leaves a step to each seed that does not refuse; at a start seeds don't listen yet, so all read at once.

Hosts that are no seeds now wait 5 to 12 steps of 0.1 s, by their name, for as long as they know of no other; they serve from stale copies meanwhile. If no seed lives the first host reads after 0.5 s, the last after 1.2 s, as before the first reader was lost.

--- a/greengagedale/gateway/daemon.py
+++ b/greengagedale/gateway/daemon.py
@@ -285,7 +285,11 @@
         own = self._settings.gateway.peer_endpoint
         ahead = seeds[: seeds.index(own)] if own in seeds else seeds
         return turns_lib.ReadingTurns(
-            self._fleet, self._settings.host.name, ahead, self._clock
+            self._fleet,
+            self._settings.host.name,
+            ahead,
+            self._clock,
+            is_seed=own in seeds,
         )
 
     def _alive(self) -> dict[str, int]:
--- a/greengagedale/gateway/turns.py
+++ b/greengagedale/gateway/turns.py
@@ -9,6 +9,8 @@
 
 from collections.abc import Sequence
 
+import xxhash
+
 from greengagedale import clocks
 from greengagedale.gateway import fleet as fleet_lib
 
@@ -18,6 +20,9 @@
 # Hosts further back than this don't wait longer; most changes of the reader
 # must be over well within the 3 s that a change may take to be known.
 MOST_STEPS = 12
+# Hosts of a fleet start within about 0.3 s and hear of each other in as much;
+# those that know nobody yet, and that none knows beforehand, wait for longer.
+LEAST_STEPS_OF_STRANGERS = 5
 # From so many hosts that read in vain on, the store itself was in trouble.
 _STORE_TROUBLE_HOSTS = 2
 
@@ -31,6 +36,7 @@
         own_name: str,
         seeds_ahead: Sequence[str],
         clock: clocks.Clock,
+        is_seed: bool = True,
     ) -> None:
         """Makes the turns of a host.
 
@@ -40,9 +46,11 @@
             seeds_ahead: Endpoints of hosts that read before this one as long
                 as no other is known to live.
             clock: Clock of the process.
+            is_seed: Whether others know of this host beforehand.
         """
         self._fleet = fleet
         self._own_name = own_name
+        self._steps_of_stranger = 0 if is_seed else _steps_of(own_name)
         self._seeds_ahead = seeds_ahead
         self._clock = clock
         self._unread_since_ms: float | None = None
@@ -80,6 +88,15 @@
         others = self._fleet.staying()
         if others:
             return sum(state.name < self._own_name for state in others)
-        return sum(
+        seeds = sum(
             not self._fleet.refuses(endpoint) for endpoint in self._seeds_ahead
         )
+        return max(seeds, self._steps_of_stranger)
+
+
+def _steps_of(name: str) -> int:
+    """Returns for how many steps a host waits that knows of no other."""
+    span = MOST_STEPS - LEAST_STEPS_OF_STRANGERS + 1
+    return (
+        LEAST_STEPS_OF_STRANGERS + xxhash.xxh32_intdigest(name.encode()) % span
+    )
--- a/tests/gateway/test_turns.py
+++ b/tests/gateway/test_turns.py
@@ -3,6 +3,7 @@
 from gateway_scripts import host_state
 import pytest
 
+from greengagedale import clocks
 from greengagedale.gateway import fleet as fleet_lib
 from greengagedale.gateway import turns as turns_lib
 
@@ -79,3 +80,27 @@
     assert not turns.is_store_in_trouble
     fleet.hear(host_state("b", read_age_ms=STALE_MS))
     assert turns.is_store_in_trouble
+
+
+# Pattern: 79 hosts that start at once. 63 of them read the store at the same
+# moment, as their seeds did not listen yet: 377 calls within two seconds.
+def test_hosts_that_start_together_leave_the_store_to_seeds():
+    seeds = ["s1:2", "s2:2", "s3:2"]
+    steps = []
+    for number in range(79):
+        clock = clocks.ManualClock()
+        others = fleet_lib.Fleet(f"h{number}", clock)
+        for seed in seeds:
+            others.note_refused(seed)
+        turn = turns_lib.ReadingTurns(
+            others, f"h{number}", seeds, clock, is_seed=False
+        )
+        steps.append(steps_until_turn(turn, clock))
+    assert min(steps) >= turns_lib.LEAST_STEPS_OF_STRANGERS
+    assert max(steps) <= turns_lib.MOST_STEPS
+    assert max(steps.count(step) for step in steps) <= 20
+
+
+def test_seed_that_starts_reads_at_once(fleet, clock):
+    turn = turns_lib.ReadingTurns(fleet, "m", [], clock, is_seed=True)
+    assert turn.is_mine(NOT_READING_MS)
