Background work begins anew after an unexpected error

What ended a process for one unexpected error is closed: exchanges, reading and upkeep begin anew, with a line, and the process ends only if they fail six times with less than 10 s of work in between.

The test of memory beside endless answers failed once in four runs: it pressed before the route to them was in force.

--- a/greengagedale/gateway/daemon.py
+++ b/greengagedale/gateway/daemon.py
@@ -30,6 +30,7 @@
 from greengagedale.gateway import scores as scores_lib
 from greengagedale.gateway import splits
 from greengagedale.gateway import stopping
+from greengagedale.gateway import supervision
 from greengagedale.gateway import turns as turns_lib
 from greengagedale.http1 import client
 from greengagedale.http1 import messages
@@ -245,12 +246,12 @@
             if endpoint is not None:
                 await _listen(stack, each, endpoint)
         for work in (
-            self._exchange.run(),
-            self._reader.run(),
-            self._keep_up(),
-            self._tick(),
+            self._exchange.run,
+            self._reader.run,
+            self._keep_up,
+            self._tick,
         ):
-            _keep(stack, work)
+            _keep(stack, supervision.supervise(work))
 
     async def leave(self, grace_s: float) -> None:
         """Leaves without cutting a request; see `stopping`."""
@@ -341,11 +342,8 @@
     async def _keep_up(self) -> None:
         while True:
             await asyncio.sleep(_UPKEEP_S)
-            try:
-                self._share_burst()
-                self._forget_old()
-            except Exception:
-                log.exception("upkeep failed")
+            self._share_burst()
+            self._forget_old()
 
     def _forget_old(self) -> None:
         """Drops what is kept for upstreams and routes that are gone."""
@@ -405,7 +403,7 @@
 
 
 def _check_end(task: "asyncio.Task[None]") -> None:
-    """Ends the process if work that must go on has failed.
+    """Ends the process if work that must go on has failed for good.
 
     A host that no longer learns or tells anything would serve ever older
     knowledge; a new process starts afresh.
--- /dev/null
+++ b/tests/gateway/test_supervision.py
@@ -0,0 +1,62 @@
+"""Background work goes on past unexpected errors."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from greengagedale.gateway import supervision
+
+
+@pytest.fixture(autouse=True)
+def quick(monkeypatch):
+    monkeypatch.setattr(supervision, "RESTART_PAUSE_S", 0.001)
+
+
+# Guards against a process that ends for one unexpected error.
+async def test_work_that_fails_once_begins_anew(caplog):
+    runs = []
+
+    async def work():
+        runs.append(len(runs))
+        if len(runs) == 1:
+            raise KeyError("a fault")
+        await asyncio.Event().wait()
+
+    task = asyncio.create_task(supervision.supervise(work))
+    await asyncio.sleep(0.05)
+    assert len(runs) == 2
+    assert not task.done()
+    assert [each.message for each in caplog.records] == [
+        "background work begins anew"
+    ]
+    task.cancel()
+    with contextlib.suppress(asyncio.CancelledError):
+        await task
+
+
+async def test_work_that_keeps_failing_ends_with_its_error():
+    async def work():
+        raise KeyError("a fault")
+
+    with pytest.raises(KeyError):
+        await supervision.supervise(work)
+
+
+async def test_failures_far_apart_do_not_add_up(monkeypatch):
+    monkeypatch.setattr(supervision, "STEADY_RUN_S", 0.0)
+    runs = 0
+
+    async def work():
+        nonlocal runs
+        runs += 1
+        if runs <= 3 * supervision.MOST_FAILURES:
+            raise KeyError("a fault")
+        await asyncio.Event().wait()
+
+    task = asyncio.create_task(supervision.supervise(work))
+    async with asyncio.timeout(5.0):
+        while runs <= 3 * supervision.MOST_FAILURES:
+            await asyncio.sleep(0.005)
+    assert not task.done()
+    task.cancel()
--- a/tests/integration/test_gateway.py
+++ b/tests/integration/test_gateway.py
@@ -262,7 +262,15 @@
 async def test_memory_is_bounded_beside_upstreams_that_answer_without_end(site):
     host = site.hosts[0]
     before_mib = await searched(host)
+
+    async def is_tried():
+        reply = await host.get(
+            pouring.PATH, request_id="first", deadline_ms=3000
+        )
+        return getattr(reply, "status", 0) == 502
+
     async with pouring.listed(site, 20), asyncio.TaskGroup() as group:
+        await until(is_tried)
         for number in range(100):
             asked = host.get(
                 pouring.PATH, request_id=f"p{number}", deadline_ms=3000
