--- a/greengagedale/http1/client.py
+++ b/greengagedale/http1/client.py
@@ -21,8 +21,8 @@
 
 Accept = Callable[[messages.Reply], bool]
 
-# Answers that may be passed over while one request waits for its own; an
-# upstream was seen to repeat one answer.
+# Answers to other requests that may be passed over while one waits for its own;
+# upstreams may send an extra one late, and repeat it.
 MOST_PASSED_OVER = 4
 _INFORMATIONAL = range(100, 200)
 _BODILESS = frozenset({204, 304})
