--- a/bench/endless.py
+++ b/bench/endless.py
@@ -8,7 +8,7 @@
 from bench import cases
 from bench import overhead
 from greengagedale import loops
-from standins import pouring
+from standins import endless
 from standins import users_site
 
 _UPSTREAMS = 20
@@ -60,7 +60,7 @@
         host = site.hosts[0]
         await _load(host, 2.0)
         before = await _load(host, context.duration_s)
-        async with pouring.listed(site, _UPSTREAMS):
+        async with endless.running(site, _UPSTREAMS):
             pressing = asyncio.create_task(_press(host))
             meanwhile = await _load(host, context.duration_s)
             pressing.cancel()
@@ -90,7 +90,7 @@
     """Sends requests to the upstreams without end, as many as searches."""
     async with asyncio.TaskGroup() as group:
         while True:
-            asked = host.get(pouring.PATH, request_id="p", deadline_ms=_LEFT_MS)
+            asked = host.get(endless.PATH, request_id="p", deadline_ms=_LEFT_MS)
             group.create_task(asked)
             await asyncio.sleep(1.0 / _RATE_PER_S)
 
--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -11,10 +11,10 @@
 from greengagedale import loops
 from standins import bare as bare_lib
 from standins import datagramproxy
+from standins import endless as endless_lib
 from standins import faultproxy
 from standins import member as member_lib
 from standins import platform as platform_lib
-from standins import pouring as pouring_lib
 from standins import records
 from standins import shapes
 from standins import upstream as upstream_lib
@@ -128,11 +128,11 @@
 
 
 @app.command()
-def pouring(
+def endless(
     ports: Annotated[str, typer.Option(help="Ports to answer on, by comma.")],
 ) -> None:
     """Run back ends that answer without end."""
-    loops.run(pouring_lib.serve([int(port) for port in ports.split(",")]))
+    loops.run(endless_lib.serve([int(port) for port in ports.split(",")]))
 
 
 @app.command()
--- a/standins/pouring.py
+++ b/standins/endless.py
@@ -12,8 +12,8 @@
 _ADDRESS = users_site.ADDRESS
 _START_S = 10.0
 _POLL_S = 0.05
-SERVICE = "pouring"
-PATH = "/pour/x"
+SERVICE = "endless"
+PATH = "/endless/x"
 _OK = b"HTTP/1.1 200 OK\r\n"
 # What the answers have without end, after their first bytes.
 KINDS = {
@@ -31,19 +31,19 @@
     """Answers on some ports, each with the next kind, until cancelled."""
     kinds = itertools.cycle(KINDS.values())
     for port, (head, piece) in zip(ports, kinds, strict=False):
-        await asyncio.start_server(_pouring(head, piece), _ADDRESS, port)
+        await asyncio.start_server(_responder(head, piece), _ADDRESS, port)
     await asyncio.Event().wait()
 
 
 @contextlib.asynccontextmanager
-async def listed(site: users_site.Site, count: int) -> AsyncIterator[None]:
+async def running(site: users_site.Site, count: int) -> AsyncIterator[None]:
     """Runs such back ends as a service of a site, with a route to them."""
     ports = [users_site.free_port() for _ in range(count)]
     process = await asyncio.create_subprocess_exec(
         sys.executable,
         "-m",
         "standins",
-        "pouring",
+        "endless",
         "--ports",
         ",".join(map(str, ports)),
         cwd=users_site.ROOT,
@@ -52,11 +52,11 @@
         for port in ports:
             await _listening(port)
         for number, port in enumerate(ports):
-            made = users_upstream.UsersUpstream(f"pouring-{number}", SERVICE)
+            made = users_upstream.UsersUpstream(f"endless-{number}", SERVICE)
             made.port = port
             entry = made.next_entry(_ADDRESS, "ready")
             site.store.put("servers", made.name, entry)
-        route = users_site.route("pour", "/pour/", service=SERVICE)
+        route = users_site.route("endless", "/endless/", service=SERVICE)
         site.store.put("config", "main", users_site.configuration(5, [route]))
         yield
     finally:
@@ -64,10 +64,10 @@
         await process.wait()
 
 
-def _pouring(
+def _responder(
     head: bytes, piece: bytes
 ) -> "asyncio.streams._ClientConnectedCallback":
-    async def pour(
+    async def respond(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
@@ -78,7 +78,7 @@
                 await writer.drain()
         writer.close()
 
-    return pour
+    return respond
 
 
 async def _listening(port: int) -> None:
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -215,22 +215,22 @@
 async def test_answer_without_end_is_broken_off(scripted, what):
     head, piece = ENDLESS[what]
     ended = asyncio.Event()
-    poured = 0
+    sent_bytes = 0
 
-    async def pour(writer):
-        nonlocal poured
+    async def respond(writer):
+        nonlocal sent_bytes
         writer.write(head)
         try:
             while not writer.is_closing():
                 writer.write(piece)
-                poured += len(piece)
+                sent_bytes += len(piece)
                 await writer.drain()
                 await asyncio.sleep(0)
         except ConnectionError:
             pass
         ended.set()
 
-    connection = await scripted(pour, LIMITS)
+    connection = await scripted(respond, LIMITS)
     async with asyncio.timeout(5.0):
         reply = await connection.exchange(REQUEST, is_r1)
         await ended.wait()
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -209,12 +209,12 @@
 async def test_request_whose_framing_has_no_end_is_refused(echo, head, piece):
     reader, writer = await asyncio.open_connection("127.0.0.1", echo.port)
     writer.write(head)
-    poured = 0
+    sent_bytes = 0
     async with asyncio.timeout(5.0):
         try:
-            while poured < 10_000_000:
+            while sent_bytes < 10_000_000:
                 writer.write(piece)
-                poured += len(piece)
+                sent_bytes += len(piece)
                 await writer.drain()
                 if reader.at_eof() or reader._buffer:
                     break
@@ -222,7 +222,7 @@
         except ConnectionError:
             pass
     answer = await reader.read(100)
-    assert answer.startswith(b"HTTP/1.1 431") or poured < 2_000_000
-    assert poured < 10_000_000
+    assert answer.startswith(b"HTTP/1.1 431") or sent_bytes < 2_000_000
+    assert sent_bytes < 10_000_000
     assert echo.seen == []
     writer.close()
--- a/tests/integration/test_gateway.py
+++ b/tests/integration/test_gateway.py
@@ -8,7 +8,7 @@
 
 from bench import overhead
 from greengagedale.http1 import client
-from standins import pouring
+from standins import endless
 from standins.users_site import RECORD
 from standins.users_site import configuration
 from standins.users_site import route
@@ -265,15 +265,15 @@
 
     async def is_tried():
         reply = await host.get(
-            pouring.PATH, request_id="first", deadline_ms=3000
+            endless.PATH, request_id="first", deadline_ms=3000
         )
         return getattr(reply, "status", 0) == 502
 
-    async with pouring.listed(site, 20), asyncio.TaskGroup() as group:
+    async with endless.running(site, 20), asyncio.TaskGroup() as group:
         await until(is_tried)
         for number in range(100):
             asked = host.get(
-                pouring.PATH, request_id=f"p{number}", deadline_ms=3000
+                endless.PATH, request_id=f"p{number}", deadline_ms=3000
             )
             group.create_task(asked)
         meanwhile_mib = await searched(host)
--- a/tests/upstreams/test_http.py
+++ b/tests/upstreams/test_http.py
@@ -150,22 +150,22 @@
 async def test_answer_without_end_is_broken_off(transport, what):
     head, piece = ENDLESS[what]
     ended = asyncio.Event()
-    poured = 0
+    sent_bytes = 0
 
-    async def pour(reader, writer):
-        nonlocal poured
+    async def respond(reader, writer):
+        nonlocal sent_bytes
         await reader.readuntil(b"\r\n\r\n")
         writer.write(head)
         try:
             while True:
                 writer.write(piece)
-                poured += len(piece)
+                sent_bytes += len(piece)
                 await writer.drain()
                 await asyncio.sleep(0)
         except ConnectionError:
             ended.set()
 
-    server = await asyncio.start_server(pour, "127.0.0.1", 0)
+    server = await asyncio.start_server(respond, "127.0.0.1", 0)
     async with server, asyncio.timeout(20.0):
         port = server.sockets[0].getsockname()[1]
         upstream = base.Upstream("u-1", f"127.0.0.1:{port}", "dc-a", 1, 1)
@@ -173,4 +173,4 @@
         await ended.wait()
     assert end.written
     assert not end.refused
-    assert poured < 16 * http_bodies.MOST_UPSTREAM_BYTES
+    assert sent_bytes < 16 * http_bodies.MOST_UPSTREAM_BYTES
