--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -2,41 +2,16 @@
 
 import asyncio
 import contextlib
-import random
 
-from gateway_scripts import host_state
+from gateway_scripts import exchange_of
 import pytest
 
 from greengagedale import clocks
-from greengagedale.gateway import crashes
-from greengagedale.gateway import exchange as exchange_lib
-from greengagedale.gateway import fleet as fleet_lib
-from greengagedale.gateway import notices
 from greengagedale.gateway import registry
-from greengagedale.gateway import roster
 from greengagedale.http1 import messages
 from greengagedale.http1 import server
 
 
-@pytest.fixture
-def make():
-    def exchange_of(seeds):
-        clock = clocks.MonotonicClock()
-        return exchange_lib.Exchange(
-            lambda: host_state("m"),
-            fleet_lib.Fleet("m", clock),
-            registry.Registry(clock),
-            roster.Roster("m", clock),
-            crashes.Crashes(clock),
-            notices.Notices(clock),
-            seeds,
-            clock,
-            random.Random(1),
-        )
-
-    return exchange_of
-
-
 class Peer(server.Handler):
     """Counts what it is asked and answers the same each time."""
 
@@ -51,12 +26,18 @@
 
 # Guards against a process that ends for one malformed message.
 @pytest.mark.parametrize("body", [b"", b"x" * 100, b"x\x9c" + b"\0" * 50])
-async def test_rounds_go_on_beside_peers_that_make_no_sense(make, body):
+async def test_rounds_go_on_beside_peers_that_make_no_sense(body):
     peer = Peer(body)
     listener = server.Server(peer, clocks.MonotonicClock())
     await listener.start("127.0.0.1", 0)
     port = listener._listener.sockets[0].getsockname()[1]
-    made = make(["nowhere", "127.0.0.1:x", f"127.0.0.1:{port}"])
+    clock = clocks.MonotonicClock()
+    made = exchange_of(
+        "m",
+        clock,
+        registry.Registry(clock),
+        seeds=["nowhere", "127.0.0.1:x", f"127.0.0.1:{port}"],
+    )
     running = asyncio.create_task(made.run())
     async with asyncio.timeout(5.0):
         while peer.asked < 3:
--- a/tests/gateway/test_mutations.py
+++ b/tests/gateway/test_mutations.py
@@ -1,12 +1,12 @@
 """Each mechanism is needed: without it, the check of its rule finds a fault."""
 
 import asyncio
-import random
 import time
 import types
 
 from gateway_scripts import Bench
 from gateway_scripts import answer
+from gateway_scripts import exchange_of
 from gateway_scripts import fanout
 from gateway_scripts import host_state
 from gateway_scripts import lost
@@ -206,20 +206,8 @@
     clock = clocks.MonotonicClock()
     knowing, fresh = held_registry(), registry.Registry(clock)
     knowing.apply_routes(plans.Routes(4, (single(),), (), server.Limits()), 6)
-    asked, asking = (
-        exchange.Exchange(
-            lambda name=name: host_state(name),
-            fleet.Fleet(name, clock),
-            held,
-            roster.Roster(name, clock),
-            crashes.Crashes(clock),
-            notices.Notices(clock),
-            [],
-            clock,
-            random.Random(1),
-        )
-        for name, held in (("a", knowing), ("b", fresh))
-    )
+    asked = exchange_of("a", clock, knowing)
+    asking = exchange_of("b", clock, fresh)
     hello = exchange.Hello(host_state("b"), [], 0, 0, fresh.version, 0, [], [])
     asking._learn(asked._news(hello))
     return fresh.is_ready and fresh.routes_version == 4
--- a/tests/gateway/test_notices.py
+++ b/tests/gateway/test_notices.py
@@ -1,10 +1,10 @@
 """What upstreams say of themselves holds until it is over."""
 
 import asyncio
-import random
 
 from gateway_scripts import Bench
 from gateway_scripts import answer
+from gateway_scripts import exchange_of
 from gateway_scripts import fanout
 from gateway_scripts import host_state
 from gateway_scripts import refused
@@ -13,12 +13,9 @@
 import pytest
 
 from greengagedale import outcomes
-from greengagedale.gateway import crashes
 from greengagedale.gateway import exchange
-from greengagedale.gateway import fleet as fleet_lib
 from greengagedale.gateway import notices as notices_lib
 from greengagedale.gateway import registry as registry_lib
-from greengagedale.gateway import roster
 from greengagedale.gateway import source
 
 LEAVING = notices_lib.Notice(is_leaving=True, hold_ms=0.0)
@@ -103,24 +100,10 @@
 # Guards against use of an upstream that has left after a host's restart: the
 # copy of the list from which it starts may be older than that.
 def test_host_that_starts_learns_from_a_peer_which_upstreams_leave(clock):
-    def host(name, notices):
-        held = registry_lib.Registry(clock)
-        made = exchange.Exchange(
-            lambda: host_state(name),
-            fleet_lib.Fleet(name, clock),
-            held,
-            roster.Roster(name, clock),
-            crashes.Crashes(clock),
-            notices,
-            [],
-            clock,
-            random.Random(1),
-        )
-        return made, held
-
     told, fresh = (notices_lib.Notices(clock) for _ in range(2))
-    knowing, _ = host("a", told)
-    starting, registry = host("b", fresh)
+    registry = registry_lib.Registry(clock)
+    knowing = exchange_of("a", clock, registry_lib.Registry(clock), told)
+    starting = exchange_of("b", clock, registry, fresh)
     told.hear(U, LEAVING)
     registry.apply_list(source.UpstreamsListed([U], 0))
     hello = exchange.Hello(
--- a/tests/gateway_scripts.py
+++ b/tests/gateway_scripts.py
@@ -9,12 +9,14 @@
 from greengagedale.gateway import calls
 from greengagedale.gateway import crashes
 from greengagedale.gateway import entries
+from greengagedale.gateway import exchange
 from greengagedale.gateway import fetches
 from greengagedale.gateway import fleet
 from greengagedale.gateway import metrics
 from greengagedale.gateway import notices
 from greengagedale.gateway import pacing
 from greengagedale.gateway import plans
+from greengagedale.gateway import roster
 from greengagedale.gateway import runner
 from greengagedale.gateway import scores
 from greengagedale.gateway import splits
@@ -55,6 +57,21 @@
     )
 
 
+def exchange_of(name, clock, held, told=None, seeds=()):
+    """Returns a host's exchanges, over a registry and its notices."""
+    return exchange.Exchange(
+        lambda: host_state(name),
+        fleet.Fleet(name, clock),
+        held,
+        roster.Roster(name, clock),
+        crashes.Crashes(clock),
+        told or notices.Notices(clock),
+        list(seeds),
+        clock,
+        random.Random(1),
+    )
+
+
 def answer(upstream_name, body=b"", status=200, signature=None):
     return calls.Answer(
         status, signature or f"sig-{upstream_name}", (), body, None
