--- a/greengagedale/gateway/fetches.py
+++ b/greengagedale/gateway/fetches.py
@@ -116,11 +116,11 @@
 
     def candidates(self, service: str) -> list[entries.Upstream]:
         """Returns the upstreams of a service that take work now."""
-        return self.notices.takers(self.listed(service))
+        return self.notices.available(self.listed(service))
 
-    def opens_in_ms(self, service: str) -> float:
+    def available_in_ms(self, service: str) -> float:
         """Returns when an upstream of a service takes work, or infinity."""
-        return self.notices.opens_in_ms(self.listed(service))
+        return self.notices.available_in_ms(self.listed(service))
 
 
 _Task = asyncio.Task[calls.Answer | outcomes.AttemptEnd]
@@ -282,9 +282,9 @@
             self._tried,
         )
         if choice is None:
-            opens_in_ms = tools.opens_in_ms(self.service)
-            if opens_in_ms < float("inf"):
-                self._retry_after_ms = int(opens_in_ms)
+            available_in_ms = tools.available_in_ms(self.service)
+            if available_in_ms < float("inf"):
+                self._retry_after_ms = int(available_in_ms)
             return outcomes.Reason.NO_REPLICA
         upstream = choice.upstream
         if is_too_late(choice, self._useful_until_ms, now_ms) and (
--- a/greengagedale/gateway/notices.py
+++ b/greengagedale/gateway/notices.py
@@ -81,13 +81,13 @@
         until_ms = self._held_until_ms.get(life)
         return until_ms is None or until_ms <= self._clock.now_ms()
 
-    def takers(
+    def available(
         self, upstreams: Iterable[entries.Upstream]
     ) -> list[entries.Upstream]:
         """Returns those of some upstreams that take work now."""
         return [each for each in upstreams if self.takes_work(each)]
 
-    def opens_in_ms(self, upstreams: Iterable[entries.Upstream]) -> float:
+    def available_in_ms(self, upstreams: Iterable[entries.Upstream]) -> float:
         """Returns when the first of some upstreams takes work, or infinity."""
         now_ms = self._clock.now_ms()
         waits_ms = (
--- a/greengagedale/gateway/runner.py
+++ b/greengagedale/gateway/runner.py
@@ -149,7 +149,7 @@
         ]
         if len(held) < fanout.least_parts:
             return outcomes.NotRun(
-                outcomes.Reason.NO_REPLICA, self._enough_open_in_ms(fanout)
+                outcomes.Reason.NO_REPLICA, self._enough_available_in_ms(fanout)
             )
         spare = sum(map(self._answers, held)) - fanout.least_parts
         if spare < 0 and not self._may_probe(plan):
@@ -263,9 +263,9 @@
             )
         )
 
-    def _enough_open_in_ms(self, fanout: plans.Fanout) -> int:
+    def _enough_available_in_ms(self, fanout: plans.Fanout) -> int:
         """Returns when enough shards have upstreams that take work."""
-        waits_ms = sorted(map(self._tools.opens_in_ms, fanout.shards))
+        waits_ms = sorted(map(self._tools.available_in_ms, fanout.shards))
         wait_ms = waits_ms[fanout.least_parts - 1]
         if wait_ms == float("inf"):
             return RETRY_AFTER_MS
--- a/tests/gateway/test_notices.py
+++ b/tests/gateway/test_notices.py
@@ -45,7 +45,7 @@
     notices.hear(U, hold(400.0))
     clock.advance(399.0)
     assert not notices.takes_work(U)
-    assert notices.opens_in_ms([U]) == 1.0
+    assert notices.available_in_ms([U]) == 1.0
     clock.advance(1.0)
     assert notices.takes_work(U)
 
@@ -59,7 +59,7 @@
     notices.hear(U, hold(400.0))
     clock.advance(200.0)
     notices.hear(U, hold(second_ms))
-    assert notices.opens_in_ms([U]) == until_ms - 200.0
+    assert notices.available_in_ms([U]) == until_ms - 200.0
 
 
 def test_huge_time_is_bounded(notices, clock):
@@ -73,8 +73,8 @@
     notices.hear(others[0], LEAVING)
     notices.hear(others[1], hold(300.0))
     notices.hear(others[2], hold(200.0))
-    assert notices.opens_in_ms(others) == 200.0
-    assert notices.opens_in_ms(others[:1]) == float("inf")
+    assert notices.available_in_ms(others) == 200.0
+    assert notices.available_in_ms(others[:1]) == float("inf")
 
 
 def test_lives_are_told_for_a_while_and_never_learned_anew(clock):
@@ -110,7 +110,7 @@
         host_state("b"), [], 0, 0, registry.version, 0, [], []
     )
     starting._learn(knowing._news(hello))
-    assert fresh.takers(registry.of_service("s")) == []
+    assert fresh.available(registry.of_service("s")) == []
 
 
 async def test_shard_whose_upstreams_all_leave_is_left_out():
