Tell callers by their keys, and decode what the new deployments configure

Cause: where a configuration names workspaces, callers identify themselves by a key.

- The adapter decodes workspaces, public routes, regions, and the rate of upstreams that warm up.
Only digests of keys are kept or exchanged.
- gateway/authorization.py identifies a request on arrival (401 for a key that no workspace holds) and checks the key again before each send.
- Upstreams get the workspace's name in place of the key and of whatever the caller sent under that name.
- Settings [keys], [quotas] and [warm_up] are decoded and not used yet; they are absent where a deployment states no such bound.

Ruled out: dropping the key's header everywhere. Where no workspaces are configured it is a header like any other and is forwarded unchanged.

--- a/greengagedale/config/gateway.py
+++ b/greengagedale/config/gateway.py
@@ -14,7 +14,9 @@
 
 _LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 _HOUR_S = 3600.0
+_HOUR_MS = 3_600_000.0
 _MAX_EXTRA_ATTEMPTS = 1_000_000.0
+_MAX_EXTRA_REQUESTS = 1_000_000.0
 _MAX_BYTES = 1024.0 * 1024.0 * 1024.0
 _REQUIRED = object()
 
@@ -168,6 +170,45 @@
     burst: float
 
 
+class KeysSettings(NamedTuple):
+    """Callers' keys.
+
+    Attributes:
+        revocation_ms: Time after which a revoked key is refused on every host,
+            also on hosts that are cut off, in milliseconds; None if hosts that
+            are cut off may accept it for longer.
+    """
+
+    revocation_ms: float | None
+
+
+class QuotasSettings(NamedTuple):
+    """Bounds on the requests of a workspace over all hosts.
+
+    In any window, a workspace may have (rate x window + burst) x (1 + overage)
+    + slack requests, with the rate and burst of its configuration.
+
+    Attributes:
+        window_s: Length of the window, in seconds; None disables quotas.
+        overage: Fraction of the quota allowed in addition.
+        slack: Requests allowed in addition.
+    """
+
+    window_s: float | None
+    overage: float
+    slack: float
+
+
+class WarmUpSettings(NamedTuple):
+    """Bounds on the requests to an upstream that warms up, over all hosts.
+
+    In any second, an upstream may get its service's rate x overage + slack.
+    """
+
+    overage: float
+    slack: float
+
+
 class ShutdownSettings(NamedTuple):
     """Shutdown of the host.
 
@@ -217,6 +258,22 @@
             "burst": Number(0.0, _MAX_EXTRA_ATTEMPTS, 10.0),
         },
     ),
+    "keys": (KeysSettings, {"revocation_ms": Number(1.0, _HOUR_MS, None)}),
+    "quotas": (
+        QuotasSettings,
+        {
+            "window_s": Number(0.1, _HOUR_S, None),
+            "overage": Number(0.0, 10.0, 0.0),
+            "slack": Number(0.0, _MAX_EXTRA_REQUESTS, 0.0),
+        },
+    ),
+    "warm_up": (
+        WarmUpSettings,
+        {
+            "overage": Number(1.0, 10.0, 1.0),
+            "slack": Number(0.0, _MAX_EXTRA_REQUESTS, 0.0),
+        },
+    ),
     "shutdown": (ShutdownSettings, {"grace_s": Number(0.1, _HOUR_S, 6.0)}),
     "logs": (LogsSettings, {"level": Choice(_LOG_LEVELS, "INFO")}),
 }
@@ -231,6 +288,9 @@
     upstreams: UpstreamsSettings
     peers: PeersSettings
     retries: RetrySettings
+    keys: KeysSettings
+    quotas: QuotasSettings
+    warm_up: WarmUpSettings
     shutdown: ShutdownSettings
     logs: LogsSettings
 
--- a/greengagedale/gateway/caller_handlers.py
+++ b/greengagedale/gateway/caller_handlers.py
@@ -8,6 +8,7 @@
 from greengagedale import clocks
 from greengagedale import logs
 from greengagedale import outcomes
+from greengagedale.gateway import authorization
 from greengagedale.gateway import calls
 from greengagedale.gateway import fleet as fleet_lib
 from greengagedale.gateway import host_selection
@@ -23,6 +24,7 @@
 
 _STATUS_OK = 200
 _STATUS_BAD_REQUEST = 400
+_STATUS_UNAUTHORIZED = 401
 _STATUS_NOT_FOUND = 404
 _STATUS_UNAVAILABLE = 503
 # Retry-After of a host that has no configuration yet.
@@ -85,6 +87,10 @@
             detail: What is wrong with the request.
         """
 
+    @abc.abstractmethod
+    def key_of(self, request: messages.Request) -> bytes | None:
+        """Returns the caller's key; None if it sent none or several."""
+
     @abc.abstractmethod
     def decode_locate(self, request: messages.Request) -> LocateRequest | None:
         """Decodes a locate request; returns None for any other request."""
@@ -118,6 +124,7 @@
         codec: CallerCodec,
         registry: registry_lib.Registry,
         runner: runner_lib.Runner,
+        authorizer: authorization.Authorizer,
         clock: clocks.Clock,
         metrics: metrics_lib.Metrics,
         request_log: logs.RequestLog,
@@ -125,6 +132,7 @@
         self._codec = codec
         self._registry = registry
         self._runner = runner
+        self._authorizer = authorizer
         self._clock = clock
         self._metrics = metrics
         self._request_log = request_log
@@ -162,8 +170,34 @@
                 version=table.version,
             )
             return self._codec.encode_error(_STATUS_NOT_FOUND, "no such route")
+        if table.uses_keys:
+            identity = self._authorizer.identify(
+                route, self._codec.key_of(request)
+            )
+            if isinstance(identity, authorization.UnknownKey):
+                return self._refuse_key(call, route, table.version, identity)
+            call = call._replace(identity=identity)
         return await self._run(call, route, table.version)
 
+    def _refuse_key(
+        self,
+        call: calls.Call,
+        route: route_config.Route,
+        version: int,
+        refusal: authorization.UnknownKey,
+    ) -> messages.Response:
+        self._metrics.refusals.inc("edge", "unknown_key")
+        self._request_log.write(
+            "unknown key",
+            request_id=call.request_id,
+            route=route.name,
+            key_digest=refusal.key_digest.hex(),
+            version=version,
+        )
+        return self._codec.encode_error(
+            _STATUS_UNAUTHORIZED, "expected one key of a workspace"
+        )
+
     async def _run(
         self, call: calls.Call, route: route_config.Route, version: int
     ) -> messages.Response:
--- a/greengagedale/gateway/calls.py
+++ b/greengagedale/gateway/calls.py
@@ -11,6 +11,18 @@
 from greengagedale.http1 import messages
 
 
+class CallerIdentity(NamedTuple):
+    """Who sent a call, where the configuration uses keys.
+
+    Attributes:
+        workspace: Name of the caller's workspace; None on public routes.
+        key_digest: Digest of the caller's key; empty on public routes.
+    """
+
+    workspace: str | None
+    key_digest: bytes
+
+
 class Call(NamedTuple):
     """A caller's request, which is forwarded unchanged.
 
@@ -23,6 +35,8 @@
             the process.
         deadline_ms: Time at which the caller stops waiting, by the same clock;
             None if the caller set no deadline.
+        identity: The identified caller; None where the configuration uses no
+            keys, and headers about callers are forwarded like any other.
     """
 
     request_id: str
@@ -31,6 +45,7 @@
     message: messages.Request
     received_ms: float
     deadline_ms: float | None
+    identity: CallerIdentity | None = None
 
 
 def fingerprint_of(call: Call) -> int:
--- a/greengagedale/gateway/daemon.py
+++ b/greengagedale/gateway/daemon.py
@@ -13,6 +13,7 @@
 from greengagedale import exceptions
 from greengagedale import logs
 from greengagedale.config import gateway as config
+from greengagedale.gateway import authorization
 from greengagedale.gateway import caller_handlers as edge_lib
 from greengagedale.gateway import connection_pools as pools_lib
 from greengagedale.gateway import extra_attempts
@@ -146,6 +147,7 @@
         self._clock = clock
         self._metrics = metrics_lib.Metrics()
         self._registry = registry_lib.Registry(clock)
+        self._authorizer = authorization.Authorizer(self._registry)
         self._fleet = fleet_lib.Fleet(settings.host.name, clock)
         self._roster = roster_lib.Roster(settings.host.name, clock)
         self._quarantine = quarantine_lib.Quarantine(clock)
@@ -205,6 +207,7 @@
             self._notices,
             self._registry.remove_reassigned,
             self._quarantine,
+            self._authorizer,
             clock,
             self._metrics,
             set(),
@@ -216,6 +219,7 @@
             caller_codec.PlatformCallerCodec(),
             self._registry,
             self._runner,
+            self._authorizer,
             clock,
             self._metrics,
             logs.RequestLog(clock),
--- a/greengagedale/gateway/sub_requests.py
+++ b/greengagedale/gateway/sub_requests.py
@@ -6,6 +6,7 @@
 
 from greengagedale import clocks
 from greengagedale import outcomes
+from greengagedale.gateway import authorization
 from greengagedale.gateway import calls
 from greengagedale.gateway import extra_attempts
 from greengagedale.gateway import metrics as metrics_lib
@@ -102,6 +103,7 @@
         remove_reassigned: Called with an upstream when another upstream answers
             at its address.
         quarantine: Quarantine of requests that crash upstreams.
+        authorizer: Decides whether a caller's requests may still be sent.
         clock: Clock of the process.
         metrics: Metrics of the process.
         background: Holds references to the tasks of detached attempts.
@@ -113,6 +115,7 @@
     notices: notices_lib.UpstreamNotices
     remove_reassigned: Callable[[upstream_entries.Upstream], None]
     quarantine: quarantine_lib.Quarantine
+    authorizer: authorization.Authorizer
     clock: clocks.Clock
     metrics: metrics_lib.Metrics
     background: set[asyncio.Task[None]]
@@ -308,6 +311,8 @@
         now_ms = context.clock.now_ms()
         if context.quarantine.should_refuse(self._fingerprint):
             return outcomes.Reason.QUARANTINED
+        if not context.authorizer.may_send(self._call):
+            return outcomes.Reason.KEY_REVOKED
         choice = context.scores.choose(
             context.candidates(self.service),
             self._latency.typical_ms(),
--- a/greengagedale/outcomes.py
+++ b/greengagedale/outcomes.py
@@ -25,6 +25,7 @@
     ISSUER_UNREACHABLE = "issuer_unreachable"
     KEY_CONFLICT = "key_conflict"
     KEYS_FULL = "keys_full"
+    KEY_REVOKED = "key_revoked"
     NO_PROGRESS = "no_progress"
     NO_REPLICA = "no_replica"
     NOT_READY = "not_ready"
--- a/greengagedale/platform/caller_codec.py
+++ b/greengagedale/platform/caller_codec.py
@@ -10,6 +10,7 @@
 _REQUEST_ID = b"request-id"
 # Remaining time that the client waits, in milliseconds; not a point in time.
 _REMAINING_TIME = b"deadline-ms"
+_KEY = b"api-key"
 _PATH_RESOLVE = "/-/resolve"
 _FIELD_ZONE = "zone="
 _PATH_READY = "/-/ready"
@@ -58,6 +59,11 @@
             None if remaining is None else request.received_ms + int(remaining),
         )
 
+    def key_of(self, request: messages.Request) -> bytes | None:
+        """Returns the caller's key; None without exactly one key."""
+        keys = [value for name, value in request.headers if name == _KEY]
+        return keys[0] if len(keys) == 1 else None
+
     def encode_answer(self, answer: calls.Answer) -> messages.Response:
         """Encodes an upstream's answer for the caller."""
         return messages.Response(answer.status, answer.headers, answer.body)
--- a/greengagedale/platform/store_documents.py
+++ b/greengagedale/platform/store_documents.py
@@ -40,6 +40,20 @@
     topK: int = 0  # noqa: N815
     # Required share of the shards, from 0 to 1.
     minCoverage: float = 0.0  # noqa: N815
+    # Whether requests need no key; unrelated to the network.
+    public: bool = False
+    # Regions that the requests and their bodies must stay in.
+    allowedRegions: list[str] = []  # noqa: N815
+
+
+class _Tenant(msgspec.Struct):
+    name: str
+    apiKeys: list[str] = []  # noqa: N815
+    priority: int | None = None
+    # Limits over all hosts; 0 means no limit.
+    ratePerS: float = 0.0  # noqa: N815
+    burst: float = 0.0
+    allowedRegions: list[str] = []  # noqa: N815
 
 
 class _TrafficShare(msgspec.Struct):
@@ -51,6 +65,8 @@
     name: str
     # Limit for each upstream, summed over all hosts.
     maxConnections: int  # noqa: N815
+    # Limit for each cold upstream, summed over all hosts; 0 means no limit.
+    warmupPerS: float = 0.0  # noqa: N815
 
 
 class _Limits(msgspec.Struct):
@@ -67,6 +83,8 @@
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits | None = None
+    # Absent where requests need no keys.
+    tenants: list[_Tenant] | None = None
 
 
 class _UpstreamEntry(msgspec.Struct):
@@ -136,7 +154,7 @@
         tuple(_convert_route(route) for route in decoded.routes),
         tuple(
             route_config.ServiceConfiguration(
-                service.name, service.maxConnections
+                service.name, service.maxConnections, service.warmupPerS
             )
             for service in decoded.services
         ),
@@ -148,6 +166,9 @@
             limits.headerTimeoutMs,
             limits.idleTimeoutMs,
         ),
+        None
+        if decoded.tenants is None
+        else tuple(_convert_tenant(tenant) for tenant in decoded.tenants),
     )
 
 
@@ -203,6 +224,22 @@
             route_config.Target(share.service, share.weight) for share in shares
         ),
         fanout or None,
+        route.public,
+        tuple(route.allowedRegions),
+    )
+
+
+def _convert_tenant(tenant: _Tenant) -> route_config.Workspace:
+    return route_config.Workspace(
+        tenant.name,
+        tuple(
+            route_config.key_digest(key.encode("latin-1", "replace"))
+            for key in tenant.apiKeys
+        ),
+        tenant.priority,
+        tenant.ratePerS,
+        tenant.burst,
+        tuple(tenant.allowedRegions),
     )
 
 
--- a/greengagedale/platform/upstream_codec.py
+++ b/greengagedale/platform/upstream_codec.py
@@ -10,6 +10,10 @@
 # Name of the intended upstream. If its address was reassigned, the other
 # upstream at the address refuses the request.
 _EXPECTED_UPSTREAM = b"target-instance"
+# Name of the caller's workspace. Whatever the caller sent under this name or as
+# its key is not forwarded.
+_WORKSPACE = b"tenant"
+_CALLER_HEADERS = (b"api-key", _WORKSPACE)
 _SIGNATURE = b"server-seal"
 _NOT_RUN = b"not-executed"
 _LOAD = b"server-load"
@@ -45,11 +49,17 @@
 def encode_attempt(attempt: calls.Attempt, remaining_ms: float) -> bytes:
     """Encodes an attempt: the caller's request with the remaining time."""
     message = attempt.call.message
+    identity = attempt.call.identity
+    replaced = (_REMAINING_TIME, _EXPECTED_UPSTREAM)
+    if identity is not None:
+        replaced += _CALLER_HEADERS
     headers = (
-        *_end_to_end(message.headers, (_REMAINING_TIME, _EXPECTED_UPSTREAM)),
+        *_end_to_end(message.headers, replaced),
         (_REMAINING_TIME, b"%d" % max(1, int(remaining_ms))),
         (_EXPECTED_UPSTREAM, attempt.upstream.name.encode("latin-1")),
     )
+    if identity is not None and identity.workspace is not None:
+        headers += ((_WORKSPACE, identity.workspace.encode("latin-1")),)
     return messages.encode_request(
         message.method, message.target, headers, message.body
     )
--- a/standins/gateway_site.py
+++ b/standins/gateway_site.py
@@ -57,15 +57,31 @@
 def render(template: str, fields: dict[str, Any]) -> str:
     """Renders a settings template in the same way as the users' platform."""
 
-    def value(match: re.Match[str]) -> str:
-        path, as_json = match.group(1), match.group(2)
+    def lookup(path: str) -> Any:
         current: Any = fields
         for key in path.split("."):
-            current = (
-                current[int(key)] if isinstance(current, list) else current[key]
-            )
-        return json.dumps(current) if as_json else str(current)
+            if isinstance(current, list):
+                current = current[int(key)]
+            else:
+                current = current.get(key)
+            if current is None:
+                return None
+        return current
+
+    def section(match: re.Match[str]) -> str:
+        # Only sections of plain values are supported, not of lists or tables.
+        entry = lookup(match.group(1))
+        if entry is None or entry is False:
+            return ""
+        return match.group(2).replace("{{.}}", str(entry))
+
+    def value(match: re.Match[str]) -> str:
+        current = lookup(match.group(1))
+        return json.dumps(current) if match.group(2) else str(current)
 
+    template = re.sub(
+        r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}", section, template, flags=re.DOTALL
+    )
     return re.sub(r"\{\{([\w.]+)(\|json)?\}\}", value, template)
 
 
--- a/tests/gateway_scripts.py
+++ b/tests/gateway_scripts.py
@@ -6,12 +6,14 @@
 
 from greengagedale import clocks
 from greengagedale import outcomes
+from greengagedale.gateway import authorization
 from greengagedale.gateway import calls
 from greengagedale.gateway import extra_attempts
 from greengagedale.gateway import fleet
 from greengagedale.gateway import metrics
 from greengagedale.gateway import peer_exchange
 from greengagedale.gateway import quarantine
+from greengagedale.gateway import registry
 from greengagedale.gateway import roster
 from greengagedale.gateway import route_config
 from greengagedale.gateway import runner
@@ -131,6 +133,7 @@
         self.metrics = metrics.Metrics()
         self.notices = upstream_notices.UpstreamNotices(self.clock)
         rng = random.Random(1)
+        self.registry = registry.Registry(self.clock)
         self.context = sub_requests.SubRequestContext(
             self.client,
             upstream_scores.UpstreamScores("here", self.clock, rng),
@@ -138,6 +141,7 @@
             self.notices,
             self.reassigned.append,
             quarantine.Quarantine(self.clock),
+            authorization.Authorizer(self.registry),
             self.clock,
             self.metrics,
             set(),
--- a/tests/platform/test_codecs.py
+++ b/tests/platform/test_codecs.py
@@ -8,6 +8,7 @@
 from greengagedale import outcomes
 from greengagedale.gateway import caller_handlers
 from greengagedale.gateway import calls
+from greengagedale.gateway import route_config
 from greengagedale.http1 import messages
 from greengagedale.platform import caller_codec
 from greengagedale.platform import store_documents
@@ -201,6 +202,82 @@
         assert dropped not in data
 
 
+def test_attempt_names_the_workspace_and_not_the_key(call):
+    message = call.message._replace(
+        headers=(
+            *call.message.headers,
+            (b"api-key", b"secret"),
+            (b"api-key", b"secret-2"),
+            (b"tenant", b"claimed"),
+        )
+    )
+    identity = calls.CallerIdentity("w1", b"digest")
+    data = upstream_codec.encode_attempt(
+        calls.Attempt(
+            call._replace(message=message, identity=identity),
+            upstream("i-1"),
+            9999.0,
+            True,
+        ),
+        250.0,
+    )
+    assert data.lower().count(b"tenant: ") == 1
+    assert b"tenant: w1\r\n" in data
+    for dropped in (b"api-key", b"secret", b"claimed"):
+        assert dropped not in data
+
+
+def test_public_attempt_names_no_workspace(call):
+    message = call.message._replace(
+        headers=((b"api-key", b"secret"), (b"tenant", b"claimed"))
+    )
+    identity = calls.CallerIdentity(None, b"")
+    data = upstream_codec.encode_attempt(
+        calls.Attempt(
+            call._replace(message=message, identity=identity),
+            upstream("i-1"),
+            9999.0,
+            True,
+        ),
+        250.0,
+    )
+    for dropped in (b"api-key", b"tenant", b"secret", b"claimed"):
+        assert dropped not in data
+
+
+@pytest.mark.parametrize(
+    ("keys", "expected"),
+    [((), None), ((b"a",), b"a"), ((b"a", b"b"), None), ((b"a", b"a"), None)],
+)
+def test_request_has_exactly_one_key(codec, keys, expected):
+    headers = [(b"api-key", key) for key in keys]
+    assert codec.key_of(request(headers)) == expected
+
+
+def test_workspaces_are_decoded():
+    routes = store_documents.decode_routes(
+        {
+            **CONFIGURATION,
+            "tenants": [
+                {"name": "w1", "apiKeys": ["a", "b"], "ratePerS": 2.5},
+                {"name": "w2", "burst": 4, "priority": 1},
+            ],
+        }
+    )
+    first, second = routes.workspaces
+    assert first.key_digests == tuple(
+        map(route_config.key_digest, (b"a", b"b"))
+    )
+    assert (first.rate_per_s, first.priority) == (2.5, None)
+    assert (second.burst, second.priority, second.key_digests) == (4.0, 1, ())
+
+
+def test_configuration_without_workspaces_uses_no_keys():
+    routes = store_documents.decode_routes(CONFIGURATION)
+    assert routes.workspaces is None
+    assert not route_config.RouteTable(routes).uses_keys
+
+
 SIGNED = [(b"server-seal", b"sig"), (b"request-id", b"r1")]
 
 
