Add `greengagedale check`: a configuration before it is sent

Hosts log a configuration that can't be decoded and go on with the old one, and apply one whose entries can never match, so errors were seen only when callers met them.

Ruled out: refusing such configurations on hosts. An accepted configuration has to be in force everywhere; a host must not be the one that disagrees.

--- a/greengagedale/command_line.py
+++ b/greengagedale/command_line.py
@@ -8,6 +8,7 @@
 import greengagedale
 from greengagedale.commands import act
 from greengagedale.commands import change
+from greengagedale.commands import check
 from greengagedale.commands import explain
 from greengagedale.commands import locate
 from greengagedale.commands import query
@@ -43,6 +44,7 @@
 app.command("status")(status.status)
 app.command("explain")(explain.explain)
 app.command("change")(change.change)
+app.command("check")(check.check)
 app.add_typer(settings.app, name="settings")
 app.add_typer(template.app, name="template")
 app.add_typer(workspace.app, name="workspace")
--- a/greengagedale/platform/store_documents.py
+++ b/greengagedale/platform/store_documents.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from greengagedale import exceptions
 from greengagedale.gateway import roster
 from greengagedale.gateway import route_config
 from greengagedale.gateway import upstream_entries
@@ -141,13 +142,31 @@
 def decode_routes(document: Any) -> route_config.RouteConfiguration | None:
     """Decodes a configuration; logs the error and returns None if invalid."""
     try:
-        decoded = msgspec.convert(document, _Configuration)
-    except msgspec.ValidationError as error:
+        return parse_routes(document)
+    except exceptions.InvalidInputError as error:
         log.error(
             "configuration could not be decoded; ignoring it",
             extra={"reason": str(error)},
         )
         return None
+
+
+def parse_routes(
+    document: Any, subject: str = "configuration"
+) -> route_config.RouteConfiguration:
+    """Decodes a configuration.
+
+    Raises:
+        InvalidInputError: It has a missing field or one of another type; the
+            first such field is named.
+    """
+    try:
+        decoded = msgspec.convert(document, _Configuration)
+    except msgspec.ValidationError as error:
+        message, _, path = str(error).partition(" - at ")
+        raise exceptions.InvalidInputError(
+            subject, [exceptions.FieldError(path.strip("`") or "$", message)]
+        ) from error
     limits = decoded.limits
     return route_config.RouteConfiguration(
         decoded.version,
