Tests that start processes run side by side, on ports of their own

Cause: the whole script took 642 s (1239 passed, untouched, beside load 20), nearly all of it waiting for processes one after the other. Runs shared fixed ports: hosts left alive by a run that was killed failed 70 tests of the next one ("every host to list all hosts", "platform_down"), which is also how the integration tests in KNOWN-RED.txt failed while several runs shared the ports.

Ruled out: a base port for each worker number.

The whole script was not run yet.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -13,6 +13,7 @@
 
 from bench import cases as cases_lib
 from standins import deployments
+from standins import ports
 
 
 def main(
@@ -64,7 +65,7 @@
                 context = cases_lib.Context(
                     deployments.EXAMPLES_DIR / f"{shape_name}.toml",
                     seed,
-                    deployments.BASE_PORT,
+                    ports.base_port(),
                     pathlib.Path(folder),
                     duration_s or case.duration_s,
                 )
--- a/proofs/__main__.py
+++ b/proofs/__main__.py
@@ -17,6 +17,7 @@
 from proofs import nemesis
 from proofs import runs
 from standins import deployments
+from standins import ports
 
 _S_PER_MIN = 60.0
 _EXIT_VIOLATIONS = 1
@@ -87,7 +88,7 @@
         deployment = deployments.Deployment(
             pathlib.Path(folder),
             deployments.EXAMPLES_DIR / f"{name}.toml",
-            deployments.BASE_PORT,
+            ports.base_port(),
             proxied=True,
         )
         service = deployment.shape.main_service
--- a/standins/deployments.py
+++ b/standins/deployments.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable, Mapping, Sequence
 import contextlib
-import os
 import pathlib
 import signal
 import subprocess
@@ -14,12 +13,12 @@
 from greengagedale.catalog import services
 from standins import bare
 from standins import httpcalls
+from standins import ports
 from standins import records
 from standins import shapes
 
 EXAMPLES_DIR = pathlib.Path(__file__).parents[1] / "examples"
 SMALL_SHAPE = EXAMPLES_DIR / "small.toml"
-BASE_PORT = int(os.environ.get("GREENGAGEDALE_TEST_BASE_PORT", "23000"))
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 20.0
 _POLL_S = 0.05
@@ -52,12 +51,14 @@
         self,
         folder: pathlib.Path,
         shape_path: pathlib.Path = SMALL_SHAPE,
-        base_port: int = BASE_PORT,
+        base_port: int | None = None,
         proxied: bool = False,
         host_command: Sequence[str] = ("-m", "greengagedale", "serve"),
     ) -> None:
         self.folder = folder
         self.shape_path = shape_path
+        if base_port is None:
+            base_port = ports.base_port()
         self.shape = shapes.Shape.from_file(shape_path, base_port, proxied)
         self._host_command = host_command
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
--- a/standins/gateway_site.py
+++ b/standins/gateway_site.py
@@ -6,22 +6,22 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator, Mapping, Sequence
+from collections.abc import AsyncIterator, Iterator, Mapping, Sequence
 import contextlib
+import functools
 import itertools
 import json
 import pathlib
 import re
-import socket
 import sys
 from typing import Any
 
 from greengagedale.http1 import client
 from greengagedale.http1 import messages
-from standins import deployments
 from standins import faultproxy
 from standins import gateway_store
 from standins import gateway_upstream
+from standins import ports as ports_lib
 
 ROOT = pathlib.Path(__file__).parent.parent
 TEMPLATE = ROOT / "deploy" / "settings.toml"
@@ -40,18 +40,22 @@
 _PORT_KEYS = ("http", "ready", "directory", "control", "metrics")
 _REQUEST_TIMEOUT_S = 8.0
 _POLL_S = 0.05
-# Below the kernel's ephemeral port range: an outgoing connection could
-# otherwise take a port after it was chosen here and before it is used.
-_PORTS = itertools.count(deployments.BASE_PORT + 2000)
+
+
+@functools.cache
+def _ports() -> Iterator[int]:
+    """Returns an endless iterator over the upper half of the port block.
+
+    The lower half is for other deployments of the same run.
+    """
+    first_port = ports_lib.base_port()
+    half = ports_lib.BLOCK_PORTS // 2
+    return itertools.cycle(range(first_port + half, first_port + 2 * half))
 
 
 def free_port() -> int:
-    """Returns a port that is free on `ADDRESS`."""
-    for port in _PORTS:
-        with socket.socket() as candidate, contextlib.suppress(OSError):
-            candidate.bind((ADDRESS, port))
-            return port
-    raise AssertionError("unreachable")
+    """Returns a port that is not in use."""
+    return next(filter(ports_lib.is_free, _ports()))
 
 
 def render(template: str, fields: dict[str, Any]) -> str:
--- a/standins/ports.py
+++ b/standins/ports.py
@@ -1,6 +1,7 @@
 """Port blocks, so that runs side by side on one machine never share a port."""
 
 import fcntl
+import functools
 import os
 import pathlib
 import socket
@@ -19,10 +20,12 @@
 _held_locks: list[Any] = []
 
 
-def reserve_block() -> int:
-    """Reserves a block of ports for this process; returns the first one.
+@functools.cache
+def base_port() -> int:
+    """Returns the first port of the block that this process has reserved.
 
-    The environment variable `GREENGAGEDALE_TEST_BASE_PORT` overrides it.
+    The block is reserved by the first call. The environment variable
+    `GREENGAGEDALE_TEST_BASE_PORT` overrides the choice.
 
     Raises:
         RuntimeError: All blocks are in use.
@@ -32,17 +35,17 @@
         return int(requested)
     folder = pathlib.Path(tempfile.gettempdir()) / "greengagedale-ports"
     folder.mkdir(exist_ok=True)
-    for base_port in range(_FIRST_PORT, _END_PORT, BLOCK_PORTS):
-        lock = (folder / str(base_port)).open("w")
+    for first_port in range(_FIRST_PORT, _END_PORT, BLOCK_PORTS):
+        lock = (folder / str(first_port)).open("w")
         try:
             fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except BlockingIOError:
             lock.close()
             continue
         # Processes of a run that was killed may still listen.
-        if all(map(is_free, range(base_port, base_port + BLOCK_PORTS))):
+        if all(map(is_free, range(first_port, first_port + BLOCK_PORTS))):
             _held_locks.append(lock)
-            return base_port
+            return first_port
         lock.close()
     raise RuntimeError(
         f"no free block of {BLOCK_PORTS} ports from {_FIRST_PORT} to "
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,6 +3,7 @@
 import pytest
 
 from standins import deployments
+from standins import ports
 
 
 @pytest.fixture(scope="session")
@@ -22,7 +23,7 @@
     """A deployment for one test, not yet started, for injecting faults."""
     # The shared deployment may be running too, so the ports must differ.
     deployment = deployments.Deployment(
-        tmp_path, base_port=deployments.BASE_PORT + 400
+        tmp_path, base_port=ports.base_port() + 400
     )
     try:
         yield deployment
--- a/tests/proofs/test_points.py
+++ b/tests/proofs/test_points.py
@@ -16,6 +16,7 @@
 from proofs import nemesis
 from proofs import runs
 from standins import deployments
+from standins import ports
 
 MUTANTS = pathlib.Path(__file__).parents[1] / "mutants.py"
 SEED = 1
@@ -174,7 +175,7 @@
     def run(scenario, host_command):
         deployment = deployments.Deployment(
             tmp_path,
-            base_port=deployments.BASE_PORT + 400,
+            base_port=ports.base_port() + 400,
             proxied=True,
             host_command=host_command,
         )
--- a/tests/test_connectors.py
+++ b/tests/test_connectors.py
@@ -9,10 +9,13 @@
 
 from greengagedale import connectors
 from greengagedale import loops
-from standins import deployments
+from standins import ports
 
-PORT = deployments.BASE_PORT + 900
-URL = f"http://127.0.0.1:{PORT}/"
+PORT_OFFSET = 900
+
+
+def port():
+    return ports.base_port() + PORT_OFFSET
 
 
 async def answer(request):
@@ -21,7 +24,7 @@
 
 
 async def fetch(session):
-    async with session.get(URL) as response:
+    async with session.get(f"http://127.0.0.1:{port()}/") as response:
         return await response.text()
 
 
@@ -43,7 +46,7 @@
     app.add_routes([web.get("/", answer)])
     runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
     await runner.setup()
-    await web.TCPSite(runner, "127.0.0.1", PORT, backlog=1024).start()
+    await web.TCPSite(runner, "127.0.0.1", port(), backlog=1024).start()
     connector = connectors.DirectConnector(limit=0)
     async with aiohttp.ClientSession(connector=connector) as session:
         for _ in range(4):
