Send nothing to upstreams of evacuated data centres

- gateway/evacuations.py holds the newest list by the store's revision.
The reader watches it beside the two others, exchanges pass it on, a starting host reads a stale copy.
Only where the settings list the platform's feature.
- Evacuated upstreams are no candidates for attempts, hedges and retries, and work that waits for a connection to one goes elsewhere.
- A shard all of whose replicas are evacuated is left out, or the request is refused at once as not run (`evacuated`).
- Lists of several pages continue from the revision of the first page: a change between two pages was otherwise not watched.

Ruled out: filtering the registry's index, which holds what upstreams say of themselves and is exchanged as a whole; folding it into the watch of the configuration, as the store watches one kind a call.

Measured: tests of gateway, platform and config pass (2 workers).

--- a/greengagedale/config/gateway.py
+++ b/greengagedale/config/gateway.py
@@ -65,6 +65,16 @@
         )
 
 
+class Words(Option):
+    """A list of words."""
+
+    def validate(self, value: Any) -> tuple[str, ...]:
+        """Returns the validated values."""
+        if not isinstance(value, list):
+            raise ValueError("use a list")
+        return tuple(map(_require_string, value))
+
+
 class Number(Option):
     """A number between two bounds, inclusive.
 
@@ -131,10 +141,17 @@
 
 
 class StoreSettings(NamedTuple):
-    """Connection to the platform's store."""
+    """The platform: connection to its store, and what else it offers.
+
+    Attributes:
+        endpoint: Endpoint of the store.
+        timeout_ms: Timeout of calls to the store, in milliseconds.
+        features: Names of the platform's features in force, as it calls them.
+    """
 
     endpoint: str
     timeout_ms: float
+    features: tuple[str, ...]
 
 
 class UpstreamsSettings(NamedTuple):
@@ -240,7 +257,11 @@
     ),
     "platform": (
         StoreSettings,
-        {"endpoint": Endpoint(), "timeout_ms": Number(1.0, 60_000.0, 1500.0)},
+        {
+            "endpoint": Endpoint(),
+            "timeout_ms": Number(1.0, 60_000.0, 1500.0),
+            "features": Words(()),
+        },
     ),
     "upstreams": (
         UpstreamsSettings,
--- a/greengagedale/gateway/connection_pools.py
+++ b/greengagedale/gateway/connection_pools.py
@@ -4,6 +4,7 @@
 import logging
 
 from greengagedale import clocks
+from greengagedale.gateway import evacuations as evacuations_lib
 from greengagedale.gateway import upstream_entries
 from greengagedale.gateway import upstream_notices as notices_lib
 from greengagedale.http1 import client
@@ -20,7 +21,7 @@
 
 
 class UpstreamNotAcceptingError(Exception):
-    """Raised if the upstream has announced that it accepts no new requests."""
+    """Raised if the upstream must get no new requests."""
 
 
 class ConnectionPool:
@@ -35,6 +36,7 @@
         upstream: upstream_entries.Upstream,
         max_connections: int,
         notices: notices_lib.UpstreamNotices,
+        evacuations: evacuations_lib.Evacuations,
         limits: client.ReplyLimits,
         clock: clocks.Clock,
     ) -> None:
@@ -42,6 +44,7 @@
         self.max_connections = max_connections
         self._limits = limits
         self._notices = notices
+        self._evacuations = evacuations
         self._clock = clock
         self._idle: list[client.Connection] = []
         self._open_count = 0
@@ -57,8 +60,8 @@
 
         Raises:
             OSError: No connection could be opened in time.
-            UpstreamNotAcceptingError: The upstream accepts no new requests;
-                this may become known while waiting.
+            UpstreamNotAcceptingError: The upstream accepts no new requests or
+                is evacuated; this may become known while waiting.
         """
         while True:
             self._check_accepting()
@@ -110,7 +113,9 @@
             self._open_count -= 1
 
     def _check_accepting(self) -> None:
-        if not self._notices.accepts_work(self.upstream):
+        if not self._notices.accepts_work(
+            self.upstream
+        ) or self._evacuations.is_evacuated(self.upstream):
             raise UpstreamNotAcceptingError(self.upstream.name)
 
     async def _open(self) -> client.Connection:
@@ -156,16 +161,19 @@
     def __init__(
         self,
         notices: notices_lib.UpstreamNotices,
+        evacuations: evacuations_lib.Evacuations,
         limits: client.ReplyLimits,
         clock: clocks.Clock,
     ) -> None:
         self._notices = notices
+        self._evacuations = evacuations
         self._limits = limits
         self._clock = clock
         self._pools: dict[
             upstream_entries.UpstreamIncarnation, ConnectionPool
         ] = {}
         notices.on_unavailable = self._wake
+        evacuations.on_change = self._wake_evacuated
 
     def get(
         self, upstream: upstream_entries.Upstream, max_connections: int
@@ -182,6 +190,7 @@
                 upstream,
                 max_connections,
                 self._notices,
+                self._evacuations,
                 self._limits,
                 self._clock,
             )
@@ -194,6 +203,14 @@
         if pool is not None:
             pool.wake_waiters()
 
+    def _wake_evacuated(
+        self, began: frozenset[str], ended: frozenset[str]
+    ) -> None:
+        del ended
+        for pool in self._pools.values():
+            if pool.upstream.data_centre in began:
+                pool.wake_waiters()
+
     def close_stale(
         self, incarnations: set[upstream_entries.UpstreamIncarnation]
     ) -> None:
--- a/greengagedale/gateway/daemon.py
+++ b/greengagedale/gateway/daemon.py
@@ -16,6 +16,7 @@
 from greengagedale.gateway import authorization
 from greengagedale.gateway import caller_handlers as edge_lib
 from greengagedale.gateway import connection_pools as pools_lib
+from greengagedale.gateway import evacuations as evacuations_lib
 from greengagedale.gateway import extra_attempts
 from greengagedale.gateway import fleet as fleet_lib
 from greengagedale.gateway import metrics as metrics_lib
@@ -152,6 +153,7 @@
         self._roster = roster_lib.Roster(settings.host.name, clock)
         self._quarantine = quarantine_lib.Quarantine(clock)
         self._notices = notices_lib.UpstreamNotices(clock)
+        self._evacuations = evacuations_lib.Evacuations(self._metrics)
         self._own_state = _OwnState(settings, self._registry, self._roster)
         self._store = store_lib.PlatformStore.from_config(
             settings.platform.endpoint,
@@ -168,6 +170,7 @@
             list(settings.peers.seeds),
             clock,
             rng,
+            self._evacuations,
         )
         self._fleet.on_own_incarnation = self._own_state.ensure_newer_than
         self._reader = store_reader_lib.StoreReader(
@@ -178,10 +181,14 @@
             self._alive_hosts,
             self._exchange.request_round,
             clock,
+            self._evacuations
+            if store_lib.has_evacuations(settings.platform.features)
+            else None,
         )
         self._own_state.reader = self._reader
         self._pools = pools_lib.ConnectionPools(
             self._notices,
+            self._evacuations,
             client.ReplyLimits(
                 int(settings.upstreams.max_head_bytes),
                 int(settings.upstreams.max_body_bytes),
@@ -211,6 +218,7 @@
             clock,
             self._metrics,
             set(),
+            self._evacuations,
         )
         self._runner = runner_lib.Runner(
             self._tools, self._budgets, traffic_split.TrafficSplitter(rng)
--- a/greengagedale/gateway/metrics.py
+++ b/greengagedale/gateway/metrics.py
@@ -66,6 +66,7 @@
         failures: Attempts that failed, by reason.
         merged_answers: Merged answers by route, and whole or partial.
         store_calls: Calls to the store by operation and result.
+        evacuations: Evacuations of data centres that began or ended.
         request_latency: Latency of requests by route.
         attempt_latency: Latency of answered attempts by route.
     """
@@ -93,6 +94,9 @@
         self.store_calls = Counter(
             "store_calls", "Calls to the store.", "operation", "result"
         )
+        self.evacuations = Counter(
+            "evacuations", "Evacuations seen.", "data_centre", "state"
+        )
         self.request_latency = LatencyHistograms(
             "request_latency_ms", "Latency of requests.", "route"
         )
--- a/greengagedale/gateway/peer_exchange.py
+++ b/greengagedale/gateway/peer_exchange.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from greengagedale import clocks
+from greengagedale.gateway import evacuations as evacuations_lib
 from greengagedale.gateway import fleet as fleet_lib
 from greengagedale.gateway import message_codec
 from greengagedale.gateway import quarantine as quarantine_lib
@@ -64,6 +65,7 @@
         roster_revision: Revision of its host list.
         suspects: Requests that may crash upstreams.
         leaving: Incarnations of upstreams that announced that they are leaving.
+        evacuations_revision: Revision of its list of evacuated data centres.
     """
 
     own: fleet_lib.HostState
@@ -74,6 +76,7 @@
     roster_revision: int
     suspects: list[quarantine_lib.Suspect]
     leaving: list[upstream_entries.UpstreamIncarnation]
+    evacuations_revision: int = 0
 
 
 class StateUpdate(NamedTuple):
@@ -90,6 +93,7 @@
         roster: Its host list, if it is newer.
         suspects: Requests that may crash upstreams.
         leaving: Incarnations of upstreams that announced that they are leaving.
+        evacuations: Its list of evacuated data centres, if it is newer.
     """
 
     own: fleet_lib.HostState
@@ -102,6 +106,7 @@
     roster: roster_lib.HostList | None
     suspects: list[quarantine_lib.Suspect]
     leaving: list[upstream_entries.UpstreamIncarnation]
+    evacuations: evacuations_lib.EvacuationList | None = None
 
 
 _summary_decoder = msgspec.msgpack.Decoder(StateSummary)
@@ -122,6 +127,7 @@
         seeds: list[str],
         clock: clocks.Clock,
         rng: random.Random,
+        evacuations: evacuations_lib.Evacuations,
     ) -> None:
         """Makes the exchange of a host.
 
@@ -135,6 +141,7 @@
             seeds: Endpoints of hosts to ask before any peer is known.
             clock: Clock of the process.
             rng: Random generator for the choice of peers.
+            evacuations: The evacuated data centres.
         """
         self._own_state = own_state
         self._fleet = fleet
@@ -145,6 +152,7 @@
         self._seeds = seeds
         self._clock = clock
         self._rng = rng
+        self._evacuations = evacuations
         self._idle_connections: dict[str, client.Connection] = {}
         self._round_requested = asyncio.Event()
 
@@ -168,6 +176,7 @@
         if (
             summary.routes_version > self._registry.routes_version
             or summary.version > self._registry.version
+            or summary.evacuations_revision > self._evacuations.list.revision
         ):
             self.request_round()
         return messages.Response(
@@ -242,6 +251,7 @@
             self._roster.host_list.revision,
             self._quarantine.suspects(),
             self._notices.leaving(),
+            evacuations_revision=self._evacuations.list.revision,
         )
         try:
             async with asyncio.timeout(TIMEOUT_MS / _MS_PER_S):
@@ -291,6 +301,9 @@
             else None,
             self._quarantine.suspects(),
             self._notices.leaving(),
+            evacuations=self._evacuations.list
+            if self._evacuations.list.revision > summary.evacuations_revision
+            else None,
         )
 
     def _merge(self, update: StateUpdate) -> None:
@@ -311,6 +324,10 @@
             has_changed |= self._registry.replace_if_newer(
                 update.upstreams, update.version
             )
+        if update.evacuations is not None:
+            has_changed |= self._evacuations.replace_if_newer(
+                update.evacuations
+            )
         if has_changed:
             self.request_round()
 
--- a/greengagedale/gateway/runner.py
+++ b/greengagedale/gateway/runner.py
@@ -175,7 +175,7 @@
         ]
         if len(available) < fanout.min_parts:
             return outcomes.NotRun(
-                outcomes.Reason.NO_REPLICA,
+                self._context.unavailable_reason(fanout.shards),
                 self._min_parts_available_in_ms(fanout),
             )
         omittable = sum(map(self._is_responsive, available)) - fanout.min_parts
@@ -322,7 +322,7 @@
 
     def _is_responsive(self, shard: str) -> bool:
         """Returns whether any upstream of a shard responds."""
-        upstreams = self._context.upstreams_of(shard)
+        upstreams = self._context.in_use(shard)
         # Without listed upstreams, attempts may still run on leaving ones.
         is_down = bool(upstreams) and self._context.scores.is_down(upstreams)
         if is_down != (shard in self._down_shards):
--- a/greengagedale/gateway/store_api.py
+++ b/greengagedale/gateway/store_api.py
@@ -3,6 +3,7 @@
 import abc
 import dataclasses
 
+from greengagedale.gateway import evacuations as evacuations_lib
 from greengagedale.gateway import roster
 from greengagedale.gateway import route_config
 from greengagedale.gateway import upstream_entries
@@ -110,6 +111,28 @@
         The routes are None if nothing changed.
         """
 
+    @abc.abstractmethod
+    async def read_evacuations(
+        self, allow_stale: bool = False
+    ) -> evacuations_lib.EvacuationList | Unavailable:
+        """Reads the evacuated data centres.
+
+        Args:
+            allow_stale: Whether a cheaper answer that is seconds old will do;
+                its revision must not be used.
+        """
+
+    @abc.abstractmethod
+    async def watch_evacuations(
+        self, known: evacuations_lib.EvacuationList, wait_ms: int
+    ) -> evacuations_lib.EvacuationList | HistoryGone | Unavailable:
+        """Waits for changes of a list, for at most `wait_ms`.
+
+        Returns:
+            The list with the changes after its revision; only the revision
+            differs if nothing changed.
+        """
+
     @abc.abstractmethod
     async def ping(self) -> Unavailable | None:
         """Makes a cheap call to the store; returns None if it answers."""
--- a/greengagedale/gateway/store_reader.py
+++ b/greengagedale/gateway/store_reader.py
@@ -6,10 +6,12 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
+import functools
 import logging
 from typing import Any
 
 from greengagedale import clocks
+from greengagedale.gateway import evacuations as evacuations_lib
 from greengagedale.gateway import reader_election as election_lib
 from greengagedale.gateway import registry as registry_lib
 from greengagedale.gateway import roster as roster_lib
@@ -51,6 +53,7 @@
         alive: Callable[[], dict[str, int]],
         on_change: Callable[[], None],
         clock: clocks.Clock,
+        evacuations: evacuations_lib.Evacuations | None = None,
     ) -> None:
         """Makes a reader.
 
@@ -63,8 +66,11 @@
                 revision of the host list that each uses.
             on_change: Called after each change of the data.
             clock: Clock of the process.
+            evacuations: Evacuated data centres to keep up to date; None where
+                the deployment has no evacuations.
         """
         self._store = store
+        self._evacuations = evacuations
         self._registry = registry
         self._election = election
         self._roster = roster
@@ -102,9 +108,10 @@
 
         Newer data comes from peers, or from this host once it is elected.
         """
-        routes, upstreams = await asyncio.gather(
+        routes, upstreams, _ = await asyncio.gather(
             self._store.read_routes(allow_stale=True),
             self._store.list_upstreams(allow_stale=True),
+            self._load_copy_of_evacuations(),
         )
         if isinstance(routes, store_api_lib.RoutesRead) and routes.routes:
             self._registry.apply_routes(routes.routes, 0)
@@ -119,6 +126,13 @@
             },
         )
 
+    async def _load_copy_of_evacuations(self) -> None:
+        if self._evacuations is None:
+            return
+        copy = await self._store.read_evacuations(allow_stale=True)
+        if isinstance(copy, evacuations_lib.EvacuationList):
+            self._evacuations.apply_copy(copy.data_centres)
+
     def _should_read(self) -> bool:
         return self._election.should_read(self.read_age_ms)
 
@@ -162,11 +176,17 @@
         self._failing_watches.clear()
         self._planner.reset()
         self._stored_hosts = None
+        watches: dict[str, Callable[[], Coroutine[Any, Any, str | None]]] = {
+            "routes": self._watch_routes,
+            "upstreams": self._watch_upstreams,
+        }
+        if self._evacuations is not None:
+            watches["evacuations"] = functools.partial(
+                self._watch_evacuations, self._evacuations
+            )
         tasks = [
-            asyncio.create_task(self._run_watch("routes", self._watch_routes)),
-            asyncio.create_task(
-                self._run_watch("upstreams", self._watch_upstreams)
-            ),
+            asyncio.create_task(self._run_watch(what, step))
+            for what, step in watches.items()
         ]
         try:
             while self._should_read():
@@ -278,6 +298,26 @@
         self._on_change()
         return None
 
+    async def _watch_evacuations(
+        self, evacuations: evacuations_lib.Evacuations
+    ) -> str | None:
+        known = evacuations.list
+        result: (
+            evacuations_lib.EvacuationList
+            | store_api_lib.HistoryGone
+            | store_api_lib.Unavailable
+        ) = store_api_lib.HistoryGone()
+        if known.revision:
+            result = await self._store.watch_evacuations(known, WATCH_WAIT_MS)
+        if isinstance(result, store_api_lib.HistoryGone):
+            result = await self._store.read_evacuations()
+        if isinstance(result, store_api_lib.Unavailable):
+            return result.detail
+        if evacuations.replace_if_newer(result):
+            self._on_change()
+            await asyncio.sleep(CHANGE_BATCH_MS / _MS_PER_S)
+        return None
+
     def _record_answer(self) -> None:
         if self._failing_watches:
             return
--- a/greengagedale/gateway/sub_requests.py
+++ b/greengagedale/gateway/sub_requests.py
@@ -1,13 +1,14 @@
 """Sub-requests: sending a call to one service with hedges and retries."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from greengagedale import clocks
 from greengagedale import outcomes
 from greengagedale.gateway import authorization
 from greengagedale.gateway import calls
+from greengagedale.gateway import evacuations as evacuations_lib
 from greengagedale.gateway import extra_attempts
 from greengagedale.gateway import metrics as metrics_lib
 from greengagedale.gateway import quarantine as quarantine_lib
@@ -107,6 +108,7 @@
         clock: Clock of the process.
         metrics: Metrics of the process.
         background: Holds references to the tasks of detached attempts.
+        evacuations: The evacuated data centres.
     """
 
     client: calls.UpstreamClient
@@ -119,14 +121,31 @@
     clock: clocks.Clock
     metrics: metrics_lib.Metrics
     background: set[asyncio.Task[None]]
+    evacuations: evacuations_lib.Evacuations
+
+    def in_use(self, service: str) -> list[upstream_entries.Upstream]:
+        """Returns the upstreams of a service that are not evacuated."""
+        return self.evacuations.outside(self.upstreams_of(service))
 
     def candidates(self, service: str) -> list[upstream_entries.Upstream]:
         """Returns the upstreams of a service that accept requests now."""
-        return self.notices.available(self.upstreams_of(service))
+        return self.notices.available(self.in_use(service))
+
+    def is_evacuated(self, service: str) -> bool:
+        """Returns whether a service has upstreams and all are evacuated."""
+        return bool(self.upstreams_of(service)) and not self.in_use(service)
+
+    def unavailable_reason(self, services: Iterable[str]) -> outcomes.Reason:
+        """Returns why some of these services have no candidates."""
+        if any(map(self.is_evacuated, services)):
+            return outcomes.Reason.EVACUATED
+        return outcomes.Reason.NO_REPLICA
 
     def available_in_ms(self, service: str) -> float:
         """Returns the time until an upstream accepts requests, or infinity."""
-        return self.notices.available_in_ms(self.upstreams_of(service))
+        if self.is_evacuated(service):
+            return evacuations_lib.RETRY_AFTER_MS
+        return self.notices.available_in_ms(self.in_use(service))
 
 
 _Task = asyncio.Task[calls.Answer | outcomes.AttemptFailure]
@@ -322,7 +341,7 @@
             available_in_ms = context.available_in_ms(self.service)
             if available_in_ms < float("inf"):
                 self._retry_after_ms = int(available_in_ms)
-            return outcomes.Reason.NO_REPLICA
+            return context.unavailable_reason((self.service,))
         upstream = choice.upstream
         if is_too_late(choice, self._useful_until_ms, now_ms) and (
             kind == "hedge" or self._allowance.try_use()
--- a/greengagedale/outcomes.py
+++ b/greengagedale/outcomes.py
@@ -18,6 +18,7 @@
     DEADLINE = "deadline"
     DRAINING = "draining"
     EARLY_STOP = "early_stop"
+    EVACUATED = "evacuated"
     EXPIRED_KEY = "expired_key"
     FOREIGN_KEY = "foreign_key"
     INTERNAL = "internal"
--- a/greengagedale/platform/store.py
+++ b/greengagedale/platform/store.py
@@ -1,11 +1,13 @@
 """Client of the platform's store."""
 
 import asyncio
+from collections.abc import Collection
 import logging
 from typing import Any, Self
 
 import msgspec
 
+from greengagedale.gateway import evacuations as evacuations_lib
 from greengagedale.gateway import metrics as metrics_lib
 from greengagedale.gateway import roster
 from greengagedale.gateway import store_api
@@ -18,6 +20,10 @@
 _KIND_UPSTREAMS = "servers"
 _KIND_CONFIGURATION = "config"
 _CONFIGURATION_NAME = "main"
+# Each object is named after a data centre that is evacuated.
+_KIND_EVACUATIONS = "evacuations"
+# Feature of deployments in which data centres may be evacuated.
+_FEATURE_EVACUATIONS = "places"
 # Kind created by this project, with a single object: the host list.
 _KIND_FLEET = "fleet"
 _HOST_LIST_NAME = "hosts"
@@ -29,8 +35,8 @@
 # A watch without changes is answered after its wait time; slow stores took
 # about 300 ms longer.
 _WATCH_GRACE_MS = 700.0
-# Enough for two watches and a ping.
-_MAX_IDLE = 3
+# Enough for three watches and a ping.
+_MAX_IDLE = 4
 # Slow stores took about 300 ms to answer. The timeout must be short enough for
 # other hosts to learn that a reader has lost the store and to take over in
 # time.
@@ -40,6 +46,15 @@
 _REPLY_LIMITS = client.ReplyLimits(max_body_bytes=32 * 1024 * 1024)
 
 
+def has_evacuations(features: Collection[str]) -> bool:
+    """Returns whether a deployment's data centres may be evacuated.
+
+    Args:
+        features: Names of the platform's features that are in force.
+    """
+    return _FEATURE_EVACUATIONS in features
+
+
 class _WatchEvent(msgspec.Struct):
     # The whole object: its metadata, and the document in `spec`.
     object: dict[str, Any]
@@ -95,26 +110,13 @@
         self, allow_stale: bool = False
     ) -> store_api.UpstreamsListed | store_api.Unavailable:
         """Reads all upstreams, page by page."""
-        items: list[dict[str, Any]] = []
-        after = ""
-        while True:
-            path = _list_path(_KIND_UPSTREAMS, after, allow_stale)
-            result = await self._get("list", path, _ListReply)
-            if isinstance(
-                result, store_api.Unavailable | store_api.HistoryGone
-            ):
-                return store_api.Unavailable("upstreams can't be listed")
-            if result is None:
-                return store_api.Unavailable("the store has no such kind")
-            items += result.items
-            if not result.more or not result.items:
-                break
-            after = _name_of(result.items[-1])
+        result = await self._list(_KIND_UPSTREAMS, allow_stale)
+        if isinstance(result, store_api.Unavailable):
+            return result
         decoded = (
             store_documents.decode_upstream(_name_of(item), item.get("spec"))
-            for item in items
+            for item in result.items
         )
-        # A change between two pages is reported again by the next watch.
         upstreams = [upstream for upstream in decoded if upstream]
         return store_api.UpstreamsListed(upstreams, result.storeRevision)
 
@@ -154,6 +156,38 @@
         items = [event.object for event in result.events if not event.deleted]
         return _decode_routes(items, result.storeRevision)
 
+    async def read_evacuations(
+        self, allow_stale: bool = False
+    ) -> evacuations_lib.EvacuationList | store_api.Unavailable:
+        """Reads the evacuated data centres, page by page."""
+        result = await self._list(_KIND_EVACUATIONS, allow_stale)
+        if isinstance(result, store_api.Unavailable):
+            return result
+        names = {_name_of(item) for item in result.items} - {""}
+        return evacuations_lib.EvacuationList(
+            result.storeRevision, tuple(sorted(names))
+        )
+
+    async def watch_evacuations(
+        self, known: evacuations_lib.EvacuationList, wait_ms: int
+    ) -> (
+        evacuations_lib.EvacuationList
+        | store_api.HistoryGone
+        | store_api.Unavailable
+    ):
+        """Waits for changes of a list, for at most `wait_ms`."""
+        result = await self._watch(_KIND_EVACUATIONS, known.revision, wait_ms)
+        if not isinstance(result, _WatchReply):
+            return result
+        latest = dict.fromkeys(known.data_centres, True)
+        latest |= {
+            _name_of(event.object): not event.deleted for event in result.events
+        }
+        names = (name for name, is_listed in latest.items() if is_listed)
+        return evacuations_lib.EvacuationList(
+            result.storeRevision, tuple(sorted(filter(None, names)))
+        )
+
     async def ping(self) -> store_api.Unavailable | None:
         """Makes a cheap call to the store; returns None if it answers."""
         # The list is empty, since no object of this kind has a later name.
@@ -195,6 +229,33 @@
         for connection in idle:
             connection.close()
 
+    async def _list(
+        self, kind: str, allow_stale: bool
+    ) -> _ListReply | store_api.Unavailable:
+        """Lists the objects of a kind, page by page.
+
+        The revision is that of the first page, so that the next watch reports
+        a change between two pages again.
+        """
+        items: list[dict[str, Any]] = []
+        revision: int | None = None
+        after = ""
+        while True:
+            path = _list_path(kind, after, allow_stale)
+            result = await self._get("list", path, _ListReply)
+            if isinstance(
+                result, store_api.Unavailable | store_api.HistoryGone
+            ):
+                return store_api.Unavailable(f"{kind} can't be listed")
+            if result is None:
+                return store_api.Unavailable("the store has no such kind")
+            items += result.items
+            if revision is None:
+                revision = result.storeRevision
+            if not result.more or not result.items:
+                return _ListReply(items, revision)
+            after = _name_of(result.items[-1])
+
     async def _watch(
         self, kind: str, revision: int, wait_ms: int
     ) -> _WatchReply | store_api.HistoryGone | store_api.Unavailable:
--- a/standins/gateway_site.py
+++ b/standins/gateway_site.py
@@ -111,6 +111,7 @@
         seeds: list[str],
         ports: dict[str, int],
         bounds: Mapping[str, float] = BOUNDS,
+        contracts: Sequence[str] = (),
     ) -> None:
         self.name = name
         self.ports = ports
@@ -139,6 +140,7 @@
             "platform": {"address": f"{ADDRESS}:{store_port}"},
             "seeds": seeds,
             "bounds": bounds,
+            "contracts": list(contracts),
         }
         text = render(TEMPLATE.read_text(encoding="utf-8"), fields)
         # Hosts of a test share an address, so the template's fixed metrics
--- a/tests/gateway/test_store_reader.py
+++ b/tests/gateway/test_store_reader.py
@@ -10,7 +10,9 @@
 import pytest
 
 from greengagedale import clocks
+from greengagedale.gateway import evacuations
 from greengagedale.gateway import fleet as fleet_lib
+from greengagedale.gateway import metrics
 from greengagedale.gateway import reader_election as election_lib
 from greengagedale.gateway import registry as registry_lib
 from greengagedale.gateway import roster as roster_lib
@@ -32,6 +34,8 @@
         self.revision = 5
         self.changes = asyncio.Queue()
         self.roster = roster_lib.EMPTY_HOST_LIST
+        self.evacuated = ()
+        self.evacuation_changes = asyncio.Queue()
         self.calls = collections.Counter()
 
     def _count(self, name):
@@ -75,6 +79,20 @@
             self.roster = host_list._replace(revision=self.roster.revision + 1)
         return failure or self.roster
 
+    async def read_evacuations(self, allow_stale=False):
+        kind = "copy of evacuations" if allow_stale else "evacuations"
+        return self._count(kind) or evacuations.EvacuationList(
+            self.revision, self.evacuated
+        )
+
+    async def watch_evacuations(self, known, wait_ms):
+        failure = self._count("watch evacuations")
+        if failure is not None:
+            return failure
+        self.evacuated = await self.evacuation_changes.get()
+        self.revision += 1
+        return evacuations.EvacuationList(self.revision, self.evacuated)
+
     async def ping(self):
         return self._count("pulse")
 
@@ -97,7 +115,7 @@
 
 
 class Bench:
-    def __init__(self):
+    def __init__(self, has_evacuations=False):
         self.clock = clocks.MonotonicClock()
         self.store = ScriptedStore()
         self.registry = registry_lib.Registry(self.clock)
@@ -105,6 +123,7 @@
         election = election_lib.ReaderElection(self.fleet, "m", [], self.clock)
         self.roster = roster_lib.Roster("m", self.clock)
         self.alive = alive_hosts("m")
+        self.evacuations = evacuations.Evacuations(metrics.Metrics())
         self.reader = store_reader_lib.StoreReader(
             self.store,
             self.registry,
@@ -113,21 +132,30 @@
             lambda: self.alive,
             lambda: None,
             self.clock,
+            self.evacuations if has_evacuations else None,
         )
 
     def names(self):
         return sorted(self.registry.upstreams)
 
 
+@contextlib.asynccontextmanager
+async def reading(bench):
+    task = asyncio.create_task(bench.reader.run())
+    try:
+        yield
+    finally:
+        task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
+
+
 @pytest.fixture
 async def bench(short_intervals):
     new_bench = Bench()
-    task = asyncio.create_task(new_bench.reader.run())
-    await wait_until(lambda: new_bench.store.calls["watch"] == 2)
-    yield new_bench
-    task.cancel()
-    with contextlib.suppress(asyncio.CancelledError):
-        await task
+    async with reading(new_bench):
+        await wait_until(lambda: new_bench.store.calls["watch"] == 2)
+        yield new_bench
 
 
 async def wait_until(condition):
@@ -299,3 +327,29 @@
     in_use = [entry.name for entry in new_bench.registry.upstreams_of("s")]
     assert sorted(in_use) == ["a", "b"]
     task.cancel()
+
+
+async def test_reader_follows_evacuations_and_keeps_them_in_an_outage(
+    short_intervals,
+):
+    bench = Bench(has_evacuations=True)
+    async with reading(bench):
+        await wait_until(lambda: bench.store.calls["watch evacuations"])
+        bench.store.evacuation_changes.put_nowait(("north",))
+        await wait_until(lambda: bench.evacuations.list.data_centres)
+        bench.store.is_up = False
+        await wait_until(lambda: bench.store.calls["routes"] >= 2)
+        assert bench.evacuations.list.data_centres == ("north",)
+        bench.store.is_up = True
+        bench.store.evacuation_changes.put_nowait(())
+        await wait_until(lambda: not bench.evacuations.list.data_centres)
+
+
+async def test_deployment_without_evacuations_makes_no_further_calls(
+    short_intervals,
+):
+    bench = Bench()
+    async with reading(bench):
+        await wait_until(lambda: bench.store.calls["watch"] == 2)
+        await asyncio.sleep(0.05)
+    assert not [name for name in bench.store.calls if "evacuations" in name]
--- a/tests/gateway_scripts.py
+++ b/tests/gateway_scripts.py
@@ -8,6 +8,7 @@
 from greengagedale import outcomes
 from greengagedale.gateway import authorization
 from greengagedale.gateway import calls
+from greengagedale.gateway import evacuations
 from greengagedale.gateway import extra_attempts
 from greengagedale.gateway import fleet
 from greengagedale.gateway import metrics
@@ -59,7 +60,7 @@
     )
 
 
-def exchange_of(name, clock, registry, notices=None, seeds=()):
+def exchange_of(name, clock, registry, notices=None, seeds=(), evacuated=None):
     """Creates a host's peer exchange with a registry and notices."""
     return peer_exchange.PeerExchange(
         lambda: host_state(name),
@@ -71,6 +72,7 @@
         list(seeds),
         clock,
         random.Random(1),
+        evacuated or evacuations.Evacuations(metrics.Metrics()),
     )
 
 
@@ -132,6 +134,7 @@
         self._request_numbers = itertools.count()
         self.metrics = metrics.Metrics()
         self.notices = upstream_notices.UpstreamNotices(self.clock)
+        self.evacuations = evacuations.Evacuations(self.metrics)
         rng = random.Random(1)
         self.registry = registry.Registry(self.clock)
         self.context = sub_requests.SubRequestContext(
@@ -145,6 +148,7 @@
             self.clock,
             self.metrics,
             set(),
+            self.evacuations,
         )
         # An earlier process has spent nothing within the window.
         started_ms = self.clock.now_ms() - 2.0 * WINDOW_MS
--- a/tests/platform/test_notices_under_load.py
+++ b/tests/platform/test_notices_under_load.py
@@ -52,7 +52,10 @@
 def bench(upstreams):
     created = Bench(burst=1000.0)
     pools = connection_pools.ConnectionPools(
-        created.notices, client.ReplyLimits(), created.clock
+        created.notices,
+        created.evacuations,
+        client.ReplyLimits(),
+        created.clock,
     )
     created.context = created.context._replace(
         client=upstream_client.PlatformUpstreamClient(
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -58,3 +58,26 @@
     assert isinstance(
         await store.write_roster(host_list), store_api.Unavailable
     )
+
+
+async def test_evacuations_are_read_and_followed(store, users):
+    empty = await store.read_evacuations()
+    assert empty.data_centres == ()
+    users.put("evacuations", "north", {})
+    users.put("servers", "i-1", {})
+    users.put("evacuations", "south", {})
+    began = await store.watch_evacuations(empty, 100)
+    assert began == (users.revision, ("north", "south"))
+    users.delete("evacuations", "south")
+    ended = await store.watch_evacuations(began, 100)
+    assert ended.data_centres == ("north",)
+    assert await store.read_evacuations() == ended
+    users.mode = "gone"
+    gone = await store.watch_evacuations(ended, 100)
+    assert isinstance(gone, store_api.HistoryGone)
+
+
+async def test_many_evacuations_are_read_page_by_page(store, users):
+    for number in range(120):
+        users.put("evacuations", f"dc-{number:03}", {})
+    assert len((await store.read_evacuations()).data_centres) == 120
--- a/tests/platform/test_upstream_client.py
+++ b/tests/platform/test_upstream_client.py
@@ -10,6 +10,8 @@
 from greengagedale import outcomes
 from greengagedale.gateway import calls
 from greengagedale.gateway import connection_pools
+from greengagedale.gateway import evacuations
+from greengagedale.gateway import metrics
 from greengagedale.gateway import upstream_notices as notices_lib
 from greengagedale.http1 import client
 from greengagedale.http1 import messages
@@ -37,9 +39,16 @@
 
 
 @pytest.fixture
-def send(clock, notices, server):
+def evacuated():
+    return evacuations.Evacuations(metrics.Metrics())
+
+
+@pytest.fixture
+def send(clock, notices, evacuated, server):
     sender = upstream_client.PlatformUpstreamClient(
-        connection_pools.ConnectionPools(notices, client.ReplyLimits(), clock),
+        connection_pools.ConnectionPools(
+            notices, evacuated, client.ReplyLimits(), clock
+        ),
         notices,
         lambda entry: 2,
         clock,
