Limit what upstreams get from all hosts while they warm up

Cause: a cold upstream tolerates a stated rate over all hosts and crashes above it. The rate was decoded and not used, and an upstream that becomes cold later was not noticed.

- gateway/warm_up.py deals floor(rate x overage + slack) whole requests a second to the hosts of the host list, in an order that depends on the upstream; a host without a share has none.
Its module says why the parts add up to the bound over changes of the list and restarts.
- Told by entries and by the answers' Warmup-Ms; assumed for 3 s after a connection could not be opened or an evacuation has ended.
- A token is drawn just before the bytes are written.
Cold upstreams without room are no candidates; a wholly cold shard is left out, or the request is refused at once as not run (`warming_up`).
- A host that hears of a later host list than its own no longer counts its own as current: it may have been taken off.

Ruled out: leases a warm-up, fractional parts, and counting by sends alone (see docs/design/data-centres.md).

Not bounded: what arrives before anybody is told that an upstream is cold.

--- a/greengagedale/gateway/connection_pools.py
+++ b/greengagedale/gateway/connection_pools.py
@@ -173,7 +173,7 @@
             upstream_entries.UpstreamIncarnation, ConnectionPool
         ] = {}
         notices.on_unavailable = self._wake
-        evacuations.on_change = self._wake_evacuated
+        evacuations.listeners.append(self._wake_evacuated)
 
     def get(
         self, upstream: upstream_entries.Upstream, max_connections: int
--- a/greengagedale/gateway/daemon.py
+++ b/greengagedale/gateway/daemon.py
@@ -1,6 +1,7 @@
 """Process of an entry host that forwards opaque requests to upstreams."""
 
 import asyncio
+from collections.abc import Mapping
 import contextlib
 import logging
 import os
@@ -34,6 +35,7 @@
 from greengagedale.gateway import upstream_entries
 from greengagedale.gateway import upstream_notices as notices_lib
 from greengagedale.gateway import upstream_scores as scores_lib
+from greengagedale.gateway import warm_up as warm_up_lib
 from greengagedale.http1 import client
 from greengagedale.http1 import messages
 from greengagedale.http1 import server
@@ -186,6 +188,10 @@
             else None,
         )
         self._own_state.reader = self._reader
+        self._warm_up = warm_up_lib.SharedWarmUpLimit.from_config(
+            settings, self._roster, self._warm_up_rates, self._metrics, clock
+        )
+        self._evacuations.listeners.append(self._warm_up.observe_evacuations)
         self._pools = pools_lib.ConnectionPools(
             self._notices,
             self._evacuations,
@@ -207,7 +213,11 @@
         )
         self._tools = sub_requests.SubRequestContext(
             upstream_client_lib.PlatformUpstreamClient(
-                self._pools, self._notices, self._max_connections, clock
+                self._pools,
+                self._notices,
+                self._warm_up,
+                self._max_connections,
+                clock,
             ),
             self._scores,
             self._registry.upstreams_of,
@@ -219,6 +229,7 @@
             self._metrics,
             set(),
             self._evacuations,
+            self._warm_up,
         )
         self._runner = runner_lib.Runner(
             self._tools, self._budgets, traffic_split.TrafficSplitter(rng)
@@ -331,7 +342,10 @@
         read_age_ms = self._reader.read_age_ms
         is_reading = 0.0 <= read_age_ms < fleet_lib.READER_STALE_MS
         is_store_reachable = is_reading or bool(self._fleet.active_readers())
-        self._roster.confirm_current(self._alive_hosts(), is_store_reachable)
+        alive = self._alive_hosts()
+        self._roster.confirm_current(
+            alive, is_store_reachable, max(alive.values())
+        )
         share = self._burst_share()
         if share != self._budgets.share:
             log.info(
@@ -344,6 +358,10 @@
             )
         self._budgets.set_share(share, self._clock.now_ms())
 
+    def _warm_up_rates(self) -> Mapping[str, float]:
+        table = self._registry.table
+        return {} if table is None else table.warm_up_per_s
+
     def _max_connections(self, upstream: upstream_entries.Upstream) -> int:
         table = self._registry.table
         accepted = table and table.connections.get(upstream.service)
@@ -370,6 +388,7 @@
         }
         self._pools.close_stale(incarnations)
         self._notices.evict_expired()
+        self._warm_up.retain_only(incarnations)
         self._budgets.evict_unused(self._clock.now_ms())
         if self._registry.table is not None:
             self._runner.retain_only(self._registry.table.configuration)
--- a/greengagedale/gateway/evacuations.py
+++ b/greengagedale/gateway/evacuations.py
@@ -40,16 +40,16 @@
 
     Attributes:
         list: The list.
-        on_change: Called with the data centres whose evacuation began, and
-            with those whose evacuation ended.
+        listeners: Called at each change, with the data centres whose evacuation
+            began and with those whose evacuation ended.
     """
 
     def __init__(self, metrics: metrics_lib.Metrics) -> None:
         self._metrics = metrics
         self.list = EMPTY_EVACUATION_LIST
-        self.on_change: Callable[[frozenset[str], frozenset[str]], None] = (
-            _ignore_change
-        )
+        self.listeners: list[
+            Callable[[frozenset[str], frozenset[str]], None]
+        ] = []
 
     def apply_copy(self, data_centres: tuple[str, ...]) -> None:
         """Applies a copy that may be stale, unless any list is known."""
@@ -97,9 +97,6 @@
                         "all_evacuated": self.list.data_centres,
                     },
                 )
-        self.on_change(after - before, before - after)
+        for listener in self.listeners:
+            listener(after - before, before - after)
         return True
-
-
-def _ignore_change(began: frozenset[str], ended: frozenset[str]) -> None:
-    del began, ended
--- a/greengagedale/gateway/metrics.py
+++ b/greengagedale/gateway/metrics.py
@@ -66,6 +66,8 @@
         failures: Attempts that failed, by reason.
         merged_answers: Merged answers by route, and whole or partial.
         store_calls: Calls to the store by operation and result.
+        warm_up_choices: What became of upstreams that warm up when requests
+            were sent, by service: sent to, withheld or refused.
         evacuations: Evacuations of data centres that began or ended.
         request_latency: Latency of requests by route.
         attempt_latency: Latency of answered attempts by route.
@@ -94,6 +96,12 @@
         self.store_calls = Counter(
             "store_calls", "Calls to the store.", "operation", "result"
         )
+        self.warm_up_choices = Counter(
+            "warm_up_choices",
+            "Upstreams that warm up, sent to or not.",
+            "service",
+            "result",
+        )
         self.evacuations = Counter(
             "evacuations", "Evacuations seen.", "data_centre", "state"
         )
--- a/greengagedale/gateway/roster.py
+++ b/greengagedale/gateway/roster.py
@@ -86,7 +86,10 @@
         return True
 
     def confirm_current(
-        self, alive: Collection[str], is_store_reachable: bool
+        self,
+        alive: Collection[str],
+        is_store_reachable: bool,
+        newest_revision: int = 0,
     ) -> None:
         """Confirms that the list is current if the arguments show that it is.
 
@@ -94,16 +97,27 @@
             alive: Names of the other live hosts.
             is_store_reachable: Whether this host or one of its live peers gets
                 answers from the store.
+            newest_revision: Latest revision of the list that a live host uses.
         """
+        if newest_revision > self.host_list.revision:
+            # This host may no longer be on that list.
+            return
         others = {*self.host_list.hosts} - {self._own_name}
         if is_store_reachable or others <= {*alive}:
             self._confirmed_ms = self._clock.now_ms()
 
+    @property
+    def has_share(self) -> bool:
+        """Whether this host has a full share now."""
+        unconfirmed_ms = self._clock.now_ms() - self._confirmed_ms
+        return (
+            unconfirmed_ms <= CONFIRMATION_TIMEOUT_MS
+            and self._own_name in self.host_list.sharing
+        )
+
     def share_of(self, burst: float) -> float:
         """Returns this host's share of a burst limit over all hosts."""
-        unconfirmed_ms = self._clock.now_ms() - self._confirmed_ms
-        has_share = self._own_name in self.host_list.sharing
-        if not has_share or unconfirmed_ms > CONFIRMATION_TIMEOUT_MS:
+        if not self.has_share:
             return min(UNLISTED_SHARE, UNLISTED_FRACTION * burst)
         return (1.0 - UNLISTED_FRACTION) * burst / len(self.host_list.hosts)
 
--- a/greengagedale/gateway/sub_requests.py
+++ b/greengagedale/gateway/sub_requests.py
@@ -16,6 +16,7 @@
 from greengagedale.gateway import upstream_entries
 from greengagedale.gateway import upstream_notices as notices_lib
 from greengagedale.gateway import upstream_scores as scores_lib
+from greengagedale.gateway import warm_up as warm_up_lib
 from greengagedale.retry import window_budget
 
 # After another attempt has answered, an attempt in flight gets this long to end
@@ -109,6 +110,7 @@
         metrics: Metrics of the process.
         background: Holds references to the tasks of detached attempts.
         evacuations: The evacuated data centres.
+        warm_up: Limits what upstreams get while they warm up.
     """
 
     client: calls.UpstreamClient
@@ -122,6 +124,7 @@
     metrics: metrics_lib.Metrics
     background: set[asyncio.Task[None]]
     evacuations: evacuations_lib.Evacuations
+    warm_up: warm_up_lib.WarmUpLimit
 
     def in_use(self, service: str) -> list[upstream_entries.Upstream]:
         """Returns the upstreams of a service that are not evacuated."""
@@ -129,6 +132,9 @@
 
     def candidates(self, service: str) -> list[upstream_entries.Upstream]:
         """Returns the upstreams of a service that accept requests now."""
+        return self.warm_up.available(self._accepting(service))
+
+    def _accepting(self, service: str) -> list[upstream_entries.Upstream]:
         return self.notices.available(self.in_use(service))
 
     def is_evacuated(self, service: str) -> bool:
@@ -137,14 +143,20 @@
 
     def unavailable_reason(self, services: Iterable[str]) -> outcomes.Reason:
         """Returns why some of these services have no candidates."""
-        if any(map(self.is_evacuated, services)):
+        without = [each for each in services if not self.candidates(each)]
+        if any(map(self.is_evacuated, without)):
             return outcomes.Reason.EVACUATED
+        if any(map(self._accepting, without)):
+            return outcomes.Reason.WARMING_UP
         return outcomes.Reason.NO_REPLICA
 
     def available_in_ms(self, service: str) -> float:
         """Returns the time until an upstream accepts requests, or infinity."""
         if self.is_evacuated(service):
             return evacuations_lib.RETRY_AFTER_MS
+        accepting = self._accepting(service)
+        if accepting:
+            return self.warm_up.available_in_ms(accepting)
         return self.notices.available_in_ms(self.in_use(service))
 
 
--- a/greengagedale/gateway/upstream_notices.py
+++ b/greengagedale/gateway/upstream_notices.py
@@ -39,10 +39,12 @@
         is_leaving: Whether the upstream is leaving.
         backoff_ms: Time for which it accepts nothing from this host; 0 if it
             accepts more work.
+        warm_up_ms: Time for which it still warms up; 0 if it says none.
     """
 
     is_leaving: bool
     backoff_ms: float
+    warm_up_ms: float = 0.0
 
 
 class UpstreamNotices:
--- a/greengagedale/outcomes.py
+++ b/greengagedale/outcomes.py
@@ -37,6 +37,7 @@
     REJECTED = "rejected"
     SNAPSHOT_GONE = "snapshot_gone"
     STOPPING = "stopping"
+    WARMING_UP = "warming_up"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/greengagedale/platform/upstream_client.py
+++ b/greengagedale/platform/upstream_client.py
@@ -8,6 +8,7 @@
 from greengagedale.gateway import connection_pools as pools_lib
 from greengagedale.gateway import upstream_entries
 from greengagedale.gateway import upstream_notices as notices_lib
+from greengagedale.gateway import warm_up as warm_up_lib
 from greengagedale.http1 import client
 from greengagedale.http1 import messages
 from greengagedale.platform import upstream_codec
@@ -29,6 +30,7 @@
         self,
         pools: pools_lib.ConnectionPools,
         notices: notices_lib.UpstreamNotices,
+        warm_up: warm_up_lib.WarmUpLimit,
         max_connections: Callable[[upstream_entries.Upstream], int],
         clock: clocks.Clock,
     ) -> None:
@@ -37,12 +39,14 @@
         Args:
             pools: Connection pools of all upstreams.
             notices: Receives the notices that upstreams send with answers.
+            warm_up: Limits what upstreams get while they warm up.
             max_connections: Returns the maximum number of connections from
                 this host to an upstream.
             clock: Clock of the process.
         """
         self._pools = pools
         self._notices = notices
+        self._warm_up = warm_up
         self._max_connections = max_connections
         self._clock = clock
 
@@ -58,12 +62,17 @@
         except pools_lib.UpstreamNotAcceptingError:
             return _unsent_failure(outcomes.Reason.DRAINING)
         except OSError:
+            self._warm_up.observe_unreachable(upstream)
             return _unsent_failure(outcomes.Reason.CONNECT_FAILED)
         # Connecting may have taken long, or the process may have stalled.
         remaining_ms = attempt.deadline_ms - self._clock.now_ms()
         if remaining_ms <= 0.0:
             pool.release(connection)
             return _unsent_failure(outcomes.Reason.DEADLINE)
+        end_permit = self._warm_up.try_send(upstream)
+        if end_permit is None:
+            pool.release(connection)
+            return _unsent_failure(outcomes.Reason.WARMING_UP)
         is_first = connection.is_new
         try:
             reply = await connection.exchange(
@@ -81,6 +90,7 @@
                         outcomes.Reason.REPLY_LOST, written=True, refused=False
                     )
         finally:
+            end_permit()
             pool.release(connection)
         if isinstance(reply, client.ExchangeFailure):
             return outcomes.AttemptFailure(
@@ -90,9 +100,9 @@
 
     def _accept(self, attempt: calls.Attempt, reply: messages.Reply) -> bool:
         """Records an answer's notice and checks that it is to this attempt."""
-        self._notices.observe(
-            attempt.upstream, upstream_codec.decode_notice(reply)
-        )
+        notice = upstream_codec.decode_notice(reply)
+        self._notices.observe(attempt.upstream, notice)
+        self._warm_up.observe(attempt.upstream, notice.warm_up_ms)
         return upstream_codec.may_match_request(attempt.call, reply)
 
 
--- a/greengagedale/platform/upstream_codec.py
+++ b/greengagedale/platform/upstream_codec.py
@@ -23,6 +23,8 @@
 _TRUE = b"1"
 # With a refusal: backoff, in seconds, that the upstream asks of this host.
 _RETRY_AFTER = b"retry-after"
+# Remaining warm-up time of the upstream, in milliseconds.
+_WARM_UP = b"warmup-ms"
 _STATUS_UNAVAILABLE = 503
 _MS_PER_S = 1000.0
 _STATUS_MISDIRECTED = 421
@@ -119,12 +121,13 @@
     has_backoff = reply.status == _STATUS_UNAVAILABLE and value is not None
     return upstream_notices.Notice(
         reply.header(_LEAVING) == _TRUE,
-        _parse_seconds(value or b"") * _MS_PER_S if has_backoff else 0.0,
+        _parse_number(value or b"") * _MS_PER_S if has_backoff else 0.0,
+        _parse_number(reply.header(_WARM_UP) or b""),
     )
 
 
-def _parse_seconds(value: bytes) -> float:
-    """Parses a number of seconds; returns 0 for dates and invalid values."""
+def _parse_number(value: bytes) -> float:
+    """Parses a decimal number; returns 0 for dates and invalid values."""
     whole, _, fraction = value.partition(b".")
     digits = whole + fraction
     is_number = digits.isdigit() and len(digits) <= _MAX_DIGITS
--- a/standins/gateway_site.py
+++ b/standins/gateway_site.py
@@ -310,6 +310,7 @@
         folder: pathlib.Path,
         hosts: int = 2,
         bounds: Mapping[str, float] = BOUNDS,
+        contracts: Sequence[str] = (),
     ) -> None:
         self.store = gateway_store.GatewayStore()
         self.upstreams: dict[str, gateway_upstream.GatewayUpstream] = {}
@@ -321,7 +322,15 @@
         ports = [{key: free_port() for key in _PORT_KEYS} for _ in range(hosts)]
         seeds = [f"{ADDRESS}:{host_ports['control']}" for host_ports in ports]
         self.hosts = [
-            HostProcess(f"h{i}", folder, listen_port, seeds, host_ports, bounds)
+            HostProcess(
+                f"h{i}",
+                folder,
+                listen_port,
+                seeds,
+                host_ports,
+                bounds,
+                contracts,
+            )
             for i, host_ports in enumerate(ports)
         ]
 
@@ -388,9 +397,10 @@
     hosts: int = 2,
     replicas: int = 2,
     bounds: Mapping[str, float] = BOUNDS,
+    contracts: Sequence[str] = (),
 ) -> AsyncIterator[Site]:
     """Runs a site for the duration of the context."""
-    site = Site(folder, hosts, bounds)
+    site = Site(folder, hosts, bounds, contracts)
     try:
         await site.start(replicas)
         yield site
--- a/standins/gateway_upstream.py
+++ b/standins/gateway_upstream.py
@@ -25,6 +25,8 @@
         is_leaving: Whether answers announce that the upstream is leaving.
         backoff_ms: `Retry-After` time sent with refusals in mode `full`; 0
             omits the header.
+        warm_up_ms: Remaining warm-up time in answers and entries; 0 if none.
+        data_centre: Data centre in its entries.
         leaving_sent_ms: Monotonic time of the first answer that announced
             leaving, or None.
         backoffs_sent_ms: For each `Retry-After` sent, the monotonic times at
@@ -42,6 +44,8 @@
         self.delay_ms = 0.0
         self.is_leaving = False
         self.backoff_ms = 0.0
+        self.warm_up_ms = 0
+        self.data_centre = "here"
         self.leaving_sent_ms: float | None = None
         self.backoffs_sent_ms: list[tuple[float, float]] = []
         self.runs: collections.Counter[str] = collections.Counter()
@@ -66,11 +70,11 @@
         return {
             "service": self.service,
             "address": f"{address}:{self.port}",
-            "zone": "here",
+            "zone": self.data_centre,
             "version": "v1",
             "slots": 4,
             "state": state,
-            "warmupLeftMs": 0,
+            "warmupLeftMs": self.warm_up_ms,
             "sequence": self._sequence,
             "born": 1,
         }
@@ -79,6 +83,9 @@
         """Answers one request according to the current mode."""
         self.requests.append(request)
         response = await self._respond(request)
+        if self.warm_up_ms > 0:
+            warm_up = (b"Warmup-Ms", b"%d" % self.warm_up_ms)
+            response = response._replace(headers=(*response.headers, warm_up))
         if not self.is_leaving:
             return response
         if self.leaving_sent_ms is None:
--- a/tests/gateway/test_mutations.py
+++ b/tests/gateway/test_mutations.py
@@ -19,6 +19,7 @@
 from greengagedale import clocks
 from greengagedale import outcomes
 from greengagedale.gateway import calls
+from greengagedale.gateway import evacuations
 from greengagedale.gateway import extra_attempts
 from greengagedale.gateway import fleet
 from greengagedale.gateway import peer_exchange
@@ -33,6 +34,7 @@
 from greengagedale.gateway import sub_requests
 from greengagedale.gateway import upstream_notices
 from greengagedale.gateway import upstream_scores
+from greengagedale.gateway import warm_up
 from greengagedale.http1 import client
 from greengagedale.http1 import messages
 from greengagedale.http1 import server
@@ -126,6 +128,29 @@
     return [item.name for item in filled_registry().upstreams_of("s")] == ["a"]
 
 
+async def evacuated_upstreams_get_no_work():
+    """Upstreams of an evacuated data centre are not sent to."""
+    bench = Bench()
+    bench.add("a", data_centre="north")
+    bench.add("b", data_centre="south")
+    bench.evacuations.replace_if_newer(
+        evacuations.EvacuationList(1, ("north",))
+    )
+    for _ in range(20):
+        await bench.run(single())
+    return {*bench.client.sent} == {"b"}
+
+
+async def warming_upstreams_are_limited():
+    """An upstream that warms up gets no more than this host's part."""
+    bench = Bench()
+    bench.rates["s"] = 1.0
+    bench.roster.replace_if_newer(roster.HostList(1, ("a", "m")))
+    cold = upstream("u", warm_up_ms=5000.0)
+    # In the second after the host list has changed nothing is sent.
+    return [bench.warm_up.try_send(cold) for _ in range(9)] == [None] * 9
+
+
 class Parsed:
     """The bodies of the requests in a piece of input."""
 
@@ -398,6 +423,18 @@
         "accepts_work",
         always(True),
     ),
+    "send_to_evacuated": (
+        evacuated_upstreams_get_no_work,
+        evacuations.Evacuations,
+        "is_evacuated",
+        always(False),
+    ),
+    "ignore_warm_up": (
+        warming_upstreams_are_limited,
+        warm_up.SharedWarmUpLimit,
+        "_find",
+        always(None),
+    ),
     "keep_all_removed_entries": (
         few_removed_entries_are_not_kept,
         registry,
--- a/tests/gateway_scripts.py
+++ b/tests/gateway_scripts.py
@@ -23,6 +23,7 @@
 from greengagedale.gateway import upstream_entries
 from greengagedale.gateway import upstream_notices
 from greengagedale.gateway import upstream_scores
+from greengagedale.gateway import warm_up
 from greengagedale.http1 import messages
 
 WINDOW_MS = 10_000.0
@@ -135,6 +136,18 @@
         self.metrics = metrics.Metrics()
         self.notices = upstream_notices.UpstreamNotices(self.clock)
         self.evacuations = evacuations.Evacuations(self.metrics)
+        # Requests per second that warming upstreams accept, by service.
+        self.rates = {}
+        self.roster = roster.Roster("m", self.clock)
+        self.warm_up = warm_up.SharedWarmUpLimit(
+            "m",
+            self.roster,
+            lambda: self.rates,
+            1.5,
+            5.0,
+            self.metrics,
+            self.clock,
+        )
         rng = random.Random(1)
         self.registry = registry.Registry(self.clock)
         self.context = sub_requests.SubRequestContext(
@@ -149,6 +162,7 @@
             self.metrics,
             set(),
             self.evacuations,
+            self.warm_up,
         )
         # An earlier process has spent nothing within the window.
         started_ms = self.clock.now_ms() - 2.0 * WINDOW_MS
--- a/tests/integration/test_gateway.py
+++ b/tests/integration/test_gateway.py
@@ -10,6 +10,7 @@
 from greengagedale.http1 import client
 from standins import endless
 from standins.gateway_site import RECORD_FORMAT
+from standins.gateway_site import SHARDS
 from standins.gateway_site import configuration
 from standins.gateway_site import route
 from standins.gateway_site import running_site
@@ -71,6 +72,45 @@
     assert site.upstreams["one-0"].runs["b1"] == 0
 
 
+async def test_evacuated_data_centre_gets_nothing_until_taken_back(tmp_path):
+    async with running_site(tmp_path, contracts=["places"]) as site:
+        for name, each in site.upstreams.items():
+            if name.endswith("-1"):
+                each.data_centre = "there"
+                site.write_upstream_entry(name)
+        site.store.put("evacuations", "there", {})
+        evacuated = [site.upstreams[f"{shard}-1"] for shard in SHARDS]
+
+        async def is_known(state):
+            message = f"evacuation of a data centre {state}"
+            return all(
+                message in [line["message"] for line in host.json_log_lines()]
+                for host in site.hosts
+            )
+
+        await until(lambda: is_known("began"))
+        # The host that reads the store is lost, and one starts meanwhile.
+        await site.hosts[0].stop()
+        await site.hosts[0].start()
+        await site.hosts[0].wait_ready()
+        counts = [len(each.requests) for each in evacuated]
+        for host in site.hosts * 10:
+            assert (await host.search()).status == 200
+        assert [len(each.requests) for each in evacuated] == counts
+        site.store.delete("evacuations", "there")
+
+        await until(lambda: is_known("ended"))
+        # Hosts prefer upstreams of their own data centre.
+        for shard in SHARDS:
+            site.write_upstream_entry(f"{shard}-0", "draining")
+
+        async def is_used():
+            await site.hosts[1].search()
+            return all(each.requests[counts[0] :] for each in evacuated)
+
+        await until(is_used)
+
+
 @pytest.mark.parametrize("mode", ["unsigned", "foreign", "failing", "lost"])
 async def test_invalid_answer_is_not_merged(site, mode):
     for name in ("s1-0", "s1-1"):
--- a/tests/platform/test_codecs.py
+++ b/tests/platform/test_codecs.py
@@ -434,3 +434,21 @@
         reply_with_headers(status, server_leaving=value)
     )
     assert notice.is_leaving == is_leaving
+
+
+@pytest.mark.parametrize(
+    ("status", "value", "warm_up_ms"),
+    [
+        (200, b"2500", 2500.0),
+        (503, b"0.5", 0.5),
+        (200, b"0", 0.0),
+        (200, b"soon", 0.0),
+        (200, b"-1", 0.0),
+        (421, b"2500", 0.0),
+    ],
+)
+def test_warm_up_is_decoded_from_any_answer(status, value, warm_up_ms):
+    notice = upstream_codec.decode_notice(
+        reply_with_headers(status, warmup_ms=value)
+    )
+    assert notice.warm_up_ms == warm_up_ms
--- a/tests/platform/test_notices_under_load.py
+++ b/tests/platform/test_notices_under_load.py
@@ -59,7 +59,11 @@
     )
     created.context = created.context._replace(
         client=upstream_client.PlatformUpstreamClient(
-            pools, created.notices, lambda entry: 2, created.clock
+            pools,
+            created.notices,
+            created.warm_up,
+            lambda entry: 2,
+            created.clock,
         )
     )
     created.runner._context = created.context
--- a/tests/platform/test_upstream_client.py
+++ b/tests/platform/test_upstream_client.py
@@ -12,7 +12,9 @@
 from greengagedale.gateway import connection_pools
 from greengagedale.gateway import evacuations
 from greengagedale.gateway import metrics
+from greengagedale.gateway import roster
 from greengagedale.gateway import upstream_notices as notices_lib
+from greengagedale.gateway import warm_up
 from greengagedale.http1 import client
 from greengagedale.http1 import messages
 from greengagedale.platform import upstream_client
@@ -44,12 +46,32 @@
 
 
 @pytest.fixture
-def send(clock, notices, evacuated, server):
+def rates():
+    """Requests per second that warming upstreams accept, by service."""
+    return {}
+
+
+@pytest.fixture
+def limit(clock, rates):
+    return warm_up.SharedWarmUpLimit(
+        "m",
+        roster.Roster("m", clock),
+        lambda: rates,
+        1.5,
+        5.0,
+        metrics.Metrics(),
+        clock,
+    )
+
+
+@pytest.fixture
+def send(clock, notices, evacuated, limit, server):
     sender = upstream_client.PlatformUpstreamClient(
         connection_pools.ConnectionPools(
             notices, evacuated, client.ReplyLimits(), clock
         ),
         notices,
+        limit,
         lambda entry: 2,
         clock,
     )
@@ -198,3 +220,48 @@
     assert [result.refused for result in results] == [True, False, True]
     assert results[1].written
     assert len(received) == 3
+
+
+WARMING_UP = outcomes.AttemptFailure(
+    outcomes.Reason.WARMING_UP, written=False, refused=False
+)
+
+
+async def test_upstream_that_says_it_is_cold_gets_only_this_hosts_part(
+    send, server, rates
+):
+    server.warm_up_ms = 3000
+    await send()
+    assert (await send()).body == b"done"
+    rates["s"] = 1.0
+    assert (await send()).body == b"done"
+    # This host is on no host list, so it has no part.
+    assert await send() == WARMING_UP
+    assert len(server.requests) == 3
+
+
+async def test_work_that_waits_when_its_upstream_turns_cold_is_not_sent(
+    send, server, rates
+):
+    rates["s"] = 1.0
+    server.delay_ms = 50.0
+    server.warm_up_ms = 3000
+    # Two connections may be open, so the third attempt waits.
+    results = await asyncio.gather(send(), send(), send())
+    assert results[2] == WARMING_UP
+    assert len(server.requests) == 2
+
+
+async def test_upstream_that_refused_a_connection_counts_as_cold(
+    send, rates, limit
+):
+    rates["s"] = 1.0
+    assert limit.available([upstream("u")])
+    await send(port=gateway_site.free_port())
+    assert limit.available([upstream("u")]) == []
+
+
+async def test_evacuated_upstream_gets_no_new_requests(send, server, evacuated):
+    evacuated.replace_if_newer(evacuations.EvacuationList(1, ("here",)))
+    assert await send() == NOT_ACCEPTING
+    assert server.requests == []
