Prefer upstreams that report a quicker pace for the moment

Cause: some upstreams add a fourth figure to their load report, how long work takes at this moment. A report with four figures was ignored as a whole, so its queue was lost too.

- The codec decodes three or four figures; calls.LoadReport.pace_percent.
- UpstreamScore.pace_factor weighs it by its age, in one place of the expected latency; without the figure nothing changes.

Ruled out: dividing the learned latencies by the pace, which belongs to how scores learn.

--- a/greengagedale/gateway/calls.py
+++ b/greengagedale/gateway/calls.py
@@ -64,11 +64,14 @@
         running: Number of running requests.
         waiting: Number of queued requests.
         slots: Number of requests that can run at once.
+        pace_percent: How long work takes there at the moment, in percent of the
+            usual time; None if it says nothing of that.
     """
 
     running: int
     waiting: int
     slots: int
+    pace_percent: int | None = None
 
 
 class Answer(NamedTuple):
--- a/greengagedale/gateway/upstream_scores.py
+++ b/greengagedale/gateway/upstream_scores.py
@@ -18,6 +18,12 @@
 _MAX_LATENCY_RATIO = 20.0
 # Load reports older than this are ignored.
 _MAX_LOAD_AGE_MS = 400.0
+# Upstreams change their pace within some hundred milliseconds: half of what a
+# report says of it is left after this time.
+_PACE_HALF_LIFE_MS = 150.0
+# Bounds of the factor by which a reported pace changes the expected latency.
+_MIN_PACE_FACTOR = 0.5
+_MAX_PACE_FACTOR = 5.0
 # An upstream with all slots in use is expected to be slower by this fraction.
 _UTILIZATION_PENALTY = 0.25
 # Added round-trip latency of an attempt to another data centre.
@@ -120,6 +126,20 @@
         others = max(0, load.running + load.waiting - self._running_at_load)
         return float(self.running + others)
 
+    def pace_factor(self, now_ms: float) -> float:
+        """Returns how much longer work takes now than usual, as reported."""
+        load = self._load
+        age_ms = now_ms - self._load_ms
+        if (
+            load is None
+            or load.pace_percent is None
+            or age_ms > _MAX_LOAD_AGE_MS
+        ):
+            return 1.0
+        deviation = load.pace_percent / 100.0 - 1.0
+        factor = 1.0 + deviation * 0.5 ** (age_ms / _PACE_HALF_LIFE_MS)
+        return min(_MAX_PACE_FACTOR, max(_MIN_PACE_FACTOR, factor))
+
     def record_latency(self, ratio: float, now_ms: float) -> None:
         """Records an answer's latency as a multiple of the typical one."""
         self._record_sample(ratio, now_ms)
@@ -333,6 +353,7 @@
             * score.latency_ratio(now_ms)
             * queue_factor
             * utilization_factor
+            * score.pace_factor(now_ms)
         )
         if upstream.data_centre != self._data_centre:
             expected_ms += _CROSS_DATA_CENTRE_MS
--- a/greengagedale/platform/upstream_codec.py
+++ b/greengagedale/platform/upstream_codec.py
@@ -29,8 +29,9 @@
 _MS_PER_S = 1000.0
 _STATUS_MISDIRECTED = 421
 _SUCCESS_CLASS = 2
-_LOAD_FIELDS = 3
-# Numbers with more digits are not plausible durations.
+# Running, waiting and slots; some upstreams add their pace.
+_LOAD_FIELDS = (3, 4)
+# Numbers with more digits are not plausible durations or counts.
 _MAX_DIGITS = 12
 # Headers that apply to a single connection and are not forwarded.
 _HOP_BY_HOP = frozenset(
@@ -168,8 +169,12 @@
     if value is None:
         return None
     fields = value.split(b",")
-    if len(fields) != _LOAD_FIELDS or not all(
-        field.strip().isdigit() for field in fields
+    if len(fields) not in _LOAD_FIELDS or not all(
+        field.strip().isdigit() and len(field) <= _MAX_DIGITS
+        for field in fields
     ):
         return None
-    return calls.LoadReport(*(int(field) for field in fields))
+    running, waiting, slots, *pace_percent = map(int, fields)
+    # Work that takes no time is not a pace.
+    pace = pace_percent[0] if pace_percent and pace_percent[0] > 0 else None
+    return calls.LoadReport(running, waiting, slots, pace)
--- a/tests/gateway/test_upstream_scores.py
+++ b/tests/gateway/test_upstream_scores.py
@@ -47,6 +47,42 @@
     assert "a" in count_choices(scores)
 
 
+def report_pace(scores, upstream, pace_percent, clock):
+    load = calls.LoadReport(0, 0, 2, pace_percent)
+    scores.get(upstream).record_load(load, clock.now_ms())
+
+
+# The load: some upstreams work 2.5 times slower for some hundred ms, often.
+def test_upstream_that_reports_a_slow_pace_is_avoided_for_a_moment(
+    scores, clock
+):
+    report_pace(scores, UPSTREAMS[0], 250, clock)
+    assert "a" not in count_choices(scores)
+    clock.advance(500.0)
+    assert "a" in count_choices(scores)
+
+
+def test_older_report_of_a_pace_counts_less(scores, clock):
+    report_pace(scores, UPSTREAMS[0], 250, clock)
+    score = scores.get(UPSTREAMS[0])
+    factors = [score.pace_factor(clock.now_ms() + age) for age in (0, 150, 300)]
+    assert factors == [2.5, 1.75, 1.375]
+
+
+@pytest.mark.parametrize("pace_percent", [None, 100])
+def test_usual_or_unknown_pace_changes_nothing(scores, clock, pace_percent):
+    report_pace(scores, UPSTREAMS[0], pace_percent, clock)
+    assert scores.get(UPSTREAMS[0]).pace_factor(clock.now_ms()) == 1.0
+    assert min(count_choices(scores, 300).values()) > 60
+
+
+@pytest.mark.parametrize("pace_percent", [1, 10**12])
+def test_effect_of_a_reported_pace_is_bounded(scores, clock, pace_percent):
+    report_pace(scores, UPSTREAMS[0], pace_percent, clock)
+    factor = scores.get(UPSTREAMS[0]).pace_factor(clock.now_ms())
+    assert 0.5 <= factor <= 5.0
+
+
 def test_stalled_upstream_gets_no_more_work(scores, clock):
     scores.get(UPSTREAMS[0]).start_attempt(clock.now_ms())
     clock.advance(4 * TYPICAL_MS)
