Keep requests in the regions of their route and workspace

Cause: regions were decoded and not used, so a request that is bound to one reached upstreams anywhere.

- Settings map data centres to regions. gateway/regions.py intersects what route and workspace state; a runner for each such set sees only the upstreams there and measures its own latencies.
- The directory names hosts of home regions only, if there are any.
Without homes the selection is as before.
- Locate requests carry the host name that the caller wants; test_locate_request_has_the_data_centre expects it too, and is renamed.

Ruled out: filtering at each use of the candidates, which are asked for in six places; forwarding to a host in the region, as bodies must not leave it.

Measured: tests of gateway, platform, config, commands, integration/test_gateway and test_deploy pass (2 workers).

--- a/greengagedale/config/gateway.py
+++ b/greengagedale/config/gateway.py
@@ -75,6 +75,21 @@
         return tuple(map(_require_string, value))
 
 
+class Pairs(Option):
+    """A list of pairs of words."""
+
+    def validate(self, value: Any) -> tuple[tuple[str, str], ...]:
+        """Returns the validated values."""
+        if not isinstance(value, list) or not all(
+            isinstance(pair, list) and len(pair) == 2 for pair in value
+        ):
+            raise ValueError("use a list of pairs")
+        return tuple(
+            (_require_string(first), _require_string(second))
+            for first, second in value
+        )
+
+
 class Number(Option):
     """A number between two bounds, inclusive.
 
@@ -112,10 +127,17 @@
 
 
 class HostSettings(NamedTuple):
-    """Identity of the host."""
+    """Identity of the host.
+
+    Attributes:
+        name: Name of the host.
+        data_centre: Data centre that it runs in.
+        data_centre_regions: Names of all data centres, each with its region.
+    """
 
     name: str
     data_centre: str
+    data_centre_regions: tuple[tuple[str, str], ...]
 
 
 class GatewaySection(NamedTuple):
@@ -243,7 +265,14 @@
 
 
 _SECTIONS: dict[str, tuple[Any, dict[str, Option]]] = {
-    "host": (HostSettings, {"name": Name(), "data_centre": Name()}),
+    "host": (
+        HostSettings,
+        {
+            "name": Name(),
+            "data_centre": Name(),
+            "data_centre_regions": Pairs(()),
+        },
+    ),
     "gateway": (
         GatewaySection,
         {
--- a/greengagedale/gateway/authorization.py
+++ b/greengagedale/gateway/authorization.py
@@ -53,6 +53,17 @@
             return UnknownKey(digest)
         return calls.CallerIdentity(workspace.name, digest)
 
+    def workspace_of(self, call: calls.Call) -> route_config.Workspace | None:
+        """Returns the workspace of a call's caller, or None."""
+        table = self._registry.table
+        if (
+            call.identity is None
+            or call.identity.workspace is None
+            or not table
+        ):
+            return None
+        return table.workspaces.get(call.identity.workspace)
+
     def may_send(self, call: calls.Call) -> bool:
         """Returns whether a call may be sent to an upstream now."""
         identity = call.identity
--- a/greengagedale/gateway/caller_handlers.py
+++ b/greengagedale/gateway/caller_handlers.py
@@ -13,6 +13,7 @@
 from greengagedale.gateway import fleet as fleet_lib
 from greengagedale.gateway import host_selection
 from greengagedale.gateway import metrics as metrics_lib
+from greengagedale.gateway import regions as regions_lib
 from greengagedale.gateway import registry as registry_lib
 from greengagedale.gateway import route_config
 from greengagedale.gateway import runner as runner_lib
@@ -50,9 +51,11 @@
 
     Attributes:
         data_centre: Data centre of the caller, or None if unknown.
+        host: Host name that the caller wants to reach, in lower case.
     """
 
     data_centre: str | None
+    host: str = ""
 
 
 class CallerCodec(abc.ABC):
@@ -269,11 +272,15 @@
         codec: CallerCodec,
         local_state: "LocalHostState",
         fleet: fleet_lib.Fleet,
+        registry: registry_lib.Registry,
+        region_map: regions_lib.RegionMap,
         ttl_ms: float,
     ) -> None:
         self._codec = codec
         self._local_state = local_state
         self._fleet = fleet
+        self._registry = registry
+        self._region_map = region_map
         self._ttl_ms = ttl_ms
 
     async def handle(self, request: messages.Request) -> messages.Response:
@@ -298,7 +305,11 @@
                 outcomes.NotRun(outcomes.Reason.NOT_READY, _NOT_READY_RETRY_MS)
             )
         chosen = host_selection.select_hosts(
-            serving, locate.data_centre, own.name
+            serving,
+            locate.data_centre,
+            own.name,
+            self._region_map,
+            regions_lib.home_regions(self._registry.table, locate.host),
         )
         endpoints = [state.address.caller_endpoint for state in chosen]
         return self._codec.encode_endpoints(endpoints, self._ttl_ms)
--- a/greengagedale/gateway/daemon.py
+++ b/greengagedale/gateway/daemon.py
@@ -24,6 +24,7 @@
 from greengagedale.gateway import peer_exchange as peer_exchange_lib
 from greengagedale.gateway import quarantine as quarantine_lib
 from greengagedale.gateway import reader_election as election_lib
+from greengagedale.gateway import regions as regions_lib
 from greengagedale.gateway import registry as registry_lib
 from greengagedale.gateway import roster as roster_lib
 from greengagedale.gateway import runner as runner_lib
@@ -155,6 +156,9 @@
         self._roster = roster_lib.Roster(settings.host.name, clock)
         self._quarantine = quarantine_lib.Quarantine(clock)
         self._notices = notices_lib.UpstreamNotices(clock)
+        self._region_map = regions_lib.RegionMap(
+            dict(settings.host.data_centre_regions)
+        )
         self._evacuations = evacuations_lib.Evacuations(self._metrics)
         self._own_state = _OwnState(settings, self._registry, self._roster)
         self._store = store_lib.PlatformStore.from_config(
@@ -230,6 +234,7 @@
             set(),
             self._evacuations,
             self._warm_up,
+            self._region_map,
         )
         self._runner = runner_lib.Runner(
             self._tools, self._budgets, traffic_split.TrafficSplitter(rng)
@@ -296,6 +301,8 @@
             codec,
             self._own_state,
             self._fleet,
+            self._registry,
+            self._region_map,
             self._settings.gateway.locate_ttl_s * _MS_PER_S,
         )
         handlers: list[server.Handler] = [
--- a/greengagedale/gateway/route_config.py
+++ b/greengagedale/gateway/route_config.py
@@ -180,6 +180,10 @@
         """Returns the workspace that holds a key, or None."""
         return self._by_key.get(digest)
 
+    def routes_of(self, host: str) -> list[Route]:
+        """Returns the routes of a host name."""
+        return [*self._by_host.get(host, {}).values()]
+
     def find(self, host: str, path: str) -> Route | None:
         """Returns the route with the longest matching prefix, or None."""
         by_prefix = self._by_host.get(host)
--- a/greengagedale/gateway/runner.py
+++ b/greengagedale/gateway/runner.py
@@ -8,6 +8,7 @@
 from greengagedale.gateway import calls
 from greengagedale.gateway import extra_attempts
 from greengagedale.gateway import records
+from greengagedale.gateway import regions as regions_lib
 from greengagedale.gateway import route_config
 from greengagedale.gateway import sub_requests
 from greengagedale.gateway import traffic_split
@@ -63,6 +64,9 @@
         self._latencies: dict[str, extra_attempts.RouteLatency] = {}
         self._last_probe_ms: dict[str, float] = {}
         self._down_shards: set[str] = set()
+        # Runners of requests that must stay in some regions: they see only the
+        # upstreams there, and measure latencies of their own.
+        self._regional: dict[frozenset[str], Runner] = {}
 
     def latency_of(
         self, route: route_config.Route
@@ -97,6 +101,18 @@
             for service in route.services
         )
         self._splitter.retain_only(configuration.routes)
+        bounds = {
+            regions_lib.allowed_regions(route, workspace)
+            for route in configuration.routes
+            for workspace in (None, *(configuration.workspaces or ()))
+        }
+        self._regional = {
+            allowed: runner
+            for allowed, runner in self._regional.items()
+            if allowed in bounds
+        }
+        for runner in self._regional.values():
+            runner.retain_only(configuration)
 
     async def run(
         self,
@@ -109,6 +125,29 @@
         Cancelling it cancels the attempts in flight, except one of a request
         that must run at most once.
         """
+        allowed = regions_lib.allowed_regions(
+            route, self._context.authorizer.workspace_of(call)
+        )
+        if allowed is None:
+            return await self._run(call, route, steps)
+        names = ", ".join(sorted(allowed))
+        steps.append(_arrival_step("regions", names or "none in common"))
+        return await self._within(allowed)._run(call, route, steps)
+
+    def _within(self, allowed: frozenset[str]) -> "Runner":
+        runner = self._regional.get(allowed)
+        if runner is None:
+            runner = self._regional[allowed] = Runner(
+                self._context.within(allowed), self._budgets, self._splitter
+            )
+        return runner
+
+    async def _run(
+        self,
+        call: calls.Call,
+        route: route_config.Route,
+        steps: list[sub_requests.Step],
+    ) -> outcomes.Outcome:
         deadline_ms = call.received_ms + route.timeout_ms
         if call.deadline_ms is not None:
             deadline_ms = min(deadline_ms, call.deadline_ms)
--- a/greengagedale/gateway/sub_requests.py
+++ b/greengagedale/gateway/sub_requests.py
@@ -12,6 +12,7 @@
 from greengagedale.gateway import extra_attempts
 from greengagedale.gateway import metrics as metrics_lib
 from greengagedale.gateway import quarantine as quarantine_lib
+from greengagedale.gateway import regions as regions_lib
 from greengagedale.gateway import route_config
 from greengagedale.gateway import upstream_entries
 from greengagedale.gateway import upstream_notices as notices_lib
@@ -111,6 +112,7 @@
         background: Holds references to the tasks of detached attempts.
         evacuations: The evacuated data centres.
         warm_up: Limits what upstreams get while they warm up.
+        region_map: The regions of the data centres.
     """
 
     client: calls.UpstreamClient
@@ -125,6 +127,15 @@
     background: set[asyncio.Task[None]]
     evacuations: evacuations_lib.Evacuations
     warm_up: warm_up_lib.WarmUpLimit
+    region_map: regions_lib.RegionMap
+
+    def within(self, allowed: frozenset[str]) -> "SubRequestContext":
+        """Returns a context that has only the upstreams of some regions."""
+        return self._replace(
+            upstreams_of=lambda service: self.region_map.upstreams_within(
+                self.upstreams_of(service), allowed
+            )
+        )
 
     def in_use(self, service: str) -> list[upstream_entries.Upstream]:
         """Returns the upstreams of a service that are not evacuated."""
--- a/greengagedale/platform/caller_codec.py
+++ b/greengagedale/platform/caller_codec.py
@@ -13,6 +13,7 @@
 _KEY = b"api-key"
 _PATH_RESOLVE = "/-/resolve"
 _FIELD_ZONE = "zone="
+_FIELD_HOST = "name="
 _PATH_READY = "/-/ready"
 _STATUS_OK = 200
 _STATUS_UNAVAILABLE = 503
@@ -118,14 +119,11 @@
         path, _, query = request.target.decode("latin-1").partition("?")
         if path != _PATH_RESOLVE:
             return None
-        # Zone names need no escapes. The region is ignored, as all hosts are
-        # in the same one.
-        zones = (
-            field.removeprefix(_FIELD_ZONE)
-            for field in query.split("&")
-            if field.startswith(_FIELD_ZONE)
+        # Names need no escapes. The region follows from the zone.
+        return caller_handlers.LocateRequest(
+            _query_field(query, _FIELD_ZONE),
+            (_query_field(query, _FIELD_HOST) or "").lower(),
         )
-        return caller_handlers.LocateRequest(next(zones, None))
 
     def is_ready_check(self, request: messages.Request) -> bool:
         """Returns whether a request is the platform's readiness check."""
@@ -141,5 +139,14 @@
         )
 
 
+def _query_field(query: str, prefix: str) -> str | None:
+    values = (
+        field.removeprefix(prefix)
+        for field in query.split("&")
+        if field.startswith(prefix)
+    )
+    return next(values, None)
+
+
 def _path_of(request: messages.Request) -> str:
     return request.target.decode("latin-1").partition("?")[0]
--- a/standins/gateway_site.py
+++ b/standins/gateway_site.py
@@ -36,6 +36,8 @@
     "graceS": 3,
     "ttl_max_s": 1,
 }
+# Regions of the data centres.
+ZONES = {"here": "near", "there": "far"}
 METRICS_PORT = 9464
 _PORT_KEYS = ("http", "ready", "directory", "control", "metrics")
 _REQUEST_TIMEOUT_S = 8.0
@@ -73,11 +75,17 @@
         return current
 
     def section(match: re.Match[str]) -> str:
-        # Only sections of plain values are supported, not of lists or tables.
+        # Only sections of plain values and of tables of them are supported.
         entry = lookup(match.group(1))
         if entry is None or entry is False:
             return ""
-        return match.group(2).replace("{{.}}", str(entry))
+        items = entry.items() if isinstance(entry, dict) else [("", entry)]
+        rendered = (
+            match.group(2).replace("{{@}}", key).replace("{{.}}", str(item))
+            for key, item in items
+        )
+        # Each is followed by a comma except the last.
+        return ", ".join(each.replace("{{,}}", "") for each in rendered)
 
     def value(match: re.Match[str]) -> str:
         current = lookup(match.group(1))
@@ -112,6 +120,7 @@
         ports: dict[str, int],
         bounds: Mapping[str, float] = BOUNDS,
         contracts: Sequence[str] = (),
+        zones: Mapping[str, str] = ZONES,
     ) -> None:
         self.name = name
         self.ports = ports
@@ -141,6 +150,7 @@
             "seeds": seeds,
             "bounds": bounds,
             "contracts": list(contracts),
+            "zones": zones,
         }
         text = render(TEMPLATE.read_text(encoding="utf-8"), fields)
         # Hosts of a test share an address, so the template's fixed metrics
--- a/tests/gateway/test_host_selection.py
+++ b/tests/gateway/test_host_selection.py
@@ -3,6 +3,7 @@
 from gateway_scripts import host_state
 
 from greengagedale.gateway import host_selection
+from greengagedale.gateway import regions
 
 
 def hosts(**counts):
@@ -13,11 +14,17 @@
     ]
 
 
-def selected_names(states, data_centre, asked_host="h"):
+ONE_REGION = regions.RegionMap(dict.fromkeys("abc", "r"))
+TWO_REGIONS = regions.RegionMap({"a": "r1", "b": "r1", "c": "r2"})
+
+
+def selected_names(
+    states, data_centre, asked_host="h", region_map=ONE_REGION, home=None
+):
     return [
         state.name
         for state in host_selection.select_hosts(
-            states, data_centre, asked_host
+            states, data_centre, asked_host, region_map, home
         )
     ]
 
@@ -55,3 +62,31 @@
         host_selection.MAX_ADDRESSES
     }
     assert len(set.union(*selections)) > 750
+
+
+def test_callers_get_only_hosts_of_a_home_region():
+    states = hosts(a=8, b=2, c=8)
+    for data_centre in ("a", "b", "c", None):
+        chosen = selected_names(
+            states, data_centre, "h", TWO_REGIONS, frozenset(["r2"])
+        )
+        assert {name[0] for name in chosen} == {"c"}
+
+
+def test_callers_in_a_home_region_get_their_data_centre():
+    chosen = selected_names(
+        hosts(a=8, b=8, c=8), "b", "h", TWO_REGIONS, frozenset(["r1"])
+    )
+    assert {name[0] for name in chosen} == {"b"}
+
+
+def test_callers_get_other_hosts_if_no_home_region_has_any():
+    home = frozenset(["r2"])
+    assert selected_names(hosts(a=2, b=2), "a", "h", TWO_REGIONS, home)
+    assert selected_names(hosts(a=2, b=2), "a", "h", TWO_REGIONS, frozenset())
+
+
+def test_local_hosts_are_supplemented_from_the_same_home_region():
+    home = frozenset(["r1", "r2"])
+    chosen = selected_names(hosts(a=2, b=8, c=8), "a", "h", TWO_REGIONS, home)
+    assert {name[0] for name in chosen} == {"a", "b"}
--- a/tests/gateway/test_mutations.py
+++ b/tests/gateway/test_mutations.py
@@ -25,6 +25,7 @@
 from greengagedale.gateway import peer_exchange
 from greengagedale.gateway import quarantine
 from greengagedale.gateway import reader_election
+from greengagedale.gateway import regions
 from greengagedale.gateway import registry
 from greengagedale.gateway import roster
 from greengagedale.gateway import route_config
@@ -151,6 +152,15 @@
     return [bench.warm_up.try_send(cold) for _ in range(9)] == [None] * 9
 
 
+async def bound_requests_stay_in_their_regions():
+    """A request that is bound to a region reaches no upstream elsewhere."""
+    bench = Bench()
+    bench.add("a")
+    bench.add("b", data_centre="there")
+    await bench.run(single(regions=("far",)))
+    return bench.client.sent == ["b"]
+
+
 class Parsed:
     """The bodies of the requests in a piece of input."""
 
@@ -429,6 +439,12 @@
         "is_evacuated",
         always(False),
     ),
+    "ignore_regions": (
+        bound_requests_stay_in_their_regions,
+        regions,
+        "allowed_regions",
+        always(None),
+    ),
     "ignore_warm_up": (
         warming_upstreams_are_limited,
         warm_up.SharedWarmUpLimit,
--- a/tests/gateway_scripts.py
+++ b/tests/gateway_scripts.py
@@ -14,6 +14,7 @@
 from greengagedale.gateway import metrics
 from greengagedale.gateway import peer_exchange
 from greengagedale.gateway import quarantine
+from greengagedale.gateway import regions
 from greengagedale.gateway import registry
 from greengagedale.gateway import roster
 from greengagedale.gateway import route_config
@@ -27,6 +28,7 @@
 from greengagedale.http1 import messages
 
 WINDOW_MS = 10_000.0
+REGION_MAP = regions.RegionMap({"here": "near", "there": "far"})
 
 
 def upstream(name, service="s", data_centre="here", **fields):
@@ -163,6 +165,7 @@
             set(),
             self.evacuations,
             self.warm_up,
+            REGION_MAP,
         )
         # An earlier process has spent nothing within the window.
         started_ms = self.clock.now_ms() - 2.0 * WINDOW_MS
--- a/tests/integration/test_gateway.py
+++ b/tests/integration/test_gateway.py
@@ -111,6 +111,32 @@
         await until(is_used)
 
 
+async def test_request_bound_to_a_region_reaches_no_other(site):
+    far = site.upstreams["s1-1"]
+    far.data_centre = "there"
+    site.write_upstream_entry("s1-1")
+    more = [
+        route("near", "/near/", service="s1", allowedRegions=["near"]),
+        route("far", "/far/", service="s1", allowedRegions=["far"]),
+    ]
+    site.store.put("config", "main", configuration(8, more))
+
+    async def is_served():
+        reply = await site.hosts[0].get("/far/x", request_id="f1")
+        return reply.status == 200
+
+    await until(is_served)
+    count = len(far.requests)
+    for number in range(20):
+        reply = await site.hosts[0].get("/near/x", request_id=f"n{number}")
+        assert reply.status == 200
+    assert len(far.requests) == count
+    site.upstreams["s1-0"].mode = "full"
+    reply = await site.hosts[0].get("/near/x", request_id="n")
+    assert reply.status == 503
+    assert len(far.requests) == count
+
+
 @pytest.mark.parametrize("mode", ["unsigned", "foreign", "failing", "lost"])
 async def test_invalid_answer_is_not_merged(site, mode):
     for name in ("s1-0", "s1-1"):
--- a/tests/platform/test_codecs.py
+++ b/tests/platform/test_codecs.py
@@ -395,15 +395,17 @@
     [
         (
             b"/-/resolve?name=a&region=r&zone=z1",
-            caller_handlers.LocateRequest("z1"),
+            caller_handlers.LocateRequest("z1", "a"),
         ),
-        (b"/-/resolve?name=a", caller_handlers.LocateRequest(None)),
+        (b"/-/resolve?name=A.b", caller_handlers.LocateRequest(None, "a.b")),
         (b"/-/resolve", caller_handlers.LocateRequest(None)),
         (b"/-/ready?zone=z1", None),
         (b"/elsewhere", None),
     ],
 )
-def test_locate_request_has_the_data_centre(codec, target, expected):
+def test_locate_request_has_the_data_centre_and_the_host(
+    codec, target, expected
+):
     request = messages.Request(b"GET", target, (), b"", 0.0)
     assert codec.decode_locate(request) == expected
 
