End heartbeats of hosts that are gone by their age

Cause: heartbeats are passed on and each host counts from when it hears one.

Heartbeats carry the time that hosts held them, and end after 4 s.

Ruled out: a shorter time in which heartbeats count, as they take a second to reach all hosts; counting from the age alone, for the same reason.

--- a/greengagedale/gateway/fleet.py
+++ b/greengagedale/gateway/fleet.py
@@ -17,6 +17,11 @@
 # A host without a new heartbeat for this long is considered lost. Updates take
 # up to a second to reach all of 24 hosts.
 LOST_AFTER_MS = 2000.0
+# Heartbeats that are older than this are neither used nor passed on. Each host
+# counts a heartbeat from when it hears it, so without a bound a lost host could
+# seem alive for as long as its last heartbeat is passed on. Callers must not be
+# sent to a host later than 7 s after its loss, with a second on the way.
+MAX_HEARTBEAT_AGE_MS = 4000.0
 # A host is removed from the table this long after its last new heartbeat.
 FORGET_AFTER_MS = 60_000.0
 # A reader whose last answer from the store is older than this has lost the
@@ -56,6 +61,8 @@
         read_age_ms: Age of its last answer from the store when it sent this
             heartbeat; negative if it does not read the store.
         roster_revision: Revision of the host list that it uses.
+        age_ms: Time that other hosts held it before they passed it on; the time
+            on the way is not included.
     """
 
     name: str
@@ -65,6 +72,7 @@
     is_leaving: bool
     read_age_ms: float
     roster_revision: int
+    age_ms: int = 0
 
 
 class HostState(NamedTuple):
@@ -125,6 +133,8 @@
         if is_new and not state.has_valid_endpoints:
             log.warning("unusable host", extra={"address": address})
             return
+        if heartbeat.age_ms > MAX_HEARTBEAT_AGE_MS:
+            return
         if known is not None and (
             (heartbeat.incarnation, heartbeat.sequence)
             <= (
@@ -204,6 +214,18 @@
             and entry.state.address.peer_endpoint not in self._refusing
         ]
 
+    def heartbeats(self) -> list[Heartbeat]:
+        """Returns the heartbeats of live hosts to pass on, with their ages."""
+        now_ms = self._clock.now_ms()
+        aged = (
+            state.heartbeat._replace(
+                age_ms=state.heartbeat.age_ms
+                + int(now_ms - self._known[state.name].last_seen_ms)
+            )
+            for state in self.alive()
+        )
+        return [each for each in aged if each.age_ms <= MAX_HEARTBEAT_AGE_MS]
+
     def serving(self) -> list[HostState]:
         """Returns the other hosts that callers may be sent to."""
         return [state for state in self.alive() if state.accepts_callers]
--- a/greengagedale/gateway/peer_exchange.py
+++ b/greengagedale/gateway/peer_exchange.py
@@ -244,7 +244,7 @@
         own = self._own_state()
         summary = StateSummary(
             own,
-            self._heartbeats(),
+            self._fleet.heartbeats(),
             self._fleet.digest(own),
             self._registry.routes_version,
             self._registry.version,
@@ -286,7 +286,7 @@
         is_same_fleet = self._fleet.digest(own) == summary.hosts_digest
         return StateUpdate(
             own,
-            self._heartbeats(),
+            self._fleet.heartbeats(),
             []
             if is_same_fleet
             else [state.address for state in self._fleet.alive()],
@@ -331,9 +331,6 @@
         if has_changed:
             self.request_round()
 
-    def _heartbeats(self) -> list[fleet_lib.Heartbeat]:
-        return [state.heartbeat for state in self._fleet.alive()]
-
     async def _post(
         self, endpoint: str, body: bytes
     ) -> messages.Reply | client.ExchangeFailure:
--- a/tests/gateway/test_mutations.py
+++ b/tests/gateway/test_mutations.py
@@ -161,6 +161,20 @@
     return bench.client.sent == ["b"]
 
 
+async def old_heartbeats_end():
+    """A lost host's heartbeat is not passed on again and again."""
+    clock = clocks.ManualClock()
+    teller, listener = (fleet.Fleet(name, clock) for name in "mn")
+    teller.observe(host_state("gone"))
+    clock.advance(fleet.LOST_AFTER_MS - 1.0)
+    heard = host_state("gone").heartbeat._replace(age_ms=3000)
+    teller.observe_heartbeat(heard._replace(sequence=2))
+    clock.advance(fleet.LOST_AFTER_MS - 1.0)
+    addresses = [each.address for each in teller.alive()]
+    listener.merge_addresses(addresses, teller.heartbeats())
+    return listener.serving() == []
+
+
 class Parsed:
     """The bodies of the requests in a piece of input."""
 
@@ -445,6 +459,12 @@
         "allowed_regions",
         always(None),
     ),
+    "pass_heartbeats_on_forever": (
+        old_heartbeats_end,
+        fleet,
+        "MAX_HEARTBEAT_AGE_MS",
+        float("inf"),
+    ),
     "ignore_warm_up": (
         warming_upstreams_are_limited,
         warm_up.SharedWarmUpLimit,
