Show evacuated and cold upstreams in the steps of a request

The regions of workspaces are gone through only while some request was bound to regions: it costs time in proportion to routes times workspaces.

--- a/greengagedale/gateway/runner.py
+++ b/greengagedale/gateway/runner.py
@@ -101,6 +101,13 @@
             for service in route.services
         )
         self._splitter.retain_only(configuration.routes)
+        if self._regional:
+            self._retain_regional(configuration)
+
+    def _retain_regional(
+        self, configuration: route_config.RouteConfiguration
+    ) -> None:
+        """Discards runners of regions that requests are no longer bound to."""
         bounds = {
             regions_lib.allowed_regions(route, workspace)
             for route in configuration.routes
@@ -148,6 +155,9 @@
         route: route_config.Route,
         steps: list[sub_requests.Step],
     ) -> outcomes.Outcome:
+        evacuated = self._context.evacuations.list.data_centres
+        if evacuated:
+            steps.append(_arrival_step("evacuated", ", ".join(evacuated)))
         deadline_ms = call.received_ms + route.timeout_ms
         if call.deadline_ms is not None:
             deadline_ms = min(deadline_ms, call.deadline_ms)
--- a/greengagedale/gateway/sub_requests.py
+++ b/greengagedale/gateway/sub_requests.py
@@ -364,7 +364,13 @@
             available_in_ms = context.available_in_ms(self.service)
             if available_in_ms < float("inf"):
                 self._retry_after_ms = int(available_in_ms)
-            return context.unavailable_reason((self.service,))
+            reason = context.unavailable_reason((self.service,))
+            if reason is not outcomes.Reason.NO_REPLICA:
+                at_ms = round(now_ms - self._call.received_ms, 1)
+                self._steps.append(
+                    Step(at_ms, "left out", self.service, "", str(reason))
+                )
+            return reason
         upstream = choice.upstream
         if is_too_late(choice, self._useful_until_ms, now_ms) and (
             kind == "hedge" or self._allowance.try_use()
--- a/tests/gateway/test_evacuations.py
+++ b/tests/gateway/test_evacuations.py
@@ -124,6 +124,10 @@
     evacuate(bench, "north")
     outcome = await bench.run(fanout("abc"))
     assert outcome.value.missing == 1
+    assert [(step.what, step.service, step.reason) for step in bench.steps] == [
+        ("evacuated", "", "north"),
+        ("left out", "a", "evacuated"),
+    ]
     assert "a" not in bench.client.sent
 
 
--- a/tests/gateway/test_warm_up.py
+++ b/tests/gateway/test_warm_up.py
@@ -328,6 +328,9 @@
         full_bench.add(name, name, warm_up_ms=3000.0)
     outcome = await full_bench.run(fanout("abc"))
     assert outcome.value.missing == 1
+    assert [step[1:] for step in full_bench.steps] == [
+        ("left out", "a", "", "warming_up")
+    ]
     assert "a" not in full_bench.client.sent
 
 
