--- a/greengagedale/config/gateway.py
+++ b/greengagedale/config/gateway.py
@@ -65,6 +65,31 @@
         )
 
 
+class Words(Option):
+    """A list of words."""
+
+    def validate(self, value: Any) -> tuple[str, ...]:
+        """Returns the validated values."""
+        if not isinstance(value, list):
+            raise ValueError("use a list")
+        return tuple(map(_require_string, value))
+
+
+class Pairs(Option):
+    """A list of pairs of words."""
+
+    def validate(self, value: Any) -> tuple[tuple[str, str], ...]:
+        """Returns the validated values."""
+        if not isinstance(value, list) or not all(
+            isinstance(pair, list) and len(pair) == 2 for pair in value
+        ):
+            raise ValueError("use a list of pairs")
+        return tuple(
+            (_require_string(first), _require_string(second))
+            for first, second in value
+        )
+
+
 class Number(Option):
     """A number between two bounds, inclusive.
 
@@ -102,10 +127,17 @@
 
 
 class HostSettings(NamedTuple):
-    """Identity of the host."""
+    """Identity of the host.
+
+    Attributes:
+        name: Name of the host.
+        data_centre: Data centre that it runs in.
+        data_centre_regions: Names of all data centres, each with its region.
+    """
 
     name: str
     data_centre: str
+    data_centre_regions: tuple[tuple[str, str], ...]
 
 
 class GatewaySection(NamedTuple):
@@ -131,10 +163,17 @@
 
 
 class StoreSettings(NamedTuple):
-    """Connection to the platform's store."""
+    """The platform: connection to its store, and what else it offers.
+
+    Attributes:
+        endpoint: Endpoint of the store.
+        timeout_ms: Timeout of calls to the store, in milliseconds.
+        features: Names of the platform's features in force, as it calls them.
+    """
 
     endpoint: str
     timeout_ms: float
+    features: tuple[str, ...]
 
 
 class UpstreamsSettings(NamedTuple):
@@ -226,7 +265,14 @@
 
 
 _SECTIONS: dict[str, tuple[Any, dict[str, Option]]] = {
-    "host": (HostSettings, {"name": Name(), "data_centre": Name()}),
+    "host": (
+        HostSettings,
+        {
+            "name": Name(),
+            "data_centre": Name(),
+            "data_centre_regions": Pairs(()),
+        },
+    ),
     "gateway": (
         GatewaySection,
         {
@@ -240,7 +286,11 @@
     ),
     "platform": (
         StoreSettings,
-        {"endpoint": Endpoint(), "timeout_ms": Number(1.0, 60_000.0, 1500.0)},
+        {
+            "endpoint": Endpoint(),
+            "timeout_ms": Number(1.0, 60_000.0, 1500.0),
+            "features": Words(()),
+        },
     ),
     "upstreams": (
         UpstreamsSettings,
--- a/greengagedale/gateway/daemon.py
+++ b/greengagedale/gateway/daemon.py
@@ -1,6 +1,7 @@
 """Process of an entry host that forwards opaque requests to upstreams."""
 
 import asyncio
+from collections.abc import Mapping
 import contextlib
 import logging
 import os
@@ -16,12 +17,14 @@
 from greengagedale.gateway import authorization
 from greengagedale.gateway import caller_handlers as edge_lib
 from greengagedale.gateway import connection_pools as pools_lib
+from greengagedale.gateway import evacuations as evacuations_lib
 from greengagedale.gateway import extra_attempts
 from greengagedale.gateway import fleet as fleet_lib
 from greengagedale.gateway import metrics as metrics_lib
 from greengagedale.gateway import peer_exchange as peer_exchange_lib
 from greengagedale.gateway import quarantine as quarantine_lib
 from greengagedale.gateway import reader_election as election_lib
+from greengagedale.gateway import regions as regions_lib
 from greengagedale.gateway import registry as registry_lib
 from greengagedale.gateway import roster as roster_lib
 from greengagedale.gateway import runner as runner_lib
@@ -33,6 +36,7 @@
 from greengagedale.gateway import upstream_entries
 from greengagedale.gateway import upstream_notices as notices_lib
 from greengagedale.gateway import upstream_scores as scores_lib
+from greengagedale.gateway import warm_up as warm_up_lib
 from greengagedale.http1 import client
 from greengagedale.http1 import messages
 from greengagedale.http1 import server
@@ -152,6 +156,10 @@
         self._roster = roster_lib.Roster(settings.host.name, clock)
         self._quarantine = quarantine_lib.Quarantine(clock)
         self._notices = notices_lib.UpstreamNotices(clock)
+        self._region_map = regions_lib.RegionMap(
+            dict(settings.host.data_centre_regions)
+        )
+        self._evacuations = evacuations_lib.Evacuations(self._metrics)
         self._own_state = _OwnState(settings, self._registry, self._roster)
         self._store = store_lib.PlatformStore.from_config(
             settings.platform.endpoint,
@@ -168,6 +176,7 @@
             list(settings.peers.seeds),
             clock,
             rng,
+            self._evacuations,
         )
         self._fleet.on_own_incarnation = self._own_state.ensure_newer_than
         self._reader = store_reader_lib.StoreReader(
@@ -178,10 +187,18 @@
             self._alive_hosts,
             self._exchange.request_round,
             clock,
+            self._evacuations
+            if store_lib.has_evacuations(settings.platform.features)
+            else None,
         )
         self._own_state.reader = self._reader
+        self._warm_up = warm_up_lib.SharedWarmUpLimit.from_config(
+            settings, self._roster, self._warm_up_rates, self._metrics, clock
+        )
+        self._evacuations.listeners.append(self._warm_up.observe_evacuations)
         self._pools = pools_lib.ConnectionPools(
             self._notices,
+            self._evacuations,
             client.ReplyLimits(
                 int(settings.upstreams.max_head_bytes),
                 int(settings.upstreams.max_body_bytes),
@@ -200,7 +217,11 @@
         )
         self._tools = sub_requests.SubRequestContext(
             upstream_client_lib.PlatformUpstreamClient(
-                self._pools, self._notices, self._max_connections, clock
+                self._pools,
+                self._notices,
+                self._warm_up,
+                self._max_connections,
+                clock,
             ),
             self._scores,
             self._registry.upstreams_of,
@@ -211,6 +232,9 @@
             clock,
             self._metrics,
             set(),
+            self._evacuations,
+            self._warm_up,
+            self._region_map,
         )
         self._runner = runner_lib.Runner(
             self._tools, self._budgets, traffic_split.TrafficSplitter(rng)
@@ -277,6 +301,8 @@
             codec,
             self._own_state,
             self._fleet,
+            self._registry,
+            self._region_map,
             self._settings.gateway.locate_ttl_s * _MS_PER_S,
         )
         handlers: list[server.Handler] = [
@@ -323,7 +349,10 @@
         read_age_ms = self._reader.read_age_ms
         is_reading = 0.0 <= read_age_ms < fleet_lib.READER_STALE_MS
         is_store_reachable = is_reading or bool(self._fleet.active_readers())
-        self._roster.confirm_current(self._alive_hosts(), is_store_reachable)
+        alive = self._alive_hosts()
+        self._roster.confirm_current(
+            alive, is_store_reachable, max(alive.values())
+        )
         share = self._burst_share()
         if share != self._budgets.share:
             log.info(
@@ -336,6 +365,10 @@
             )
         self._budgets.set_share(share, self._clock.now_ms())
 
+    def _warm_up_rates(self) -> Mapping[str, float]:
+        table = self._registry.table
+        return {} if table is None else table.warm_up_per_s
+
     def _max_connections(self, upstream: upstream_entries.Upstream) -> int:
         table = self._registry.table
         accepted = table and table.connections.get(upstream.service)
@@ -362,6 +395,7 @@
         }
         self._pools.close_stale(incarnations)
         self._notices.evict_expired()
+        self._warm_up.retain_only(incarnations)
         self._budgets.evict_unused(self._clock.now_ms())
         if self._registry.table is not None:
             self._runner.retain_only(self._registry.table.configuration)
--- a/greengagedale/gateway/sub_requests.py
+++ b/greengagedale/gateway/sub_requests.py
@@ -1,20 +1,23 @@
 """Sub-requests: sending a call to one service with hedges and retries."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from greengagedale import clocks
 from greengagedale import outcomes
 from greengagedale.gateway import authorization
 from greengagedale.gateway import calls
+from greengagedale.gateway import evacuations as evacuations_lib
 from greengagedale.gateway import extra_attempts
 from greengagedale.gateway import metrics as metrics_lib
 from greengagedale.gateway import quarantine as quarantine_lib
+from greengagedale.gateway import regions as regions_lib
 from greengagedale.gateway import route_config
 from greengagedale.gateway import upstream_entries
 from greengagedale.gateway import upstream_notices as notices_lib
 from greengagedale.gateway import upstream_scores as scores_lib
+from greengagedale.gateway import warm_up as warm_up_lib
 from greengagedale.retry import window_budget
 
 # After another attempt has answered, an attempt in flight gets this long to end
@@ -107,6 +110,9 @@
         clock: Clock of the process.
         metrics: Metrics of the process.
         background: Holds references to the tasks of detached attempts.
+        evacuations: The evacuated data centres.
+        warm_up: Limits what upstreams get while they warm up.
+        region_map: The regions of the data centres.
     """
 
     client: calls.UpstreamClient
@@ -119,14 +125,50 @@
     clock: clocks.Clock
     metrics: metrics_lib.Metrics
     background: set[asyncio.Task[None]]
+    evacuations: evacuations_lib.Evacuations
+    warm_up: warm_up_lib.WarmUpLimit
+    region_map: regions_lib.RegionMap
+
+    def within(self, allowed: frozenset[str]) -> "SubRequestContext":
+        """Returns a context that has only the upstreams of some regions."""
+        return self._replace(
+            upstreams_of=lambda service: self.region_map.upstreams_within(
+                self.upstreams_of(service), allowed
+            )
+        )
+
+    def in_use(self, service: str) -> list[upstream_entries.Upstream]:
+        """Returns the upstreams of a service that are not evacuated."""
+        return self.evacuations.outside(self.upstreams_of(service))
 
     def candidates(self, service: str) -> list[upstream_entries.Upstream]:
         """Returns the upstreams of a service that accept requests now."""
-        return self.notices.available(self.upstreams_of(service))
+        return self.warm_up.available(self._accepting(service))
+
+    def _accepting(self, service: str) -> list[upstream_entries.Upstream]:
+        return self.notices.available(self.in_use(service))
+
+    def is_evacuated(self, service: str) -> bool:
+        """Returns whether a service has upstreams and all are evacuated."""
+        return bool(self.upstreams_of(service)) and not self.in_use(service)
+
+    def unavailable_reason(self, services: Iterable[str]) -> outcomes.Reason:
+        """Returns why some of these services have no candidates."""
+        without = [each for each in services if not self.candidates(each)]
+        if any(map(self.is_evacuated, without)):
+            return outcomes.Reason.EVACUATED
+        if any(map(self._accepting, without)):
+            return outcomes.Reason.WARMING_UP
+        return outcomes.Reason.NO_REPLICA
 
     def available_in_ms(self, service: str) -> float:
         """Returns the time until an upstream accepts requests, or infinity."""
-        return self.notices.available_in_ms(self.upstreams_of(service))
+        if self.is_evacuated(service):
+            return evacuations_lib.RETRY_AFTER_MS
+        accepting = self._accepting(service)
+        if accepting:
+            return self.warm_up.available_in_ms(accepting)
+        return self.notices.available_in_ms(self.in_use(service))
 
 
 _Task = asyncio.Task[calls.Answer | outcomes.AttemptFailure]
@@ -322,7 +364,13 @@
             available_in_ms = context.available_in_ms(self.service)
             if available_in_ms < float("inf"):
                 self._retry_after_ms = int(available_in_ms)
-            return outcomes.Reason.NO_REPLICA
+            reason = context.unavailable_reason((self.service,))
+            if reason is not outcomes.Reason.NO_REPLICA:
+                at_ms = round(now_ms - self._call.received_ms, 1)
+                self._steps.append(
+                    Step(at_ms, "left out", self.service, "", str(reason))
+                )
+            return reason
         upstream = choice.upstream
         if is_too_late(choice, self._useful_until_ms, now_ms) and (
             kind == "hedge" or self._allowance.try_use()
--- a/greengagedale/platform/upstream_codec.py
+++ b/greengagedale/platform/upstream_codec.py
@@ -23,12 +23,15 @@
 _TRUE = b"1"
 # With a refusal: backoff, in seconds, that the upstream asks of this host.
 _RETRY_AFTER = b"retry-after"
+# Remaining warm-up time of the upstream, in milliseconds.
+_WARM_UP = b"warmup-ms"
 _STATUS_UNAVAILABLE = 503
 _MS_PER_S = 1000.0
 _STATUS_MISDIRECTED = 421
 _SUCCESS_CLASS = 2
-_LOAD_FIELDS = 3
-# Numbers with more digits are not plausible durations.
+# Running, waiting and slots; some upstreams add their pace.
+_LOAD_FIELDS = (3, 4)
+# Numbers with more digits are not plausible durations or counts.
 _MAX_DIGITS = 12
 # Headers that apply to a single connection and are not forwarded.
 _HOP_BY_HOP = frozenset(
@@ -119,12 +122,13 @@
     has_backoff = reply.status == _STATUS_UNAVAILABLE and value is not None
     return upstream_notices.Notice(
         reply.header(_LEAVING) == _TRUE,
-        _parse_seconds(value or b"") * _MS_PER_S if has_backoff else 0.0,
+        _parse_number(value or b"") * _MS_PER_S if has_backoff else 0.0,
+        _parse_number(reply.header(_WARM_UP) or b""),
     )
 
 
-def _parse_seconds(value: bytes) -> float:
-    """Parses a number of seconds; returns 0 for dates and invalid values."""
+def _parse_number(value: bytes) -> float:
+    """Parses a decimal number; returns 0 for dates and invalid values."""
     whole, _, fraction = value.partition(b".")
     digits = whole + fraction
     is_number = digits.isdigit() and len(digits) <= _MAX_DIGITS
@@ -165,8 +169,12 @@
     if value is None:
         return None
     fields = value.split(b",")
-    if len(fields) != _LOAD_FIELDS or not all(
-        field.strip().isdigit() for field in fields
+    if len(fields) not in _LOAD_FIELDS or not all(
+        field.strip().isdigit() and len(field) <= _MAX_DIGITS
+        for field in fields
     ):
         return None
-    return calls.LoadReport(*(int(field) for field in fields))
+    running, waiting, slots, *pace_percent = map(int, fields)
+    # Work that takes no time is not a pace.
+    pace = pace_percent[0] if pace_percent and pace_percent[0] > 0 else None
+    return calls.LoadReport(running, waiting, slots, pace)
--- a/standins/gateway_site.py
+++ b/standins/gateway_site.py
@@ -36,6 +36,8 @@
     "graceS": 3,
     "ttl_max_s": 1,
 }
+# Regions of the data centres.
+ZONES = {"here": "near", "there": "far"}
 METRICS_PORT = 9464
 _PORT_KEYS = ("http", "ready", "directory", "control", "metrics")
 _REQUEST_TIMEOUT_S = 8.0
@@ -73,11 +75,17 @@
         return current
 
     def section(match: re.Match[str]) -> str:
-        # Only sections of plain values are supported, not of lists or tables.
+        # Only sections of plain values and of tables of them are supported.
         entry = lookup(match.group(1))
         if entry is None or entry is False:
             return ""
-        return match.group(2).replace("{{.}}", str(entry))
+        items = entry.items() if isinstance(entry, dict) else [("", entry)]
+        rendered = (
+            match.group(2).replace("{{@}}", key).replace("{{.}}", str(item))
+            for key, item in items
+        )
+        # Each is followed by a comma except the last.
+        return ", ".join(each.replace("{{,}}", "") for each in rendered)
 
     def value(match: re.Match[str]) -> str:
         current = lookup(match.group(1))
@@ -111,6 +119,8 @@
         seeds: list[str],
         ports: dict[str, int],
         bounds: Mapping[str, float] = BOUNDS,
+        contracts: Sequence[str] = (),
+        zones: Mapping[str, str] = ZONES,
     ) -> None:
         self.name = name
         self.ports = ports
@@ -139,6 +149,8 @@
             "platform": {"address": f"{ADDRESS}:{store_port}"},
             "seeds": seeds,
             "bounds": bounds,
+            "contracts": list(contracts),
+            "zones": zones,
         }
         text = render(TEMPLATE.read_text(encoding="utf-8"), fields)
         # Hosts of a test share an address, so the template's fixed metrics
@@ -308,6 +320,7 @@
         folder: pathlib.Path,
         hosts: int = 2,
         bounds: Mapping[str, float] = BOUNDS,
+        contracts: Sequence[str] = (),
     ) -> None:
         self.store = gateway_store.GatewayStore()
         self.upstreams: dict[str, gateway_upstream.GatewayUpstream] = {}
@@ -319,7 +332,15 @@
         ports = [{key: free_port() for key in _PORT_KEYS} for _ in range(hosts)]
         seeds = [f"{ADDRESS}:{host_ports['control']}" for host_ports in ports]
         self.hosts = [
-            HostProcess(f"h{i}", folder, listen_port, seeds, host_ports, bounds)
+            HostProcess(
+                f"h{i}",
+                folder,
+                listen_port,
+                seeds,
+                host_ports,
+                bounds,
+                contracts,
+            )
             for i, host_ports in enumerate(ports)
         ]
 
@@ -386,9 +407,10 @@
     hosts: int = 2,
     replicas: int = 2,
     bounds: Mapping[str, float] = BOUNDS,
+    contracts: Sequence[str] = (),
 ) -> AsyncIterator[Site]:
     """Runs a site for the duration of the context."""
-    site = Site(folder, hosts, bounds)
+    site = Site(folder, hosts, bounds, contracts)
     try:
         await site.start(replicas)
         yield site
--- a/tests/gateway/test_mutations.py
+++ b/tests/gateway/test_mutations.py
@@ -19,11 +19,13 @@
 from greengagedale import clocks
 from greengagedale import outcomes
 from greengagedale.gateway import calls
+from greengagedale.gateway import evacuations
 from greengagedale.gateway import extra_attempts
 from greengagedale.gateway import fleet
 from greengagedale.gateway import peer_exchange
 from greengagedale.gateway import quarantine
 from greengagedale.gateway import reader_election
+from greengagedale.gateway import regions
 from greengagedale.gateway import registry
 from greengagedale.gateway import roster
 from greengagedale.gateway import route_config
@@ -33,6 +35,7 @@
 from greengagedale.gateway import sub_requests
 from greengagedale.gateway import upstream_notices
 from greengagedale.gateway import upstream_scores
+from greengagedale.gateway import warm_up
 from greengagedale.http1 import client
 from greengagedale.http1 import messages
 from greengagedale.http1 import server
@@ -126,6 +129,52 @@
     return [item.name for item in filled_registry().upstreams_of("s")] == ["a"]
 
 
+async def evacuated_upstreams_get_no_work():
+    """Upstreams of an evacuated data centre are not sent to."""
+    bench = Bench()
+    bench.add("a", data_centre="north")
+    bench.add("b", data_centre="south")
+    bench.evacuations.replace_if_newer(
+        evacuations.EvacuationList(1, ("north",))
+    )
+    for _ in range(20):
+        await bench.run(single())
+    return {*bench.client.sent} == {"b"}
+
+
+async def warming_upstreams_are_limited():
+    """An upstream that warms up gets no more than this host's part."""
+    bench = Bench()
+    bench.rates["s"] = 1.0
+    bench.roster.replace_if_newer(roster.HostList(1, ("a", "m")))
+    cold = upstream("u", warm_up_ms=5000.0)
+    # In the second after the host list has changed nothing is sent.
+    return [bench.warm_up.try_send(cold) for _ in range(9)] == [None] * 9
+
+
+async def bound_requests_stay_in_their_regions():
+    """A request that is bound to a region reaches no upstream elsewhere."""
+    bench = Bench()
+    bench.add("a")
+    bench.add("b", data_centre="there")
+    await bench.run(single(regions=("far",)))
+    return bench.client.sent == ["b"]
+
+
+async def old_heartbeats_end():
+    """A lost host's heartbeat is not passed on again and again."""
+    clock = clocks.ManualClock()
+    teller, listener = (fleet.Fleet(name, clock) for name in "mn")
+    teller.observe(host_state("gone"))
+    clock.advance(fleet.LOST_AFTER_MS - 1.0)
+    heard = host_state("gone").heartbeat._replace(age_ms=3000)
+    teller.observe_heartbeat(heard._replace(sequence=2))
+    clock.advance(fleet.LOST_AFTER_MS - 1.0)
+    addresses = [each.address for each in teller.alive()]
+    listener.merge_addresses(addresses, teller.heartbeats())
+    return listener.serving() == []
+
+
 class Parsed:
     """The bodies of the requests in a piece of input."""
 
@@ -398,6 +447,30 @@
         "accepts_work",
         always(True),
     ),
+    "send_to_evacuated": (
+        evacuated_upstreams_get_no_work,
+        evacuations.Evacuations,
+        "is_evacuated",
+        always(False),
+    ),
+    "ignore_regions": (
+        bound_requests_stay_in_their_regions,
+        regions,
+        "allowed_regions",
+        always(None),
+    ),
+    "pass_heartbeats_on_forever": (
+        old_heartbeats_end,
+        fleet,
+        "MAX_HEARTBEAT_AGE_MS",
+        float("inf"),
+    ),
+    "ignore_warm_up": (
+        warming_upstreams_are_limited,
+        warm_up.SharedWarmUpLimit,
+        "_find",
+        always(None),
+    ),
     "keep_all_removed_entries": (
         few_removed_entries_are_not_kept,
         registry,
--- a/tests/gateway_scripts.py
+++ b/tests/gateway_scripts.py
@@ -8,11 +8,13 @@
 from greengagedale import outcomes
 from greengagedale.gateway import authorization
 from greengagedale.gateway import calls
+from greengagedale.gateway import evacuations
 from greengagedale.gateway import extra_attempts
 from greengagedale.gateway import fleet
 from greengagedale.gateway import metrics
 from greengagedale.gateway import peer_exchange
 from greengagedale.gateway import quarantine
+from greengagedale.gateway import regions
 from greengagedale.gateway import registry
 from greengagedale.gateway import roster
 from greengagedale.gateway import route_config
@@ -22,9 +24,11 @@
 from greengagedale.gateway import upstream_entries
 from greengagedale.gateway import upstream_notices
 from greengagedale.gateway import upstream_scores
+from greengagedale.gateway import warm_up
 from greengagedale.http1 import messages
 
 WINDOW_MS = 10_000.0
+REGION_MAP = regions.RegionMap({"here": "near", "there": "far"})
 
 
 def upstream(name, service="s", data_centre="here", **fields):
@@ -59,7 +63,7 @@
     )
 
 
-def exchange_of(name, clock, registry, notices=None, seeds=()):
+def exchange_of(name, clock, registry, notices=None, seeds=(), evacuated=None):
     """Creates a host's peer exchange with a registry and notices."""
     return peer_exchange.PeerExchange(
         lambda: host_state(name),
@@ -71,6 +75,7 @@
         list(seeds),
         clock,
         random.Random(1),
+        evacuated or evacuations.Evacuations(metrics.Metrics()),
     )
 
 
@@ -132,6 +137,19 @@
         self._request_numbers = itertools.count()
         self.metrics = metrics.Metrics()
         self.notices = upstream_notices.UpstreamNotices(self.clock)
+        self.evacuations = evacuations.Evacuations(self.metrics)
+        # Requests per second that warming upstreams accept, by service.
+        self.rates = {}
+        self.roster = roster.Roster("m", self.clock)
+        self.warm_up = warm_up.SharedWarmUpLimit(
+            "m",
+            self.roster,
+            lambda: self.rates,
+            1.5,
+            5.0,
+            self.metrics,
+            self.clock,
+        )
         rng = random.Random(1)
         self.registry = registry.Registry(self.clock)
         self.context = sub_requests.SubRequestContext(
@@ -145,6 +163,9 @@
             self.clock,
             self.metrics,
             set(),
+            self.evacuations,
+            self.warm_up,
+            REGION_MAP,
         )
         # An earlier process has spent nothing within the window.
         started_ms = self.clock.now_ms() - 2.0 * WINDOW_MS
--- a/tests/integration/test_gateway.py
+++ b/tests/integration/test_gateway.py
@@ -10,6 +10,7 @@
 from greengagedale.http1 import client
 from standins import endless
 from standins.gateway_site import RECORD_FORMAT
+from standins.gateway_site import SHARDS
 from standins.gateway_site import configuration
 from standins.gateway_site import route
 from standins.gateway_site import running_site
@@ -71,6 +72,71 @@
     assert site.upstreams["one-0"].runs["b1"] == 0
 
 
+async def test_evacuated_data_centre_gets_nothing_until_taken_back(tmp_path):
+    async with running_site(tmp_path, contracts=["places"]) as site:
+        for name, each in site.upstreams.items():
+            if name.endswith("-1"):
+                each.data_centre = "there"
+                site.write_upstream_entry(name)
+        site.store.put("evacuations", "there", {})
+        evacuated = [site.upstreams[f"{shard}-1"] for shard in SHARDS]
+
+        async def is_known(state):
+            message = f"evacuation of a data centre {state}"
+            return all(
+                message in [line["message"] for line in host.json_log_lines()]
+                for host in site.hosts
+            )
+
+        await until(lambda: is_known("began"))
+        # The host that reads the store is lost, and one starts meanwhile.
+        await site.hosts[0].stop()
+        await site.hosts[0].start()
+        await site.hosts[0].wait_ready()
+        counts = [len(each.requests) for each in evacuated]
+        for host in site.hosts * 10:
+            assert (await host.search()).status == 200
+        assert [len(each.requests) for each in evacuated] == counts
+        site.store.delete("evacuations", "there")
+
+        await until(lambda: is_known("ended"))
+        # Hosts prefer upstreams of their own data centre.
+        for shard in SHARDS:
+            site.write_upstream_entry(f"{shard}-0", "draining")
+
+        async def is_used():
+            await site.hosts[1].search()
+            return all(each.requests[counts[0] :] for each in evacuated)
+
+        await until(is_used)
+
+
+async def test_request_bound_to_a_region_reaches_no_other(site):
+    far = site.upstreams["s1-1"]
+    far.data_centre = "there"
+    site.write_upstream_entry("s1-1")
+    more = [
+        route("near", "/near/", service="s1", allowedRegions=["near"]),
+        route("far", "/far/", service="s1", allowedRegions=["far"]),
+    ]
+    site.store.put("config", "main", configuration(8, more))
+
+    async def is_served():
+        reply = await site.hosts[0].get("/far/x", request_id="f1")
+        return reply.status == 200
+
+    await until(is_served)
+    count = len(far.requests)
+    for number in range(20):
+        reply = await site.hosts[0].get("/near/x", request_id=f"n{number}")
+        assert reply.status == 200
+    assert len(far.requests) == count
+    site.upstreams["s1-0"].mode = "full"
+    reply = await site.hosts[0].get("/near/x", request_id="n")
+    assert reply.status == 503
+    assert len(far.requests) == count
+
+
 @pytest.mark.parametrize("mode", ["unsigned", "foreign", "failing", "lost"])
 async def test_invalid_answer_is_not_merged(site, mode):
     for name in ("s1-0", "s1-1"):
--- a/tests/platform/test_codecs.py
+++ b/tests/platform/test_codecs.py
@@ -288,7 +288,7 @@
     assert (decoded.signature, decoded.body, decoded.load) == (
         "sig",
         b"x",
-        (3, 1, 5),
+        (3, 1, 5, None),
     )
     assert decoded.is_success
 
@@ -329,7 +329,37 @@
     assert not decoded.is_success
 
 
-@pytest.mark.parametrize("load", [b"", b"1,2", b"a,b,c", b"1,2,3,4", b"-1,0,1"])
+@pytest.mark.parametrize(
+    ("load", "expected"),
+    [
+        (b"1,2,3", (1, 2, 3, None)),
+        (b"1, 2, 3, 250", (1, 2, 3, 250)),
+        (b"0,0,8,100", (0, 0, 8, 100)),
+        (b"1,2,3,0", (1, 2, 3, None)),
+    ],
+)
+def test_load_report_may_have_a_pace(call, load, expected):
+    decoded = upstream_codec.decode_answer(
+        call, reply([*SIGNED, (b"server-load", load)])
+    )
+    assert decoded.load == expected
+
+
+@pytest.mark.parametrize(
+    "load",
+    [
+        b"",
+        b"1,2",
+        b"a,b,c",
+        b"-1,0,1",
+        b"1,2,3,",
+        b"1,2,3,x",
+        b"1,2,3,-4",
+        b"1,2,3,1.5",
+        b"1,2,3,4,5",
+        b"1,2,3," + b"9" * 400,
+    ],
+)
 def test_invalid_load_report_is_ignored(call, load):
     decoded = upstream_codec.decode_answer(
         call, reply([*SIGNED, (b"server-load", load)])
@@ -365,15 +395,17 @@
     [
         (
             b"/-/resolve?name=a&region=r&zone=z1",
-            caller_handlers.LocateRequest("z1"),
+            caller_handlers.LocateRequest("z1", "a"),
         ),
-        (b"/-/resolve?name=a", caller_handlers.LocateRequest(None)),
+        (b"/-/resolve?name=A.b", caller_handlers.LocateRequest(None, "a.b")),
         (b"/-/resolve", caller_handlers.LocateRequest(None)),
         (b"/-/ready?zone=z1", None),
         (b"/elsewhere", None),
     ],
 )
-def test_locate_request_has_the_data_centre(codec, target, expected):
+def test_locate_request_has_the_data_centre_and_the_host(
+    codec, target, expected
+):
     request = messages.Request(b"GET", target, (), b"", 0.0)
     assert codec.decode_locate(request) == expected
 
@@ -434,3 +466,21 @@
         reply_with_headers(status, server_leaving=value)
     )
     assert notice.is_leaving == is_leaving
+
+
+@pytest.mark.parametrize(
+    ("status", "value", "warm_up_ms"),
+    [
+        (200, b"2500", 2500.0),
+        (503, b"0.5", 0.5),
+        (200, b"0", 0.0),
+        (200, b"soon", 0.0),
+        (200, b"-1", 0.0),
+        (421, b"2500", 0.0),
+    ],
+)
+def test_warm_up_is_decoded_from_any_answer(status, value, warm_up_ms):
+    notice = upstream_codec.decode_notice(
+        reply_with_headers(status, warmup_ms=value)
+    )
+    assert notice.warm_up_ms == warm_up_ms
--- a/tests/platform/test_notices_under_load.py
+++ b/tests/platform/test_notices_under_load.py
@@ -52,11 +52,18 @@
 def bench(upstreams):
     created = Bench(burst=1000.0)
     pools = connection_pools.ConnectionPools(
-        created.notices, client.ReplyLimits(), created.clock
+        created.notices,
+        created.evacuations,
+        client.ReplyLimits(),
+        created.clock,
     )
     created.context = created.context._replace(
         client=upstream_client.PlatformUpstreamClient(
-            pools, created.notices, lambda entry: 2, created.clock
+            pools,
+            created.notices,
+            created.warm_up,
+            lambda entry: 2,
+            created.clock,
         )
     )
     created.runner._context = created.context
