Refuse requests with keys without a proof of a recent configuration

Cause: where revocation is bounded, a host that is cut off, frozen or restarted served revoked keys for as long as its configuration stayed old.

- gateway/freshness.py holds the latest time as of which the configuration in force was proved to be the newest.
Linearizable reads prove the time before the call; answers of peers prove the time before the request, less the age of the peer's own proof.
- Requests with keys need a recent proof on arrival, before each attempt and just before the bytes are written; otherwise they are refused as not run.
- The reader of the store reads the configuration once a second.
Hosts whose proof gets old ask peers more often, then the store (gateway/proof_refresh.py).
- Hosts without a proof are left out of addresses, unless no host has one.

Ruled out: proof by the store's global revision (an empty list at the revision of the last full read). Where the store comes back from an older copy, revisions are given out again, so equal revisions prove nothing; and other objects raise it, which costs a second call. Proof by watches, pings or pushed summaries: they may be silent, stale or late.

--- a/greengagedale/gateway/caller_handlers.py
+++ b/greengagedale/gateway/caller_handlers.py
@@ -32,6 +32,9 @@
 # Retry-After of a host that is shutting down: callers can go to another host
 # at once.
 _STOPPING_RETRY_MS = 10
+# Retry-After of a host that can't prove that its configuration is recent; other
+# hosts mostly can.
+_UNPROVEN_RETRY_MS = 10
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -174,6 +177,13 @@
             identity = self._authorizer.identify(
                 route, self._codec.key_of(request)
             )
+            if isinstance(identity, authorization.UnprovenConfiguration):
+                return self._refuse(
+                    call,
+                    outcomes.Reason.CONFIGURATION_UNPROVEN,
+                    _UNPROVEN_RETRY_MS,
+                    proof_age_ms=identity.proof_age_ms,
+                )
             if isinstance(identity, authorization.UnknownKey):
                 return self._refuse_key(call, route, table.version, identity)
             call = call._replace(identity=identity)
@@ -214,7 +224,11 @@
         return self._codec.encode_answer(outcome.value)
 
     def _refuse(
-        self, call: calls.Call, reason: outcomes.Reason, retry_after_ms: int
+        self,
+        call: calls.Call,
+        reason: outcomes.Reason,
+        retry_after_ms: int,
+        **details: float | None,
     ) -> messages.Response:
         self._metrics.refusals.inc("edge", str(reason))
         self._request_log.write(
@@ -222,6 +236,7 @@
             request_id=call.request_id,
             reason=str(reason),
             version=self._registry.routes_version,
+            **details,
         )
         return self._codec.encode_failure(
             outcomes.NotRun(reason, retry_after_ms)
@@ -293,6 +308,10 @@
         serving = self._fleet.serving()
         if own.accepts_callers:
             serving.append(own)
+        # Without any host that can prove its configuration, callers on public
+        # routes can still be served.
+        proven = [each for each in serving if each.heartbeat.is_proven]
+        serving = proven or serving
         if not serving:
             return self._codec.encode_failure(
                 outcomes.NotRun(outcomes.Reason.NOT_READY, _NOT_READY_RETRY_MS)
--- a/greengagedale/gateway/daemon.py
+++ b/greengagedale/gateway/daemon.py
@@ -18,8 +18,10 @@
 from greengagedale.gateway import connection_pools as pools_lib
 from greengagedale.gateway import extra_attempts
 from greengagedale.gateway import fleet as fleet_lib
+from greengagedale.gateway import freshness as freshness_lib
 from greengagedale.gateway import metrics as metrics_lib
 from greengagedale.gateway import peer_exchange as peer_exchange_lib
+from greengagedale.gateway import proof_refresh
 from greengagedale.gateway import quarantine as quarantine_lib
 from greengagedale.gateway import reader_election as election_lib
 from greengagedale.gateway import registry as registry_lib
@@ -51,6 +53,7 @@
 EXIT_FAILURE = 1
 _MAINTENANCE_INTERVAL_S = 0.5
 _BUDGET_TICK_INTERVAL_S = 0.1
+_PROOF_CHECK_INTERVAL_S = 0.1
 _LOG_FLUSH_INTERVAL_S = 0.05
 _MS_PER_S = 1000.0
 
@@ -88,9 +91,11 @@
         settings: config.GatewaySettings,
         registry: registry_lib.Registry,
         roster: roster_lib.Roster,
+        freshness: freshness_lib.Freshness,
     ) -> None:
         self._settings = settings
         self._registry = registry
+        self._freshness = freshness
         self._roster = roster
         self._incarnation = int(time.time() * _MS_PER_S)
         self._sequence = 0
@@ -116,6 +121,7 @@
             self.is_leaving,
             -1.0 if self.reader is None else self.reader.read_age_ms,
             self._roster.host_list.revision,
+            self._freshness.is_proven(),
         )
         return fleet_lib.HostState(address, heartbeat)
 
@@ -147,12 +153,20 @@
         self._clock = clock
         self._metrics = metrics_lib.Metrics()
         self._registry = registry_lib.Registry(clock)
-        self._authorizer = authorization.Authorizer(self._registry)
+        self._freshness = freshness_lib.Freshness(
+            settings.keys.revocation_ms, clock, self._metrics
+        )
+        self._authorizer = authorization.Authorizer(
+            self._registry, self._freshness
+        )
+        self._rng = rng
         self._fleet = fleet_lib.Fleet(settings.host.name, clock)
         self._roster = roster_lib.Roster(settings.host.name, clock)
         self._quarantine = quarantine_lib.Quarantine(clock)
         self._notices = notices_lib.UpstreamNotices(clock)
-        self._own_state = _OwnState(settings, self._registry, self._roster)
+        self._own_state = _OwnState(
+            settings, self._registry, self._roster, self._freshness
+        )
         self._store = store_lib.PlatformStore.from_config(
             settings.platform.endpoint,
             settings.platform.timeout_ms,
@@ -165,6 +179,7 @@
             self._roster,
             self._quarantine,
             self._notices,
+            self._freshness,
             list(settings.peers.seeds),
             clock,
             rng,
@@ -175,6 +190,7 @@
             self._registry,
             self._make_election(),
             self._roster,
+            self._freshness,
             self._alive_hosts,
             self._exchange.request_round,
             clock,
@@ -200,7 +216,11 @@
         )
         self._tools = sub_requests.SubRequestContext(
             upstream_client_lib.PlatformUpstreamClient(
-                self._pools, self._notices, self._max_connections, clock
+                self._pools,
+                self._notices,
+                self._max_connections,
+                self._authorizer,
+                clock,
             ),
             self._scores,
             self._registry.upstreams_of,
@@ -259,6 +279,11 @@
             self._tick_budgets,
         ):
             _run_in_background(stack, supervision.supervise(work))
+        if self._freshness.bound_ms is not None:
+            _run_in_background(
+                stack,
+                supervision.supervise(self._refresh_proof),
+            )
 
     async def drain(self, grace_s: float) -> None:
         """Shuts down without cutting requests; see `shutdown`."""
@@ -348,6 +373,39 @@
             self._budgets.tick(self._clock.now_ms())
             await asyncio.sleep(_BUDGET_TICK_INTERVAL_S)
 
+    async def _refresh_proof(self) -> None:
+        """Asks for a newer proof of the configuration when it gets old."""
+        bound_ms = self._freshness.bound_ms
+        assert bound_ms is not None
+        refresh = proof_refresh.ProofRefresh(bound_ms, self._rng)
+        while True:
+            await asyncio.sleep(_PROOF_CHECK_INTERVAL_S)
+            self._freshness.is_proven()  # Logs a change also without requests.
+            step = refresh.next_step(
+                self._clock.now_ms(),
+                self._freshness.age_ms,
+                self._fleet.count_known(),
+            )
+            if step is proof_refresh.Step.ASK_PEERS:
+                self._exchange.request_round()
+            elif step is proof_refresh.Step.ASK_STORE:
+                await self._read_proof()
+
+    async def _read_proof(self) -> None:
+        if self._reader.read_age_ms >= 0.0:
+            # This host reads the store anyway, with backoffs of its own.
+            return
+        age_ms = self._freshness.known_age_ms
+        failure = await self._reader.prove_configuration()
+        log.info(
+            "asked the store for a proof of the configuration",
+            extra={
+                "proof_age_ms": age_ms,
+                "new_age_ms": self._freshness.known_age_ms,
+                "failure": failure,
+            },
+        )
+
     async def _maintain(self) -> None:
         while True:
             await asyncio.sleep(_MAINTENANCE_INTERVAL_S)
--- a/greengagedale/gateway/fleet.py
+++ b/greengagedale/gateway/fleet.py
@@ -56,6 +56,8 @@
         read_age_ms: Age of its last answer from the store when it sent this
             heartbeat; negative if it does not read the store.
         roster_revision: Revision of the host list that it uses.
+        is_proven: Whether it can prove that its configuration is recent enough
+            to serve requests with keys, or needs no proof.
     """
 
     name: str
@@ -65,6 +67,7 @@
     is_leaving: bool
     read_age_ms: float
     roster_revision: int
+    is_proven: bool = True
 
 
 class HostState(NamedTuple):
--- a/greengagedale/gateway/metrics.py
+++ b/greengagedale/gateway/metrics.py
@@ -66,6 +66,8 @@
         failures: Attempts that failed, by reason.
         merged_answers: Merged answers by route, and whole or partial.
         store_calls: Calls to the store by operation and result.
+        proof_changes: Times that the proof of a recent configuration was lost
+            or gained.
         request_latency: Latency of requests by route.
         attempt_latency: Latency of answered attempts by route.
     """
@@ -93,6 +95,11 @@
         self.store_calls = Counter(
             "store_calls", "Calls to the store.", "operation", "result"
         )
+        self.proof_changes = Counter(
+            "configuration_proof_changes",
+            "Changes of the proof that the configuration is recent.",
+            "change",
+        )
         self.request_latency = LatencyHistograms(
             "request_latency_ms", "Latency of requests.", "route"
         )
--- a/greengagedale/gateway/peer_exchange.py
+++ b/greengagedale/gateway/peer_exchange.py
@@ -16,6 +16,7 @@
 
 from greengagedale import clocks
 from greengagedale.gateway import fleet as fleet_lib
+from greengagedale.gateway import freshness as freshness_lib
 from greengagedale.gateway import message_codec
 from greengagedale.gateway import quarantine as quarantine_lib
 from greengagedale.gateway import registry as registry_lib
@@ -90,6 +91,7 @@
         roster: Its host list, if it is newer.
         suspects: Requests that may crash upstreams.
         leaving: Incarnations of upstreams that announced that they are leaving.
+        proof: Its proof that its configuration is recent, if it has one.
     """
 
     own: fleet_lib.HostState
@@ -102,6 +104,7 @@
     roster: roster_lib.HostList | None
     suspects: list[quarantine_lib.Suspect]
     leaving: list[upstream_entries.UpstreamIncarnation]
+    proof: freshness_lib.Proof | None = None
 
 
 _summary_decoder = msgspec.msgpack.Decoder(StateSummary)
@@ -119,6 +122,7 @@
         roster: roster_lib.Roster,
         quarantine: quarantine_lib.Quarantine,
         notices: notices_lib.UpstreamNotices,
+        freshness: freshness_lib.Freshness,
         seeds: list[str],
         clock: clocks.Clock,
         rng: random.Random,
@@ -132,6 +136,7 @@
             roster: The host list.
             quarantine: Requests that crash upstreams.
             notices: Upstreams that are leaving or asked for a backoff.
+            freshness: Proof that the configuration is recent.
             seeds: Endpoints of hosts to ask before any peer is known.
             clock: Clock of the process.
             rng: Random generator for the choice of peers.
@@ -142,6 +147,7 @@
         self._roster = roster
         self._quarantine = quarantine
         self._notices = notices
+        self._freshness = freshness
         self._seeds = seeds
         self._clock = clock
         self._rng = rng
@@ -185,9 +191,8 @@
             await asyncio.gather(*(self._try_exchange(peer) for peer in peers))
             self._registry.remove_expired()
             self._round_requested.clear()
-            is_new = (
-                round_number < STARTUP_ROUNDS
-                and not self._registry.version.revision
+            is_new = round_number < STARTUP_ROUNDS and not (
+                self._registry.version.revision and self._freshness.is_proven()
             )
             pause_ms = (
                 STARTUP_ROUND_INTERVAL_MS if is_new else ROUND_INTERVAL_MS
@@ -233,6 +238,7 @@
 
     async def _exchange(self, endpoint: str) -> None:
         own = self._own_state()
+        sent_ms = self._clock.now_ms()
         summary = StateSummary(
             own,
             self._heartbeats(),
@@ -261,12 +267,15 @@
             log.debug("exchange with %s failed: %r", endpoint, reply)
             return
         try:
-            self._merge(message_codec.decode(reply.body, _update_decoder))
+            update = message_codec.decode(reply.body, _update_decoder)
         except msgspec.DecodeError as error:
             log.warning(
                 "state update of a peer could not be decoded; dropping it",
                 extra={"reason": str(error)},
             )
+            return
+        self._merge(update)
+        self._adopt_proof(update, sent_ms)
 
     def _update_for(self, summary: StateSummary) -> StateUpdate:
         registry = self._registry
@@ -291,8 +300,21 @@
             else None,
             self._quarantine.suspects(),
             self._notices.leaving(),
+            self._freshness.proof(registry.routes_version),
         )
 
+    def _adopt_proof(self, update: StateUpdate, sent_ms: float) -> None:
+        """Adopts a peer's proof after its update has been merged.
+
+        Args:
+            update: The answer of the peer.
+            sent_ms: Time before the request that it answers was sent.
+        """
+        if update.proof is not None and self._freshness.is_required:
+            self._freshness.confirm_from_peer(
+                update.proof, self._registry.routes_version, sent_ms
+            )
+
     def _merge(self, update: StateUpdate) -> None:
         self._fleet.observe(update.own)
         self._quarantine.merge(update.suspects)
--- a/greengagedale/gateway/store_reader.py
+++ b/greengagedale/gateway/store_reader.py
@@ -10,9 +10,11 @@
 from typing import Any
 
 from greengagedale import clocks
+from greengagedale.gateway import freshness as freshness_lib
 from greengagedale.gateway import reader_election as election_lib
 from greengagedale.gateway import registry as registry_lib
 from greengagedale.gateway import roster as roster_lib
+from greengagedale.gateway import route_config
 from greengagedale.gateway import store_api as store_api_lib
 
 log = logging.getLogger(__name__)
@@ -22,6 +24,10 @@
 WATCH_WAIT_MS = 6000
 # Time between pings while watches wait.
 PING_INTERVAL_MS = 500.0
+# Time between reads that prove that the configuration is current, where
+# revocation is bounded. A fifth of a bound of 5 s; the rest is for passing the
+# proof on, and for replacing a lost reader.
+PROOF_INTERVAL_MS = 1000.0
 # Changes come in bursts. Waiting this long between watches lets one answer
 # carry several changes.
 CHANGE_BATCH_MS = 150.0
@@ -48,6 +54,7 @@
         registry: registry_lib.Registry,
         election: election_lib.ReaderElection,
         roster: roster_lib.Roster,
+        freshness: freshness_lib.Freshness,
         alive: Callable[[], dict[str, int]],
         on_change: Callable[[], None],
         clock: clocks.Clock,
@@ -59,6 +66,7 @@
             registry: Configuration and upstreams to keep up to date.
             election: Decides whether this host should read.
             roster: The current host list.
+            freshness: Proof that the configuration is recent.
             alive: Returns the live hosts, including this one, with the
                 revision of the host list that each uses.
             on_change: Called after each change of the data.
@@ -68,6 +76,7 @@
         self._registry = registry
         self._election = election
         self._roster = roster
+        self._freshness = freshness
         self._alive_hosts = alive
         self._planner = roster_lib.RosterPlanner(clock)
         # As last read or written since this host was elected; None if it must
@@ -77,6 +86,7 @@
         self._on_change = on_change
         self._clock = clock
         self._last_answer_ms = float("-inf")
+        self._last_proof_ms = float("-inf")
         self._failing_watches: set[str] = set()
         self._is_reading = False
         self._must_relist = False
@@ -101,13 +111,20 @@
         """Loads enough to serve without waiting for the elected reader.
 
         Newer data comes from peers, or from this host once it is elected.
+        Where revocation is bounded, the configuration is no stale copy, as it
+        could not be used before a peer proves that it is recent.
         """
+        sent_ms = self._clock.now_ms()
         routes, upstreams = await asyncio.gather(
-            self._store.read_routes(allow_stale=True),
+            self._store.read_routes(
+                allow_stale=not self._freshness.is_required
+            ),
             self._store.list_upstreams(allow_stale=True),
         )
         if isinstance(routes, store_api_lib.RoutesRead) and routes.routes:
             self._registry.apply_routes(routes.routes, 0)
+            if self._freshness.is_required:
+                self._confirm(routes.routes, sent_ms)
         if isinstance(upstreams, store_api_lib.UpstreamsListed):
             copied = store_api_lib.UpstreamsListed(upstreams.upstreams, 0)
             self._registry.apply_list(copied)
@@ -172,9 +189,9 @@
             while self._should_read():
                 await self._update_roster()
                 await asyncio.sleep(PING_INTERVAL_MS / _MS_PER_S)
-                failure = await self._store.ping()
+                failure = await self._check_store()
                 if failure is not None:
-                    self._record_failure(failure.detail)
+                    self._record_failure(failure)
                     break
                 self._record_answer()
         finally:
@@ -182,6 +199,15 @@
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
 
+    async def _check_store(self) -> str | None:
+        """Proves the configuration if that is due; otherwise sends a ping."""
+        if self._freshness.is_required and (
+            self._clock.now_ms() - self._last_proof_ms >= PROOF_INTERVAL_MS
+        ):
+            return await self._read_routes()
+        failure = await self._store.ping()
+        return None if failure is None else failure.detail
+
     async def _run_watch(
         self, what: str, step: Callable[[], Coroutine[Any, Any, str | None]]
     ) -> None:
@@ -228,8 +254,19 @@
         if self._roster.replace_if_newer(result):
             self._on_change()
 
+    async def prove_configuration(self) -> str | None:
+        """Reads the configuration once, whoever is elected.
+
+        Returns:
+            Why it could not be read, or None.
+        """
+        return await self._read_routes()
+
     async def _read_routes(self) -> str | None:
-        return await self._apply_routes(await self._store.read_routes())
+        sent_ms = self._clock.now_ms()
+        return await self._apply_routes(
+            await self._store.read_routes(), sent_ms
+        )
 
     async def _watch_routes(self) -> str | None:
         revision = self._registry.routes_revision
@@ -241,18 +278,56 @@
         return await self._apply_routes(result)
 
     async def _apply_routes(
-        self, result: store_api_lib.RoutesRead | store_api_lib.Unavailable
+        self,
+        result: store_api_lib.RoutesRead | store_api_lib.Unavailable,
+        sent_ms: float | None = None,
     ) -> str | None:
         if isinstance(result, store_api_lib.Unavailable):
             return result.detail
-        if result.routes is None:
-            self._registry.advance_routes_revision(result.revision)
-            return None
-        if self._registry.apply_routes(result.routes, result.revision):
+        if self.take_routes(result, sent_ms):
             self._on_change()
             await asyncio.sleep(CHANGE_BATCH_MS / _MS_PER_S)
         return None
 
+    def take_routes(
+        self, result: store_api_lib.RoutesRead, sent_ms: float | None
+    ) -> bool:
+        """Applies a configuration that was read; returns if it was newer.
+
+        Args:
+            result: What was read.
+            sent_ms: Time before a linearizable read was sent; None if the
+                answer is that of a watch, which may miss changes.
+        """
+        if result.routes is None:
+            # An unreadable configuration may revoke keys, so it proves nothing.
+            self._registry.advance_routes_revision(result.revision)
+            return False
+        has_changed = self._registry.apply_routes(
+            result.routes, result.revision
+        )
+        if sent_ms is not None:
+            self._confirm(result.routes, sent_ms)
+        return has_changed
+
+    def _confirm(
+        self, routes: route_config.RouteConfiguration, sent_ms: float
+    ) -> None:
+        """Records that a linearizable read returned the one in force."""
+        self._last_proof_ms = sent_ms
+        if routes.version == self._registry.routes_version:
+            self._freshness.confirm(sent_ms)
+        elif self._freshness.is_required:
+            # The store has lost changes, or a peer has read a newer version
+            # while the answer was under way.
+            log.warning(
+                "store returned an older configuration than the one in force",
+                extra={
+                    "version": routes.version,
+                    "held_version": self._registry.routes_version,
+                },
+            )
+
     async def _watch_upstreams(self) -> str | None:
         revision = self._registry.version.revision
         if revision == 0 or self._must_relist:
--- a/greengagedale/gateway/sub_requests.py
+++ b/greengagedale/gateway/sub_requests.py
@@ -311,8 +311,9 @@
         now_ms = context.clock.now_ms()
         if context.quarantine.should_refuse(self._fingerprint):
             return outcomes.Reason.QUARANTINED
-        if not context.authorizer.may_send(self._call):
-            return outcomes.Reason.KEY_REVOKED
+        refusal = context.authorizer.send_refusal(self._call)
+        if refusal is not None:
+            return refusal
         choice = context.scores.choose(
             context.candidates(self.service),
             self._latency.typical_ms(),
--- a/greengagedale/outcomes.py
+++ b/greengagedale/outcomes.py
@@ -14,6 +14,7 @@
 class Reason(enum.StrEnum):
     """Why a request was not run, or why its outcome is unknown."""
 
+    CONFIGURATION_UNPROVEN = "configuration_unproven"
     CONNECT_FAILED = "connect_failed"
     DEADLINE = "deadline"
     DRAINING = "draining"
--- a/greengagedale/platform/upstream_client.py
+++ b/greengagedale/platform/upstream_client.py
@@ -4,6 +4,7 @@
 
 from greengagedale import clocks
 from greengagedale import outcomes
+from greengagedale.gateway import authorization
 from greengagedale.gateway import calls
 from greengagedale.gateway import connection_pools as pools_lib
 from greengagedale.gateway import upstream_entries
@@ -30,6 +31,7 @@
         pools: pools_lib.ConnectionPools,
         notices: notices_lib.UpstreamNotices,
         max_connections: Callable[[upstream_entries.Upstream], int],
+        authorizer: authorization.Authorizer,
         clock: clocks.Clock,
     ) -> None:
         """Initializes the client.
@@ -39,11 +41,13 @@
             notices: Receives the notices that upstreams send with answers.
             max_connections: Returns the maximum number of connections from
                 this host to an upstream.
+            authorizer: Decides whether a caller's requests may still be sent.
             clock: Clock of the process.
         """
         self._pools = pools
         self._notices = notices
         self._max_connections = max_connections
+        self._authorizer = authorizer
         self._clock = clock
 
     async def send(
@@ -64,6 +68,10 @@
         if remaining_ms <= 0.0:
             pool.release(connection)
             return _unsent_failure(outcomes.Reason.DEADLINE)
+        refusal = self._authorizer.send_refusal(attempt.call)
+        if refusal is not None:
+            pool.release(connection)
+            return _unsent_failure(refusal)
         is_first = connection.is_new
         try:
             reply = await connection.exchange(
--- a/tests/gateway/test_authorization.py
+++ b/tests/gateway/test_authorization.py
@@ -1,5 +1,6 @@
 """Callers are told by their keys, on arrival and before each send."""
 
+from gateway_scripts import freshness_of
 from gateway_scripts import single
 import pytest
 
@@ -37,8 +38,8 @@
 
 
 @pytest.fixture
-def authorizer(table):
-    return authorization.Authorizer(table)
+def authorizer(table, clock):
+    return authorization.Authorizer(table, freshness_of(clock))
 
 
 def test_key_tells_its_workspace(authorizer):
--- a/tests/gateway/test_mutations.py
+++ b/tests/gateway/test_mutations.py
@@ -5,6 +5,7 @@
 import types
 
 from gateway_scripts import Bench
+from gateway_scripts import RevocationWorld
 from gateway_scripts import answer
 from gateway_scripts import exchange_of
 from gateway_scripts import fanout
@@ -18,9 +19,11 @@
 
 from greengagedale import clocks
 from greengagedale import outcomes
+from greengagedale.gateway import authorization
 from greengagedale.gateway import calls
 from greengagedale.gateway import extra_attempts
 from greengagedale.gateway import fleet
+from greengagedale.gateway import freshness
 from greengagedale.gateway import peer_exchange
 from greengagedale.gateway import quarantine
 from greengagedale.gateway import reader_election
@@ -30,6 +33,7 @@
 from greengagedale.gateway import runner
 from greengagedale.gateway import shutdown
 from greengagedale.gateway import store_api
+from greengagedale.gateway import store_reader
 from greengagedale.gateway import sub_requests
 from greengagedale.gateway import upstream_notices
 from greengagedale.gateway import upstream_scores
@@ -337,6 +341,74 @@
     return bench.clock.now_ms() - began_ms < 75.0
 
 
+async def late_answers_prove_the_time_of_their_request():
+    """An exchange whose answer is held up proves nothing of its arrival."""
+    world = RevocationWorld()
+    world.start_exchange(1, 0)
+    world.serve_exchange(-1)
+    world.write(holds_key=False)
+    world.advance(4000.0)
+    world.deliver_exchange(-1)
+    world.advance(2000.0)
+    world.request(1)
+    return world.violations == []
+
+
+async def late_reads_prove_the_time_of_their_call():
+    """A read whose answer is held up proves nothing of its arrival."""
+    world = RevocationWorld()
+    world.start_read(1)
+    world.serve_read(-1)
+    world.write(holds_key=False)
+    world.advance(4000.0)
+    world.deliver_read(-1)
+    world.advance(2000.0)
+    world.request(1)
+    return world.violations == []
+
+
+async def proofs_of_peers_keep_their_age():
+    """A proof does not get younger when hosts pass it on."""
+    world = RevocationWorld()
+    world.write(holds_key=False)
+    for asker, answerer in ((1, 0), (2, 1)):
+        world.advance(3000.0)
+        world.exchange(asker, answerer)
+    world.request(2)
+    return world.violations == []
+
+
+async def keys_are_checked_before_each_send():
+    """A request that has waited is not sent after its key was revoked."""
+    world = RevocationWorld()
+    world.send_request()
+    world.deliver_request(-1, 0)
+    world.write(holds_key=False)
+    world.advance(world.BOUND_MS + 1.0)
+    world.try_send(-1)
+    return world.violations == []
+
+
+async def stale_answers_prove_nothing():
+    """A reader that gets nothing but pings and silent watches refuses keys."""
+    world = RevocationWorld()
+    world.write(holds_key=False)
+    for _ in range(6):
+        world.advance(1000.0)
+        world.ping(0)
+    world.request(0)
+    return world.violations == []
+
+
+async def suspended_time_counts():
+    """A host that was frozen does not trust its proof when it wakes."""
+    world = RevocationWorld()
+    world.write(holds_key=False)
+    world.advance(60_000.0)
+    world.request(0)
+    return world.violations == []
+
+
 class _Transport:
     """A transport that accepts and ignores all data."""
 
@@ -391,7 +463,62 @@
         self._by_service.setdefault(item.service, []).append(item)
 
 
+def confirm_on_arrival(self, proof, version, sent_ms):
+    del version, sent_ms
+    self.confirm(self._clock.now_ms() - proof.age_ms)
+
+
+def confirm_without_age(self, proof, version, sent_ms):
+    del proof, version
+    self.confirm(sent_ms)
+
+
+def confirm_read_on_arrival(self, routes, sent_ms):
+    del routes, sent_ms
+    self._freshness.confirm(self._clock.now_ms())
+
+
+def confirm_any_answer(self):
+    self._freshness.confirm(self._clock.now_ms())
+
+
 MUTATIONS = {
+    "prove_on_arrival_of_exchange": (
+        late_answers_prove_the_time_of_their_request,
+        freshness.Freshness,
+        "confirm_from_peer",
+        confirm_on_arrival,
+    ),
+    "prove_on_arrival_of_read": (
+        late_reads_prove_the_time_of_their_call,
+        store_reader.StoreReader,
+        "_confirm",
+        confirm_read_on_arrival,
+    ),
+    "ignore_age_of_peers_proof": (
+        proofs_of_peers_keep_their_age,
+        freshness.Freshness,
+        "confirm_from_peer",
+        confirm_without_age,
+    ),
+    "check_keys_on_arrival_only": (
+        keys_are_checked_before_each_send,
+        authorization.Authorizer,
+        "send_refusal",
+        always(None),
+    ),
+    "prove_by_stale_answers": (
+        stale_answers_prove_nothing,
+        store_reader.StoreReader,
+        "_record_answer",
+        confirm_any_answer,
+    ),
+    "ignore_age_of_proof": (
+        suspended_time_counts,
+        freshness.Freshness,
+        "is_proven",
+        always(True),
+    ),
     "ignore_notices": (
         leaving_notices_are_honoured,
         upstream_notices.UpstreamNotices,
--- a/tests/gateway/test_store_reader.py
+++ b/tests/gateway/test_store_reader.py
@@ -4,6 +4,7 @@
 import collections
 import contextlib
 
+from gateway_scripts import freshness_of
 from gateway_scripts import host_state
 from gateway_scripts import single
 from gateway_scripts import upstream
@@ -97,8 +98,9 @@
 
 
 class Bench:
-    def __init__(self):
+    def __init__(self, bound_ms=None):
         self.clock = clocks.MonotonicClock()
+        self.freshness = freshness_of(self.clock, bound_ms)
         self.store = ScriptedStore()
         self.registry = registry_lib.Registry(self.clock)
         self.fleet = fleet_lib.Fleet("m", self.clock)
@@ -110,6 +112,7 @@
             self.registry,
             election,
             self.roster,
+            self.freshness,
             lambda: self.alive,
             lambda: None,
             self.clock,
@@ -199,6 +202,67 @@
     assert new_bench.reader._max_backoff_ms() == 4.0 * alone_ms
 
 
+@contextlib.asynccontextmanager
+async def running(new_bench):
+    task = asyncio.create_task(new_bench.reader.run())
+    yield new_bench
+    task.cancel()
+    with contextlib.suppress(asyncio.CancelledError):
+        await task
+
+
+async def test_reader_keeps_proving_the_configuration(
+    short_intervals, monkeypatch
+):
+    monkeypatch.setattr(store_reader_lib, "PROOF_INTERVAL_MS", 60.0)
+    async with running(Bench(5000.0)) as new_bench:
+        await wait_until(lambda: new_bench.store.calls["routes"] >= 6)
+        assert new_bench.freshness.age_ms < 200.0
+        # Pings still detect a lost store between the reads.
+        assert new_bench.store.calls["pulse"] >= 5
+
+
+async def test_nothing_is_read_for_proofs_without_a_bound(
+    short_intervals, monkeypatch
+):
+    monkeypatch.setattr(store_reader_lib, "PROOF_INTERVAL_MS", 10.0)
+    async with running(Bench()) as new_bench:
+        await wait_until(lambda: new_bench.store.calls["pulse"] >= 5)
+        assert new_bench.store.calls["routes"] == 1
+        assert new_bench.store.calls["copy"] == 2
+
+
+async def test_host_starts_with_a_proof_while_another_host_reads(
+    short_intervals,
+):
+    new_bench = Bench(5000.0)
+    new_bench.fleet.observe(host_state("a", read_age_ms=0.0))
+    async with running(new_bench):
+        await wait_until(lambda: new_bench.registry.is_ready)
+        assert new_bench.freshness.is_proven()
+        assert new_bench.store.calls == {"copy": 1, "routes": 1}
+
+
+async def test_unreadable_configuration_proves_nothing(short_intervals):
+    new_bench = Bench(5000.0)
+    new_bench.store.routes = None
+    async with running(new_bench):
+        await wait_until(lambda: new_bench.store.calls["watch"] >= 1)
+        assert not new_bench.freshness.is_proven()
+
+
+async def test_older_configuration_of_the_store_proves_nothing(
+    short_intervals,
+):
+    new_bench = Bench(5000.0)
+    new_bench.registry.apply_routes(
+        new_bench.store.routes._replace(version=2), 9
+    )
+    async with running(new_bench):
+        await wait_until(lambda: new_bench.store.calls["watch"] >= 1)
+        assert not new_bench.freshness.is_proven()
+
+
 async def test_stale_copies_are_replaced_by_any_current_list(short_intervals):
     new_bench = Bench()
     new_bench.fleet.observe(host_state("a", read_age_ms=0.0))
--- a/tests/gateway_scripts.py
+++ b/tests/gateway_scripts.py
@@ -10,6 +10,7 @@
 from greengagedale.gateway import calls
 from greengagedale.gateway import extra_attempts
 from greengagedale.gateway import fleet
+from greengagedale.gateway import freshness
 from greengagedale.gateway import metrics
 from greengagedale.gateway import peer_exchange
 from greengagedale.gateway import quarantine
@@ -17,12 +18,15 @@
 from greengagedale.gateway import roster
 from greengagedale.gateway import route_config
 from greengagedale.gateway import runner
+from greengagedale.gateway import store_api
+from greengagedale.gateway import store_reader
 from greengagedale.gateway import sub_requests
 from greengagedale.gateway import traffic_split
 from greengagedale.gateway import upstream_entries
 from greengagedale.gateway import upstream_notices
 from greengagedale.gateway import upstream_scores
 from greengagedale.http1 import messages
+from greengagedale.http1 import server
 
 WINDOW_MS = 10_000.0
 
@@ -59,7 +63,13 @@
     )
 
 
-def exchange_of(name, clock, registry, notices=None, seeds=()):
+def freshness_of(clock, bound_ms=None):
+    return freshness.Freshness(bound_ms, clock, metrics.Metrics())
+
+
+def exchange_of(
+    name, clock, registry, notices=None, seeds=(), host_freshness=None
+):
     """Creates a host's peer exchange with a registry and notices."""
     return peer_exchange.PeerExchange(
         lambda: host_state(name),
@@ -68,6 +78,7 @@
         roster.Roster(name, clock),
         quarantine.Quarantine(clock),
         notices or upstream_notices.UpstreamNotices(clock),
+        host_freshness or freshness_of(clock),
         list(seeds),
         clock,
         random.Random(1),
@@ -134,6 +145,7 @@
         self.notices = upstream_notices.UpstreamNotices(self.clock)
         rng = random.Random(1)
         self.registry = registry.Registry(self.clock)
+        self.freshness = freshness_of(self.clock)
         self.context = sub_requests.SubRequestContext(
             self.client,
             upstream_scores.UpstreamScores("here", self.clock, rng),
@@ -141,7 +153,7 @@
             self.notices,
             self.reassigned.append,
             quarantine.Quarantine(self.clock),
-            authorization.Authorizer(self.registry),
+            authorization.Authorizer(self.registry, self.freshness),
             self.clock,
             self.metrics,
             set(),
@@ -207,3 +219,213 @@
         fanout=route_config.Fanout(tuple(shards), max_records, min_coverage),
         **fields,
     )
+
+
+class OffsetClock(clocks.Clock):
+    """A host's clock, which agrees with that of others in its rate only."""
+
+    def __init__(self, clock, offset_ms):
+        self._clock = clock
+        self._offset_ms = offset_ms
+
+    def now_ms(self):
+        return self._clock.now_ms() + self._offset_ms
+
+
+class KeyedHost:
+    """The parts of a host that decide on requests with keys."""
+
+    def __init__(self, name, clock, bound_ms):
+        self.clock = clock
+        self.registry = registry.Registry(clock)
+        self.freshness = freshness_of(clock, bound_ms)
+        self.authorizer = authorization.Authorizer(
+            self.registry, self.freshness
+        )
+        self.exchange = exchange_of(
+            name, clock, self.registry, host_freshness=self.freshness
+        )
+        self.reader = store_reader.StoreReader(
+            None,
+            self.registry,
+            None,
+            roster.Roster(name, clock),
+            self.freshness,
+            dict,
+            lambda: None,
+            clock,
+        )
+
+
+class RevocationWorld:
+    """Hosts, a store and an operator who gives and takes a key.
+
+    Nothing is delivered unless a test says so, hence a host that does nothing
+    is frozen or cut off, and a message that is not delivered is lost.
+
+    Attributes:
+        violations: Sends that the bound forbids.
+        send_count: Number of all sends.
+    """
+
+    BOUND_MS = 5000.0
+    KEY = b"k"
+    WORKSPACE = "w"
+
+    def __init__(self, host_count=3):
+        self.clock = clocks.ManualClock(10_000.0)
+        self.violations = []
+        self.send_count = 0
+        self._restart_count = 0
+        self._configurations = []
+        self._written_ms = []
+        self._reads = []
+        self._exchanges = []
+        self._requests = []
+        self.hosts = [self._new_host(index) for index in range(host_count)]
+        self.write(holds_key=True)
+        for index in range(host_count):
+            self.read(index)
+
+    def advance(self, by_ms):
+        self.clock.advance(by_ms)
+
+    def write(self, holds_key):
+        digests = (route_config.key_digest(self.KEY),) if holds_key else ()
+        workspace = route_config.Workspace(self.WORKSPACE, digests)
+        self._configurations.append(
+            route_config.RouteConfiguration(
+                len(self._configurations) + 1,
+                (single(),),
+                (),
+                server.Limits(),
+                (workspace,),
+            )
+        )
+        self._written_ms.append(self.clock.now_ms())
+
+    def restart(self, index):
+        self._restart_count += 1
+        self.hosts[index] = self._new_host(index)
+
+    def read(self, index):
+        """Reads the store on a host without any delay."""
+        self.start_read(index)
+        self.serve_read(-1)
+        self.deliver_read(-1)
+
+    def start_read(self, index):
+        host = self.hosts[index]
+        self._reads.append([host, host.clock.now_ms(), None])
+
+    def serve_read(self, number):
+        read = _pick(self._reads, number)
+        if read is not None and read[2] is None:
+            read[2] = store_api.RoutesRead(self._configurations[-1], 1)
+
+    def deliver_read(self, number):
+        read = _take(self._reads, number)
+        if read is not None and read[2] is not None:
+            host, sent_ms, result = read
+            host.reader.take_routes(result, sent_ms)
+
+    def ping(self, index):
+        """Lets a host receive answers of the store that prove nothing."""
+        reader = self.hosts[index].reader
+        reader._record_answer()
+        reader.take_routes(store_api.RoutesRead(None, 1), None)
+
+    def exchange(self, asker, answerer):
+        """Exchanges state of two hosts without any delay."""
+        self.start_exchange(asker, answerer)
+        self.serve_exchange(-1)
+        self.deliver_exchange(-1)
+
+    def start_exchange(self, asker, answerer):
+        host = self.hosts[asker]
+        summary = peer_exchange.StateSummary(
+            host_state("asker"),
+            [],
+            0,
+            host.registry.routes_version,
+            host.registry.version,
+            0,
+            [],
+            [],
+        )
+        self._exchanges.append(
+            [host, self.hosts[answerer], summary, host.clock.now_ms(), None]
+        )
+
+    def serve_exchange(self, number):
+        exchange = _pick(self._exchanges, number)
+        if exchange is not None and exchange[4] is None:
+            exchange[4] = exchange[1].exchange._update_for(exchange[2])
+
+    def deliver_exchange(self, number):
+        exchange = _take(self._exchanges, number)
+        if exchange is not None and exchange[4] is not None:
+            host, _, _, sent_ms, update = exchange
+            host.exchange._merge(update)
+            host.exchange._adopt_proof(update, sent_ms)
+
+    def send_request(self):
+        self._requests.append([self.clock.now_ms(), None, None])
+
+    def deliver_request(self, number, index):
+        request = _pick(self._requests, number)
+        if request is None or request[1] is not None:
+            return
+        host = self.hosts[index]
+        identity = host.authorizer.identify(single(), self.KEY)
+        if not isinstance(identity, calls.CallerIdentity):
+            self._requests.remove(request)
+            return
+        message = messages.Request(b"GET", b"/a/", (), b"", 0.0)
+        call = calls.Call("id", "host", "/a/", message, 0.0, None, identity)
+        request[1:] = host, call
+
+    def try_send(self, number):
+        """Sends a request to an upstream if its host allows that now."""
+        request = _pick(self._requests, number)
+        if request is None or request[1] is None:
+            return
+        sent_ms, host, call = request
+        if host.authorizer.send_refusal(call) is not None:
+            return
+        self.send_count += 1
+        now_ms = self.clock.now_ms()
+        # The first is the rule; the second also holds for what has waited.
+        for since_ms in (sent_ms, now_ms):
+            if not self._was_valid_since(since_ms - self.BOUND_MS):
+                self.violations.append((sent_ms, now_ms))
+
+    def request(self, index):
+        """Sends a request through a host without any delay."""
+        self.send_request()
+        self.deliver_request(-1, index)
+        self.try_send(-1)
+
+    def _was_valid_since(self, since_ms):
+        """Tells whether any configuration in force since then has the key."""
+        ends_ms = [*self._written_ms[1:], float("inf")]
+        return any(
+            end_ms >= since_ms and configuration.workspaces[0].key_digests
+            for configuration, end_ms in zip(
+                self._configurations, ends_ms, strict=True
+            )
+        )
+
+    def _new_host(self, index):
+        offset_ms = 1e6 * index + 1e5 * self._restart_count
+        return KeyedHost(
+            f"h{index}", OffsetClock(self.clock, offset_ms), self.BOUND_MS
+        )
+
+
+def _pick(items, number):
+    return items[number % len(items)] if items else None
+
+
+def _take(items, number):
+    return items.pop(number % len(items)) if items else None
--- a/tests/platform/test_notices_under_load.py
+++ b/tests/platform/test_notices_under_load.py
@@ -56,7 +56,11 @@
     )
     created.context = created.context._replace(
         client=upstream_client.PlatformUpstreamClient(
-            pools, created.notices, lambda entry: 2, created.clock
+            pools,
+            created.notices,
+            lambda entry: 2,
+            created.context.authorizer,
+            created.clock,
         )
     )
     created.runner._context = created.context
--- a/tests/platform/test_upstream_client.py
+++ b/tests/platform/test_upstream_client.py
@@ -3,13 +3,16 @@
 import asyncio
 import contextlib
 
+from gateway_scripts import freshness_of
 from gateway_scripts import upstream
 import pytest
 
 from greengagedale import clocks
 from greengagedale import outcomes
+from greengagedale.gateway import authorization
 from greengagedale.gateway import calls
 from greengagedale.gateway import connection_pools
+from greengagedale.gateway import registry as registry_lib
 from greengagedale.gateway import upstream_notices as notices_lib
 from greengagedale.http1 import client
 from greengagedale.http1 import messages
@@ -37,19 +40,32 @@
 
 
 @pytest.fixture
-def send(clock, notices, server):
+def freshness(clock):
+    return freshness_of(clock, 5000.0)
+
+
+@pytest.fixture
+def authorizer(clock, freshness):
+    return authorization.Authorizer(registry_lib.Registry(clock), freshness)
+
+
+@pytest.fixture
+def send(clock, notices, server, authorizer):
     sender = upstream_client.PlatformUpstreamClient(
         connection_pools.ConnectionPools(notices, client.ReplyLimits(), clock),
         notices,
         lambda entry: 2,
+        authorizer,
         clock,
     )
 
-    async def call(remaining_ms=500.0, port=None, **fields):
+    async def call(remaining_ms=500.0, port=None, identity=None, **fields):
         message = messages.Request(
             b"GET", b"/", ((b"request-id", b"r1"),), b"", clock.now_ms()
         )
-        request = calls.Call("r1", "h", "/", message, clock.now_ms(), None)
+        request = calls.Call(
+            "r1", "h", "/", message, clock.now_ms(), None, identity
+        )
         entry = upstream("u", port=port or server.port, **fields)
         return await sender.send(
             calls.Attempt(request, entry, clock.now_ms() + remaining_ms, False)
@@ -62,6 +78,17 @@
     assert (await send()).body == b"done"
 
 
+# A process may be frozen while it waits for a connection.
+async def test_attempt_without_proof_is_not_written(send, server, freshness):
+    identity = calls.CallerIdentity("w", b"digest")
+    failure = await send(identity=identity)
+    assert failure.reason is outcomes.Reason.CONFIGURATION_UNPROVEN
+    assert not failure.written
+    freshness.confirm(1000.0)
+    assert (await send(identity=identity)).body == b"done"
+    assert len(server._server.connections) == 1
+
+
 async def test_connections_are_reused(send, server):
     for _ in range(3):
         await send()
