--- a/greengagedale/platform/caller_codec.py
+++ b/greengagedale/platform/caller_codec.py
@@ -11,6 +11,8 @@
 # Remaining time that the client waits, in milliseconds; not a point in time.
 _REMAINING_TIME = b"deadline-ms"
 _KEY = b"api-key"
+# Around a value, it is not part of it; the parser leaves what follows a value.
+_WHITESPACE = b" \t"
 _PATH_RESOLVE = "/-/resolve"
 _FIELD_ZONE = "zone="
 _PATH_READY = "/-/ready"
@@ -62,7 +64,7 @@
     def key_of(self, request: messages.Request) -> bytes | None:
         """Returns the caller's key; None without exactly one key."""
         keys = [value for name, value in request.headers if name == _KEY]
-        return keys[0] if len(keys) == 1 else None
+        return keys[0].strip(_WHITESPACE) if len(keys) == 1 else None
 
     def encode_answer(self, answer: calls.Answer) -> messages.Response:
         """Encodes an upstream's answer for the caller."""
