Hosts regain their proof sooner after an outage of the store

- Hosts ask the store for a proof, at random times, also while they try to become the reader.
- A host without a proof prefers peers that have one.
- Retry-After is 10 ms only if another host has a proof, else random.

--- a/greengagedale/gateway/caller_handlers.py
+++ b/greengagedale/gateway/caller_handlers.py
@@ -3,6 +3,7 @@
 import abc
 import dataclasses
 import logging
+import random
 from typing import NamedTuple
 
 from greengagedale import clocks
@@ -32,9 +33,11 @@
 # Retry-After of a host that is shutting down: callers can go to another host
 # at once.
 _STOPPING_RETRY_MS = 10
-# Retry-After of a host that can't prove that its configuration is recent; other
-# hosts mostly can.
+# Retry-After of a host that can't prove that its configuration is recent, if
+# another host can, and its range if no host can: hosts have a proof about half a
+# second after the store is back, and callers should not return all at once.
 _UNPROVEN_RETRY_MS = 10
+_ALL_UNPROVEN_RETRY_MS = (100, 400)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -128,7 +131,9 @@
         registry: registry_lib.Registry,
         runner: runner_lib.Runner,
         authorizer: authorization.Authorizer,
+        fleet: fleet_lib.Fleet,
         clock: clocks.Clock,
+        rng: random.Random,
         metrics: metrics_lib.Metrics,
         request_log: logs.RequestLog,
     ) -> None:
@@ -136,6 +141,8 @@
         self._registry = registry
         self._runner = runner
         self._authorizer = authorizer
+        self._fleet = fleet
+        self._rng = rng
         self._clock = clock
         self._metrics = metrics
         self._request_log = request_log
@@ -181,7 +188,7 @@
                 return self._refuse(
                     call,
                     outcomes.Reason.CONFIGURATION_UNPROVEN,
-                    _UNPROVEN_RETRY_MS,
+                    self._unproven_retry_ms(),
                     proof_age_ms=identity.proof_age_ms,
                 )
             if isinstance(identity, authorization.UnknownKey):
@@ -223,6 +230,11 @@
             return self._codec.encode_merged(outcome.value)
         return self._codec.encode_answer(outcome.value)
 
+    def _unproven_retry_ms(self) -> int:
+        if any(host.heartbeat.is_proven for host in self._fleet.serving()):
+            return _UNPROVEN_RETRY_MS
+        return self._rng.randint(*_ALL_UNPROVEN_RETRY_MS)
+
     def _refuse(
         self,
         call: calls.Call,
--- a/greengagedale/gateway/daemon.py
+++ b/greengagedale/gateway/daemon.py
@@ -240,7 +240,9 @@
             self._registry,
             self._runner,
             self._authorizer,
+            self._fleet,
             clock,
+            rng,
             self._metrics,
             logs.RequestLog(clock),
         )
@@ -392,9 +394,8 @@
                 await self._read_proof()
 
     async def _read_proof(self) -> None:
-        if self._reader.read_age_ms >= 0.0 or self._registry.table is None:
-            # This host reads the store anyway, with backoffs of its own, or it
-            # has no configuration to prove yet.
+        if self._registry.table is None:
+            # There is no configuration to prove yet.
             return
         age_ms = self._freshness.known_age_ms
         failure = await self._reader.prove_configuration()
--- a/greengagedale/gateway/peer_exchange.py
+++ b/greengagedale/gateway/peer_exchange.py
@@ -205,10 +205,14 @@
 
     def _choose_peers(self) -> list[str]:
         own = self._own_state().address
-        alive = [state.address for state in self._fleet.alive()]
+        alive = self._fleet.alive()
         self._rng.shuffle(alive)
-        alive.sort(key=lambda address: address.data_centre != own.data_centre)
-        peers = [address.peer_endpoint for address in alive]
+        alive.sort(
+            key=lambda state: state.address.data_centre != own.data_centre
+        )
+        if not self._freshness.is_proven():
+            alive.sort(key=lambda state: not state.heartbeat.is_proven)
+        peers = [state.address.peer_endpoint for state in alive]
         chosen, others = peers[:PEERS_PER_ROUND], peers[PEERS_PER_ROUND:]
         if others and self._rng.random() < REMOTE_PEER_PROBABILITY:
             # Peers of the own data centre come first, so the last one is
--- a/tests/gateway/test_peer_exchange.py
+++ b/tests/gateway/test_peer_exchange.py
@@ -4,6 +4,8 @@
 import contextlib
 
 from gateway_scripts import exchange_of
+from gateway_scripts import freshness_of
+from gateway_scripts import host_state
 import pytest
 
 from greengagedale import clocks
@@ -47,3 +49,21 @@
     with contextlib.suppress(asyncio.CancelledError):
         await running
     listener.close()
+
+
+@pytest.mark.parametrize("bound_ms", [None, 5000.0])
+def test_host_without_proof_asks_peers_with_one(clock, bound_ms):
+    exchange = exchange_of(
+        "m",
+        clock,
+        registry.Registry(clock),
+        host_freshness=freshness_of(clock, bound_ms),
+    )
+    for number in range(20):
+        exchange._fleet.observe(host_state(f"h{number}", is_proven=False))
+    for name in ("far", "other"):
+        exchange._fleet.observe(
+            host_state(name, data_centre="there", is_proven=True)
+        )
+    asked = set(exchange._choose_peers()[:2])
+    assert (asked == {"far:2", "other:2"}) == (bound_ms is not None)
