--- a/greengagedale/gateway/caller_handlers.py
+++ b/greengagedale/gateway/caller_handlers.py
@@ -34,8 +34,8 @@
 # at once.
 _STOPPING_RETRY_MS = 10
 # Retry-After of a host that can't prove that its configuration is recent, if
-# another host can, and its range if no host can: hosts have a proof about half a
-# second after the store is back, and callers should not return all at once.
+# another host can, and its range if no host can: hosts have a proof about half
+# a second after the store is back, and callers should not return all at once.
 _UNPROVEN_RETRY_MS = 10
 _ALL_UNPROVEN_RETRY_MS = (100, 400)
 
--- a/greengagedale/gateway/daemon.py
+++ b/greengagedale/gateway/daemon.py
@@ -398,7 +398,7 @@
             # There is no configuration to prove yet.
             return
         age_ms = self._freshness.known_age_ms
-        failure = await self._reader.prove_configuration()
+        failure = await self._reader.read_routes()
         log.info(
             "asked the store for a proof of the configuration",
             extra={
--- a/greengagedale/gateway/store_reader.py
+++ b/greengagedale/gateway/store_reader.py
@@ -155,7 +155,7 @@
         backoff_ms = _MIN_BACKOFF_MS
         try:
             while self._should_read():
-                failure = await self._read_routes()
+                failure = await self.read_routes()
                 if failure is None:
                     self._record_answer()
                     backoff_ms = _MIN_BACKOFF_MS
@@ -204,7 +204,7 @@
         if self._freshness.is_required and (
             self._clock.now_ms() - self._last_proof_ms >= PROOF_INTERVAL_MS
         ):
-            return await self._read_routes()
+            return await self.read_routes()
         failure = await self._store.ping()
         return None if failure is None else failure.detail
 
@@ -254,15 +254,12 @@
         if self._roster.replace_if_newer(result):
             self._on_change()
 
-    async def prove_configuration(self) -> str | None:
-        """Reads the configuration once, whoever is elected.
+    async def read_routes(self) -> str | None:
+        """Reads the configuration, which proves that it is current.
 
         Returns:
             Why it could not be read, or None.
         """
-        return await self._read_routes()
-
-    async def _read_routes(self) -> str | None:
         sent_ms = self._clock.now_ms()
         return await self._apply_routes(
             await self._store.read_routes(), sent_ms
@@ -271,10 +268,10 @@
     async def _watch_routes(self) -> str | None:
         revision = self._registry.routes_revision
         if revision == 0:
-            return await self._read_routes()
+            return await self.read_routes()
         result = await self._store.watch_routes(revision, WATCH_WAIT_MS)
         if isinstance(result, store_api_lib.HistoryGone):
-            return await self._read_routes()
+            return await self.read_routes()
         return await self._apply_routes(result)
 
     async def _apply_routes(
