--- a/greengagedale/gateway/daemon.py
+++ b/greengagedale/gateway/daemon.py
@@ -20,8 +20,10 @@
 from greengagedale.gateway import evacuations as evacuations_lib
 from greengagedale.gateway import extra_attempts
 from greengagedale.gateway import fleet as fleet_lib
+from greengagedale.gateway import freshness as freshness_lib
 from greengagedale.gateway import metrics as metrics_lib
 from greengagedale.gateway import peer_exchange as peer_exchange_lib
+from greengagedale.gateway import proof_refresh
 from greengagedale.gateway import quarantine as quarantine_lib
 from greengagedale.gateway import reader_election as election_lib
 from greengagedale.gateway import regions as regions_lib
@@ -55,6 +57,7 @@
 EXIT_FAILURE = 1
 _MAINTENANCE_INTERVAL_S = 0.5
 _BUDGET_TICK_INTERVAL_S = 0.1
+_PROOF_CHECK_INTERVAL_S = 0.1
 _LOG_FLUSH_INTERVAL_S = 0.05
 _MS_PER_S = 1000.0
 
@@ -92,9 +95,11 @@
         settings: config.GatewaySettings,
         registry: registry_lib.Registry,
         roster: roster_lib.Roster,
+        freshness: freshness_lib.Freshness,
     ) -> None:
         self._settings = settings
         self._registry = registry
+        self._freshness = freshness
         self._roster = roster
         self._incarnation = int(time.time() * _MS_PER_S)
         self._sequence = 0
@@ -120,6 +125,7 @@
             self.is_leaving,
             -1.0 if self.reader is None else self.reader.read_age_ms,
             self._roster.host_list.revision,
+            self._freshness.is_proven(),
         )
         return fleet_lib.HostState(address, heartbeat)
 
@@ -151,7 +157,13 @@
         self._clock = clock
         self._metrics = metrics_lib.Metrics()
         self._registry = registry_lib.Registry(clock)
-        self._authorizer = authorization.Authorizer(self._registry)
+        self._freshness = freshness_lib.Freshness(
+            settings.keys.revocation_ms, clock, self._metrics
+        )
+        self._authorizer = authorization.Authorizer(
+            self._registry, self._freshness
+        )
+        self._rng = rng
         self._fleet = fleet_lib.Fleet(settings.host.name, clock)
         self._roster = roster_lib.Roster(settings.host.name, clock)
         self._quarantine = quarantine_lib.Quarantine(clock)
@@ -160,7 +172,9 @@
             dict(settings.host.data_centre_regions)
         )
         self._evacuations = evacuations_lib.Evacuations(self._metrics)
-        self._own_state = _OwnState(settings, self._registry, self._roster)
+        self._own_state = _OwnState(
+            settings, self._registry, self._roster, self._freshness
+        )
         self._store = store_lib.PlatformStore.from_config(
             settings.platform.endpoint,
             settings.platform.timeout_ms,
@@ -173,6 +187,7 @@
             self._roster,
             self._quarantine,
             self._notices,
+            self._freshness,
             list(settings.peers.seeds),
             clock,
             rng,
@@ -184,6 +199,7 @@
             self._registry,
             self._make_election(),
             self._roster,
+            self._freshness,
             self._alive_hosts,
             self._exchange.request_round,
             clock,
@@ -221,6 +237,7 @@
                 self._notices,
                 self._warm_up,
                 self._max_connections,
+                self._authorizer,
                 clock,
             ),
             self._scores,
@@ -244,7 +261,9 @@
             self._registry,
             self._runner,
             self._authorizer,
+            self._fleet,
             clock,
+            rng,
             self._metrics,
             logs.RequestLog(clock),
         )
@@ -283,6 +302,11 @@
             self._tick_budgets,
         ):
             _run_in_background(stack, supervision.supervise(work))
+        if self._freshness.bound_ms is not None:
+            _run_in_background(
+                stack,
+                supervision.supervise(self._refresh_proof),
+            )
 
     async def drain(self, grace_s: float) -> None:
         """Shuts down without cutting requests; see `shutdown`."""
@@ -381,6 +405,39 @@
             self._budgets.tick(self._clock.now_ms())
             await asyncio.sleep(_BUDGET_TICK_INTERVAL_S)
 
+    async def _refresh_proof(self) -> None:
+        """Asks for a newer proof of the configuration when it gets old."""
+        bound_ms = self._freshness.bound_ms
+        assert bound_ms is not None
+        refresh = proof_refresh.ProofRefresh(bound_ms, self._rng)
+        while True:
+            await asyncio.sleep(_PROOF_CHECK_INTERVAL_S)
+            self._freshness.is_proven()  # Logs a change also without requests.
+            step = refresh.next_step(
+                self._clock.now_ms(),
+                self._freshness.age_ms,
+                self._fleet.count_known(),
+            )
+            if step is proof_refresh.Step.ASK_PEERS:
+                self._exchange.request_round()
+            elif step is proof_refresh.Step.ASK_STORE:
+                await self._read_proof()
+
+    async def _read_proof(self) -> None:
+        if self._registry.table is None:
+            # There is no configuration to prove yet.
+            return
+        age_ms = self._freshness.known_age_ms
+        failure = await self._reader.read_routes()
+        log.info(
+            "asked the store for a proof of the configuration",
+            extra={
+                "proof_age_ms": age_ms,
+                "new_age_ms": self._freshness.known_age_ms,
+                "failure": failure,
+            },
+        )
+
     async def _maintain(self) -> None:
         while True:
             await asyncio.sleep(_MAINTENANCE_INTERVAL_S)
--- a/greengagedale/gateway/fleet.py
+++ b/greengagedale/gateway/fleet.py
@@ -61,6 +61,8 @@
         read_age_ms: Age of its last answer from the store when it sent this
             heartbeat; negative if it does not read the store.
         roster_revision: Revision of the host list that it uses.
+        is_proven: Whether it can prove that its configuration is recent enough
+            to serve requests with keys, or needs no proof.
         age_ms: Time that other hosts held it before they passed it on; the time
             on the way is not included.
     """
@@ -72,6 +74,7 @@
     is_leaving: bool
     read_age_ms: float
     roster_revision: int
+    is_proven: bool = True
     age_ms: int = 0
 
 
--- a/greengagedale/gateway/metrics.py
+++ b/greengagedale/gateway/metrics.py
@@ -69,6 +69,8 @@
         warm_up_choices: What became of upstreams that warm up when requests
             were sent, by service: sent to, withheld or refused.
         evacuations: Evacuations of data centres that began or ended.
+        proof_changes: Times that the proof of a recent configuration was lost
+            or gained.
         request_latency: Latency of requests by route.
         attempt_latency: Latency of answered attempts by route.
     """
@@ -105,6 +107,11 @@
         self.evacuations = Counter(
             "evacuations", "Evacuations seen.", "data_centre", "state"
         )
+        self.proof_changes = Counter(
+            "configuration_proof_changes",
+            "Changes of the proof that the configuration is recent.",
+            "change",
+        )
         self.request_latency = LatencyHistograms(
             "request_latency_ms", "Latency of requests.", "route"
         )
--- a/greengagedale/gateway/peer_exchange.py
+++ b/greengagedale/gateway/peer_exchange.py
@@ -17,6 +17,7 @@
 from greengagedale import clocks
 from greengagedale.gateway import evacuations as evacuations_lib
 from greengagedale.gateway import fleet as fleet_lib
+from greengagedale.gateway import freshness as freshness_lib
 from greengagedale.gateway import message_codec
 from greengagedale.gateway import quarantine as quarantine_lib
 from greengagedale.gateway import registry as registry_lib
@@ -94,6 +95,7 @@
         suspects: Requests that may crash upstreams.
         leaving: Incarnations of upstreams that announced that they are leaving.
         evacuations: Its list of evacuated data centres, if it is newer.
+        proof: Its proof that its configuration is recent, if it has one.
     """
 
     own: fleet_lib.HostState
@@ -107,6 +109,7 @@
     suspects: list[quarantine_lib.Suspect]
     leaving: list[upstream_entries.UpstreamIncarnation]
     evacuations: evacuations_lib.EvacuationList | None = None
+    proof: freshness_lib.Proof | None = None
 
 
 _summary_decoder = msgspec.msgpack.Decoder(StateSummary)
@@ -124,6 +127,7 @@
         roster: roster_lib.Roster,
         quarantine: quarantine_lib.Quarantine,
         notices: notices_lib.UpstreamNotices,
+        freshness: freshness_lib.Freshness,
         seeds: list[str],
         clock: clocks.Clock,
         rng: random.Random,
@@ -138,6 +142,7 @@
             roster: The host list.
             quarantine: Requests that crash upstreams.
             notices: Upstreams that are leaving or asked for a backoff.
+            freshness: Proof that the configuration is recent.
             seeds: Endpoints of hosts to ask before any peer is known.
             clock: Clock of the process.
             rng: Random generator for the choice of peers.
@@ -149,6 +154,7 @@
         self._roster = roster
         self._quarantine = quarantine
         self._notices = notices
+        self._freshness = freshness
         self._seeds = seeds
         self._clock = clock
         self._rng = rng
@@ -194,9 +200,8 @@
             await asyncio.gather(*(self._try_exchange(peer) for peer in peers))
             self._registry.remove_expired()
             self._round_requested.clear()
-            is_new = (
-                round_number < STARTUP_ROUNDS
-                and not self._registry.version.revision
+            is_new = round_number < STARTUP_ROUNDS and not (
+                self._registry.version.revision and self._freshness.is_proven()
             )
             pause_ms = (
                 STARTUP_ROUND_INTERVAL_MS if is_new else ROUND_INTERVAL_MS
@@ -209,10 +214,14 @@
 
     def _choose_peers(self) -> list[str]:
         own = self._own_state().address
-        alive = [state.address for state in self._fleet.alive()]
+        alive = self._fleet.alive()
         self._rng.shuffle(alive)
-        alive.sort(key=lambda address: address.data_centre != own.data_centre)
-        peers = [address.peer_endpoint for address in alive]
+        alive.sort(
+            key=lambda state: state.address.data_centre != own.data_centre
+        )
+        if not self._freshness.is_proven():
+            alive.sort(key=lambda state: not state.heartbeat.is_proven)
+        peers = [state.address.peer_endpoint for state in alive]
         chosen, others = peers[:PEERS_PER_ROUND], peers[PEERS_PER_ROUND:]
         if others and self._rng.random() < REMOTE_PEER_PROBABILITY:
             # Peers of the own data centre come first, so the last one is
@@ -242,6 +251,7 @@
 
     async def _exchange(self, endpoint: str) -> None:
         own = self._own_state()
+        sent_ms = self._clock.now_ms()
         summary = StateSummary(
             own,
             self._fleet.heartbeats(),
@@ -271,12 +281,15 @@
             log.debug("exchange with %s failed: %r", endpoint, reply)
             return
         try:
-            self._merge(message_codec.decode(reply.body, _update_decoder))
+            update = message_codec.decode(reply.body, _update_decoder)
         except msgspec.DecodeError as error:
             log.warning(
                 "state update of a peer could not be decoded; dropping it",
                 extra={"reason": str(error)},
             )
+            return
+        self._merge(update)
+        self._adopt_proof(update, sent_ms)
 
     def _update_for(self, summary: StateSummary) -> StateUpdate:
         registry = self._registry
@@ -304,8 +317,21 @@
             evacuations=self._evacuations.list
             if self._evacuations.list.revision > summary.evacuations_revision
             else None,
+            proof=self._freshness.proof(registry.routes_version),
         )
 
+    def _adopt_proof(self, update: StateUpdate, sent_ms: float) -> None:
+        """Adopts a peer's proof after its update has been merged.
+
+        Args:
+            update: The answer of the peer.
+            sent_ms: Time before the request that it answers was sent.
+        """
+        if update.proof is not None and self._freshness.is_required:
+            self._freshness.confirm_from_peer(
+                update.proof, self._registry.routes_version, sent_ms
+            )
+
     def _merge(self, update: StateUpdate) -> None:
         self._fleet.observe(update.own)
         self._quarantine.merge(update.suspects)
--- a/greengagedale/platform/upstream_client.py
+++ b/greengagedale/platform/upstream_client.py
@@ -4,6 +4,7 @@
 
 from greengagedale import clocks
 from greengagedale import outcomes
+from greengagedale.gateway import authorization
 from greengagedale.gateway import calls
 from greengagedale.gateway import connection_pools as pools_lib
 from greengagedale.gateway import upstream_entries
@@ -32,6 +33,7 @@
         notices: notices_lib.UpstreamNotices,
         warm_up: warm_up_lib.WarmUpLimit,
         max_connections: Callable[[upstream_entries.Upstream], int],
+        authorizer: authorization.Authorizer,
         clock: clocks.Clock,
     ) -> None:
         """Initializes the client.
@@ -42,12 +44,14 @@
             warm_up: Limits what upstreams get while they warm up.
             max_connections: Returns the maximum number of connections from
                 this host to an upstream.
+            authorizer: Decides whether a caller's requests may still be sent.
             clock: Clock of the process.
         """
         self._pools = pools
         self._notices = notices
         self._warm_up = warm_up
         self._max_connections = max_connections
+        self._authorizer = authorizer
         self._clock = clock
 
     async def send(
@@ -69,6 +73,10 @@
         if remaining_ms <= 0.0:
             pool.release(connection)
             return _unsent_failure(outcomes.Reason.DEADLINE)
+        refusal = self._authorizer.send_refusal(attempt.call)
+        if refusal is not None:
+            pool.release(connection)
+            return _unsent_failure(refusal)
         end_permit = self._warm_up.try_send(upstream)
         if end_permit is None:
             pool.release(connection)
--- a/tests/gateway/test_lost_hosts.py
+++ b/tests/gateway/test_lost_hosts.py
@@ -7,6 +7,7 @@
 import itertools
 import random
 
+from gateway_scripts import freshness_of
 from gateway_scripts import host_state
 import pytest
 
@@ -69,6 +70,7 @@
             roster.Roster(name, clock),
             quarantine.Quarantine(clock),
             upstream_notices.UpstreamNotices(clock),
+            freshness_of(clock),
             ["h0:2", "h1:2"],
             clock,
             site.rng,
--- a/tests/platform/test_notices_under_load.py
+++ b/tests/platform/test_notices_under_load.py
@@ -63,6 +63,7 @@
             created.notices,
             created.warm_up,
             lambda entry: 2,
+            created.context.authorizer,
             created.clock,
         )
     )
