Encode names of workspaces as UTF-8 for upstreams

Cause: a name outside latin-1 raised an error on each send of its requests. Ruled out: refusing such a configuration, which other hosts would accept. Measured: tests of the codecs pass; the users' names are ASCII, so nothing changes on the wire there.

--- a/greengagedale/platform/upstream_codec.py
+++ b/greengagedale/platform/upstream_codec.py
@@ -62,7 +62,7 @@
         (_EXPECTED_UPSTREAM, attempt.upstream.name.encode("latin-1")),
     )
     if identity is not None and identity.workspace is not None:
-        headers += ((_WORKSPACE, identity.workspace.encode("latin-1")),)
+        headers += ((_WORKSPACE, identity.workspace.encode()),)
     return messages.encode_request(
         message.method, message.target, headers, message.body
     )
