--- a/greengagedale/gateway/daemon.py
+++ b/greengagedale/gateway/daemon.py
@@ -125,7 +125,7 @@
             self.is_leaving,
             -1.0 if self.reader is None else self.reader.read_age_ms,
             self._roster.host_list.revision,
-            self._freshness.is_proven(),
+            is_proven=self._freshness.is_proven(),
         )
         return fleet_lib.HostState(address, heartbeat)
 
