Learn what upstreams take well, and tell other hosts

A host that serves 0.6 requests a second sees each upstream too rarely to notice that it has become slow before its own searches are late. Hosts below [learning] max_cores now keep evidence of each incarnation (excess latency, load at which it slows, trust in its load reports), tell each other what is clearly slow or fast again in the exchanges they make anyway, and choose with a probability that falls with the expected latency, so that hosts that learn the same at once do not move together. A host above the bound takes part once a peer tells it something; where no host is below it, nothing is recorded and choices are made as before.

An observation keeps its origin, number and age, so passing it on does not renew it. Ruled out: an age alone, as time on the way is not part of it and a copy that took a detour would seem younger.

--- a/greengagedale/config/gateway.py
+++ b/greengagedale/config/gateway.py
@@ -248,6 +248,29 @@
     slack: float
 
 
+class LearningSettings(NamedTuple):
+    """Learning of what upstreams take well, together with other hosts.
+
+    A host with little computing power serves few requests and sees too little
+    of each upstream alone.
+
+    Attributes:
+        max_cores: Hosts with less computing power than this tell each other
+            what they see of upstreams; 0 disables it.
+        cpu_cores: Computing power of the host's core, in reference cores.
+        cpu_share: Share of that core that the host may use.
+    """
+
+    max_cores: float
+    cpu_cores: float
+    cpu_share: float
+
+    @property
+    def is_sharing(self) -> bool:
+        """Whether this host tells others what it sees of upstreams."""
+        return self.cpu_cores * self.cpu_share < self.max_cores
+
+
 class ShutdownSettings(NamedTuple):
     """Shutdown of the host.
 
@@ -324,6 +347,14 @@
             "slack": Number(0.0, _MAX_EXTRA_REQUESTS, 0.0),
         },
     ),
+    "learning": (
+        LearningSettings,
+        {
+            "max_cores": Number(0.0, 1024.0, 0.0),
+            "cpu_cores": Number(0.0, 1024.0, 1.0),
+            "cpu_share": Number(0.0, 1.0, 1.0),
+        },
+    ),
     "shutdown": (ShutdownSettings, {"grace_s": Number(0.1, _HOUR_S, 6.0)}),
     "logs": (LogsSettings, {"level": Choice(_LOG_LEVELS, "INFO")}),
 }
@@ -341,6 +372,7 @@
     keys: KeysSettings
     quotas: QuotasSettings
     warm_up: WarmUpSettings
+    learning: LearningSettings
     shutdown: ShutdownSettings
     logs: LogsSettings
 
--- a/greengagedale/gateway/daemon.py
+++ b/greengagedale/gateway/daemon.py
@@ -35,6 +35,7 @@
 from greengagedale.gateway import sub_requests
 from greengagedale.gateway import supervision
 from greengagedale.gateway import traffic_split
+from greengagedale.gateway import upstream_capacity as capacity_lib
 from greengagedale.gateway import upstream_entries
 from greengagedale.gateway import upstream_notices as notices_lib
 from greengagedale.gateway import upstream_scores as scores_lib
@@ -180,6 +181,12 @@
             settings.platform.timeout_ms,
             self._metrics,
         )
+        self._capacities = capacity_lib.Capacities(
+            settings.host.name,
+            settings.learning.is_sharing,
+            clock,
+            self._metrics,
+        )
         self._exchange = peer_exchange_lib.PeerExchange(
             self._own_state.get,
             self._fleet,
@@ -192,6 +199,7 @@
             clock,
             rng,
             self._evacuations,
+            self._capacities,
         )
         self._fleet.on_own_incarnation = self._own_state.ensure_newer_than
         self._reader = store_reader_lib.StoreReader(
@@ -222,7 +230,7 @@
             clock,
         )
         self._scores = scores_lib.UpstreamScores(
-            settings.host.data_centre, clock, rng
+            settings.host.data_centre, clock, rng, self._capacities
         )
         retries = settings.retries
         self._budgets = extra_attempts.ExtraAttemptBudgets(
@@ -457,6 +465,7 @@
         if self._registry.table is not None:
             self._runner.retain_only(self._registry.table.configuration)
         self._scores.retain_only(incarnations)
+        self._capacities.retain_only(incarnations)
 
 
 class _MetricsHandler(server.Handler):
--- a/greengagedale/gateway/metrics.py
+++ b/greengagedale/gateway/metrics.py
@@ -73,6 +73,9 @@
             or gained.
         request_latency: Latency of requests by route.
         attempt_latency: Latency of answered attempts by route.
+        capacity_changes: Changes of what is believed of upstreams, by the new
+            state and the source of the evidence.
+        capacity_observations: Observations of peers about upstreams.
     """
 
     def __init__(self) -> None:
@@ -118,6 +121,15 @@
         self.attempt_latency = LatencyHistograms(
             "attempt_latency_ms", "Latency of answered attempts.", "route"
         )
+        self.capacity_changes = Counter(
+            "upstream_belief_changes",
+            "Changes of what is believed of upstreams.",
+            "state",
+            "source",
+        )
+        self.capacity_observations = Counter(
+            "upstream_observations", "Observations of upstreams.", "direction"
+        )
 
     def exposition(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
--- a/greengagedale/gateway/peer_exchange.py
+++ b/greengagedale/gateway/peer_exchange.py
@@ -23,6 +23,7 @@
 from greengagedale.gateway import registry as registry_lib
 from greengagedale.gateway import roster as roster_lib
 from greengagedale.gateway import route_config
+from greengagedale.gateway import upstream_capacity as capacity_lib
 from greengagedale.gateway import upstream_entries
 from greengagedale.gateway import upstream_notices as notices_lib
 from greengagedale.http1 import client
@@ -67,6 +68,7 @@
         suspects: Requests that may crash upstreams.
         leaving: Incarnations of upstreams that announced that they are leaving.
         evacuations_revision: Revision of its list of evacuated data centres.
+        observations: What hosts have seen of slow upstreams.
     """
 
     own: fleet_lib.HostState
@@ -78,6 +80,7 @@
     suspects: list[quarantine_lib.Suspect]
     leaving: list[upstream_entries.UpstreamIncarnation]
     evacuations_revision: int = 0
+    observations: list[capacity_lib.Observation] = []
 
 
 class StateUpdate(NamedTuple):
@@ -96,6 +99,7 @@
         leaving: Incarnations of upstreams that announced that they are leaving.
         evacuations: Its list of evacuated data centres, if it is newer.
         proof: Its proof that its configuration is recent, if it has one.
+        observations: What hosts have seen of slow upstreams.
     """
 
     own: fleet_lib.HostState
@@ -110,6 +114,7 @@
     leaving: list[upstream_entries.UpstreamIncarnation]
     evacuations: evacuations_lib.EvacuationList | None = None
     proof: freshness_lib.Proof | None = None
+    observations: list[capacity_lib.Observation] = []
 
 
 _summary_decoder = msgspec.msgpack.Decoder(StateSummary)
@@ -132,6 +137,7 @@
         clock: clocks.Clock,
         rng: random.Random,
         evacuations: evacuations_lib.Evacuations,
+        capacities: capacity_lib.Capacities | None = None,
     ) -> None:
         """Makes the exchange of a host.
 
@@ -147,6 +153,7 @@
             clock: Clock of the process.
             rng: Random generator for the choice of peers.
             evacuations: The evacuated data centres.
+            capacities: What upstreams take well; None without learning.
         """
         self._own_state = own_state
         self._fleet = fleet
@@ -159,6 +166,11 @@
         self._clock = clock
         self._rng = rng
         self._evacuations = evacuations
+        self._capacities = (
+            capacity_lib.Capacities.inactive(clock)
+            if capacities is None
+            else capacities
+        )
         self._idle_connections: dict[str, client.Connection] = {}
         self._round_requested = asyncio.Event()
 
@@ -177,6 +189,7 @@
         self._fleet.observe(summary.own)
         self._quarantine.merge(summary.suspects)
         self._notices.merge(summary.leaving)
+        self._capacities.merge(summary.observations, self._registry.upstreams)
         for heartbeat in summary.heartbeats:
             self._fleet.observe_heartbeat(heartbeat)
         if (
@@ -262,6 +275,7 @@
             self._quarantine.suspects(),
             self._notices.leaving(),
             evacuations_revision=self._evacuations.list.revision,
+            observations=self._capacities.observations(),
         )
         try:
             async with asyncio.timeout(TIMEOUT_MS / _MS_PER_S):
@@ -318,6 +332,7 @@
             if self._evacuations.list.revision > summary.evacuations_revision
             else None,
             proof=self._freshness.proof(registry.routes_version),
+            observations=self._capacities.observations(),
         )
 
     def _adopt_proof(self, update: StateUpdate, sent_ms: float) -> None:
@@ -336,6 +351,7 @@
         self._fleet.observe(update.own)
         self._quarantine.merge(update.suspects)
         self._notices.merge(update.leaving)
+        self._capacities.merge(update.observations, self._registry.upstreams)
         self._fleet.merge_addresses(update.addresses, update.heartbeats)
         for heartbeat in update.heartbeats:
             self._fleet.observe_heartbeat(heartbeat)
--- a/greengagedale/gateway/sub_requests.py
+++ b/greengagedale/gateway/sub_requests.py
@@ -449,8 +449,10 @@
             result = await self._context.client.send(attempt)
         except asyncio.CancelledError:
             now_ms = clock.now_ms()
-            score.record_abandoned(
-                now_ms - sent_ms, self._latency.typical_ms(), now_ms
+            typical_ms = self._latency.typical_ms()
+            score.record_abandoned(now_ms - sent_ms, typical_ms, now_ms)
+            self._context.scores.capacities.record_abandoned(
+                attempt.upstream, (now_ms - sent_ms) / typical_ms
             )
             raise
         self._record_result(attempt, score, result, clock.now_ms(), sent_ms)
@@ -489,7 +491,14 @@
             score.record_answer(now_ms)
             return
         took_ms = now_ms - sent_ms
-        score.record_latency(took_ms / self._latency.typical_ms(), now_ms)
+        latency_ratio = took_ms / self._latency.typical_ms()
+        score.record_latency(latency_ratio, now_ms)
+        load = result.load
+        self._context.scores.capacities.record(
+            attempt.upstream,
+            latency_ratio,
+            None if load is None else load.running + load.waiting,
+        )
         self._latency.record(took_ms)
         self._context.metrics.attempt_latency.record(self._route.name, took_ms)
 
--- a/greengagedale/gateway/upstream_scores.py
+++ b/greengagedale/gateway/upstream_scores.py
@@ -7,6 +7,7 @@
 from greengagedale import clocks
 from greengagedale import outcomes
 from greengagedale.gateway import calls
+from greengagedale.gateway import upstream_capacity as capacity_lib
 from greengagedale.gateway import upstream_entries
 
 # Weight of a new sample in the moving averages of an upstream.
@@ -52,6 +53,12 @@
 # Upstreams whose ranks differ by no more than this fraction are treated as
 # equal; one of them is chosen at random.
 _TIE_TOLERANCE = 0.1
+# With learned capacities, an upstream is chosen with a probability that falls
+# with this power of its rank, so that hosts that learn the same at the same
+# time neither leave an upstream nor return to it all at once.
+_RANK_EXPONENT = 8.0
+# How much more probable an upstream of the own data centre is then.
+_LOCAL_PREFERENCE = 32.0
 
 
 class UpstreamScore:
@@ -111,20 +118,28 @@
 
     def latency_ratio(self, now_ms: float) -> float:
         """Returns the latency as a multiple of the typical latency."""
-        value = 1.0 + self._excess_ratio(now_ms)
-        return value * _COLD_FACTOR if now_ms < self.cold_until_ms else value
+        return (1.0 + self._excess_ratio(now_ms)) * self.cold_factor(now_ms)
+
+    def cold_factor(self, now_ms: float) -> float:
+        """Returns the latency factor of the upstream's cold start."""
+        return _COLD_FACTOR if now_ms < self.cold_until_ms else 1.0
 
     def failure_rate(self, now_ms: float) -> float:
         """Returns the recent fraction of failed attempts, 0 to 1."""
         return self._failure_rate * self._decay(now_ms)
 
-    def queue_size(self, now_ms: float) -> float:
-        """Returns the estimated number of running and queued requests."""
+    def queue_size(self, now_ms: float, load_trust: float = 1.0) -> float:
+        """Returns the estimated number of running and queued requests.
+
+        Args:
+            now_ms: Current time.
+            load_trust: How far the load report is believed, 0 to 1.
+        """
         load = self._load
         if load is None or now_ms - self._load_ms > _MAX_LOAD_AGE_MS:
             return float(self.running)
         others = max(0, load.running + load.waiting - self._running_at_load)
-        return float(self.running + others)
+        return self.running + load_trust * others
 
     def pace_factor(self, now_ms: float) -> float:
         """Returns how much longer work takes now than usual, as reported."""
@@ -232,14 +247,35 @@
 
 
 class UpstreamScores:
-    """The scores of all upstreams."""
+    """The scores of all upstreams.
+
+    Attributes:
+        capacities: What upstreams take well.
+    """
 
     def __init__(
-        self, data_centre: str, clock: clocks.Clock, rng: random.Random
+        self,
+        data_centre: str,
+        clock: clocks.Clock,
+        rng: random.Random,
+        capacities: capacity_lib.Capacities | None = None,
     ) -> None:
+        """Initializes empty scores.
+
+        Args:
+            data_centre: Data centre of this host.
+            clock: Clock of the process.
+            rng: Random generator for the choice.
+            capacities: What upstreams take well; None without learning.
+        """
         self._data_centre = data_centre
         self._clock = clock
         self._rng = rng
+        self.capacities = (
+            capacity_lib.Capacities.inactive(clock)
+            if capacities is None
+            else capacities
+        )
         self._scores: dict[tuple[str, int], UpstreamScore] = {}
         self._last_overload_ms = float("-inf")
 
@@ -295,6 +331,37 @@
         if not scored:
             return None
         best_ms = min(rank_ms for rank_ms, _ in scored)
+        if self.capacities.is_active:
+            chosen = self._choose_weighted(scored, best_ms)
+        else:
+            chosen = self._choose_tied(scored, best_ms)
+        return UpstreamChoice(
+            chosen, typical_ms * self._queue_factor(chosen, now_ms)
+        )
+
+    def _choose_weighted(
+        self,
+        scored: list[tuple[float, upstream_entries.Upstream]],
+        best_ms: float,
+    ) -> upstream_entries.Upstream:
+        """Chooses an upstream with a probability by rank and data centre."""
+        weights = [
+            (best_ms / rank_ms) ** _RANK_EXPONENT
+            * (
+                _LOCAL_PREFERENCE
+                if upstream.data_centre == self._data_centre
+                else 1.0
+            )
+            for rank_ms, upstream in scored
+        ]
+        return self._rng.choices(scored, weights)[0][1]
+
+    def _choose_tied(
+        self,
+        scored: list[tuple[float, upstream_entries.Upstream]],
+        best_ms: float,
+    ) -> upstream_entries.Upstream:
+        """Chooses one of the upstreams that are about as good as the best."""
         tied = [
             upstream
             for rank_ms, upstream in scored
@@ -306,10 +373,7 @@
             for upstream in tied
             if upstream.data_centre == self._data_centre
         ]
-        chosen = self._rng.choice(local or tied)
-        return UpstreamChoice(
-            chosen, typical_ms * self._queue_factor(chosen, now_ms)
-        )
+        return self._rng.choice(local or tied)
 
     def _rank_ms(
         self,
@@ -332,9 +396,35 @@
         self, upstream: upstream_entries.Upstream, now_ms: float
     ) -> float:
         """Returns how many request durations an attempt would take there."""
-        queue_size = self.get(upstream).queue_size(now_ms)
-        waiting = max(0.0, queue_size + 1.0 - upstream.slots)
-        return 1.0 + waiting / upstream.slots
+        queue_size = self._queue_size(upstream, now_ms)
+        capacity = self._capacity(upstream, now_ms)
+        waiting = max(0.0, queue_size + 1.0 - capacity)
+        return 1.0 + waiting / capacity
+
+    def _queue_size(
+        self, upstream: upstream_entries.Upstream, now_ms: float
+    ) -> float:
+        learned = self.capacities.find(upstream)
+        load_trust = 1.0 if learned is None else learned.load_trust
+        return self.get(upstream).queue_size(now_ms, load_trust)
+
+    def _capacity(
+        self, upstream: upstream_entries.Upstream, now_ms: float
+    ) -> int:
+        """Returns how many requests at once the upstream takes well."""
+        learned = self.capacities.find(upstream)
+        return upstream.slots if learned is None else learned.capacity(now_ms)
+
+    def _latency_ratio(
+        self, upstream: upstream_entries.Upstream, now_ms: float
+    ) -> float:
+        """Returns the latency as a multiple of the typical one."""
+        score = self.get(upstream)
+        if not self.capacities.is_active:
+            return score.latency_ratio(now_ms)
+        learned = self.capacities.find(upstream)
+        excess = 0.0 if learned is None else learned.excess(now_ms)
+        return (1.0 + excess) * score.cold_factor(now_ms)
 
     def _expected_ms(
         self,
@@ -342,15 +432,14 @@
         typical_ms: float,
         now_ms: float,
     ) -> float:
-        score = self.get(upstream)
-        queue_size = score.queue_size(now_ms)
+        queue_size = self._queue_size(upstream, now_ms)
         queue_factor = self._queue_factor(upstream, now_ms)
         utilization_factor = 1.0 + _UTILIZATION_PENALTY * min(
-            1.0, queue_size / upstream.slots
+            1.0, queue_size / self._capacity(upstream, now_ms)
         )
         expected_ms = (
             typical_ms
-            * score.latency_ratio(now_ms)
+            * self._latency_ratio(upstream, now_ms)
             * queue_factor
             * utilization_factor
             * score.pace_factor(now_ms)
