Believe peers about a slow upstream once a pause is ruled out

In a model of 143 hosts (24 requests a second over three upstreams), one false observation kept all of them away from an upstream for up to 8 s, and work came back by 0.28 of it in a second. Excesses below 3 are not told.

tests/gateway/test_upstream_capacity.py: 28 passed.

--- a/greengagedale/gateway/upstream_capacity.py
+++ b/greengagedale/gateway/upstream_capacity.py
@@ -29,16 +29,37 @@
 _SMOOTHING_FACTOR = 0.5
 # Upper bound of an excess, as a multiple of the typical latency.
 _MAX_EXCESS = 20.0
-# An excess from which on an upstream counts as clearly slow: above the
-# spread of the work and the variation between hosts of one data centre.
-CLEAR_EXCESS = 1.5
+# An excess from which on an upstream counts as clearly slow and others are
+# told. Short disturbances that more than double latencies stay below it.
+CLEAR_EXCESS = 3.0
+# Mean excess from which on an upstream is logged as slow.
+_SLOW_EXCESS = 1.5
 # Own evidence below this excess contradicts that an upstream is slow.
 _NORMAL_EXCESS = 0.5
+# Weight of evidence of slowness that is older than a normal answer: an upstream
+# that is slow as a whole gives none, while one that paused does at once.
+_REFUTED_WEIGHT = 0.25
+# Clear evidence of slowness cuts the share of its usual work that an upstream
+# keeps, at most once in the interval, down to the least share. The share grows
+# linearly once the evidence has expired or a normal answer refutes it, so that
+# hosts that learn the same at once return over seconds.
+_CUT_INTERVAL_MS = 500.0
+_MIN_SHARE = 0.02
+_SHARE_RECOVERY_MS = 4000.0
+# Observations of peers that an upstream is slow count only once two of them are
+# at least this far apart; upstreams pause for up to 250 ms.
+CONFIRMED_AFTER_MS = 250.0
+# Observations are told to peers until they are this old; by then they have
+# reached all of a fleet of hundreds.
+TELL_FOR_MS = 3000.0
+# Observations of peers are remembered for this long, so that a copy that comes
+# late is not taken for a new one.
+_RETENTION_MS = 2.0 * MAX_AGE_MS
 # Observations kept of one upstream, each of another origin.
 _MAX_ORIGINS = 8
 # Observations told in one message, of one upstream and in all.
 _MAX_TOLD_EACH = 2
-MAX_TOLD = 24
+MAX_TOLD = 32
 # Time between two log lines about one upstream.
 _LOG_INTERVAL_MS = 1000.0
 _PERCENT = 100.0
@@ -92,6 +113,11 @@
     capacity: int
     seen_ms: float
 
+    @property
+    def is_slow(self) -> bool:
+        """Whether the upstream was clearly slow."""
+        return self.excess >= CLEAR_EXCESS
+
     def weight(self, now_ms: float) -> float:
         """Returns the weight by age, 0 to 1."""
         age_ms = max(0.0, now_ms - self.seen_ms)
@@ -148,6 +174,9 @@
         self._curve = LoadCurve(slots)
         self._own: _Evidence | None = None
         self._heard: dict[str, _Evidence] = {}
+        self._share = 1.0
+        self._cut_ms = float("-inf")
+        self._grow_from_ms = float("-inf")
         self.load_trust = 1.0
         self.is_logged_as_slow = False
         self.last_log_ms = float("-inf")
@@ -166,7 +195,8 @@
         if told_level is not None:
             self._check_load_report(ratio, told_level)
             self._curve.record(told_level, ratio, now_ms)
-        excess = min(_MAX_EXCESS, max(0.0, ratio - 1.0))
+        excess = min(_MAX_EXCESS, ratio - 1.0)
+        latest_excess = excess
         if self._own is not None:
             share = (1.0 - _SMOOTHING_FACTOR) * self._own.weight(now_ms)
             excess = share * self._own.excess + (1.0 - share) * excess
@@ -177,6 +207,7 @@
             capacity if capacity < self._slots else 0,
             now_ms,
         )
+        self._update_share(latest_excess, now_ms)
 
     def hear(self, observation: Observation, now_ms: float) -> bool:
         """Adds an observation of a peer; returns whether it was new."""
@@ -186,23 +217,35 @@
             # Time on the way is not part of the age, so a copy that took a
             # detour seems younger than it is.
             return False
-        self._heard[observation.origin] = _Evidence(
+        evidence = _Evidence(
             observation.number,
             observation.excess_percent / _PERCENT,
             observation.capacity,
             seen_ms,
         )
+        self._heard[observation.origin] = evidence
+        self._update_share(evidence.excess, seen_ms)
         if len(self._heard) > _MAX_ORIGINS:
             oldest = min(self._heard, key=lambda key: self._heard[key].seen_ms)
             del self._heard[oldest]
             return oldest != observation.origin
         return True
 
+    def share(self, now_ms: float) -> float:
+        """Returns the share of its usual work to send to the upstream."""
+        grown = (now_ms - self._grow_from_ms) / _SHARE_RECOVERY_MS
+        return min(1.0, self._share + max(0.0, grown))
+
     def excess(self, now_ms: float) -> float:
         """Returns the expected latency beyond the typical one, as a ratio."""
         if self._own is None and not self._heard:
             return 0.0
-        return self._mean_excess(self._evidence(), now_ms)
+        evidence = (
+            self._evidence()
+            if self._is_confirmed(now_ms)
+            else ([] if self._own is None else [self._own])
+        )
+        return max(0.0, _mean_excess(evidence, now_ms))
 
     def capacity(self, now_ms: float) -> int:
         """Returns the requests at once that it takes well, at least 1."""
@@ -226,11 +269,11 @@
         while others say that it is slow. The origin is left empty.
         """
         own = self._own
-        if own is None or own.weight(now_ms) == 0.0:
+        if own is None or now_ms - own.seen_ms > TELL_FOR_MS:
             return None
-        heard_excess = self._mean_excess(self._heard.values(), now_ms)
-        is_contradiction = (
-            own.excess < _NORMAL_EXCESS and heard_excess > _NORMAL_EXCESS
+        is_contradiction = own.excess < _NORMAL_EXCESS and any(
+            each.is_slow and each.weight(now_ms) and each.seen_ms < own.seen_ms
+            for each in self._heard.values()
         )
         if not (own.excess >= CLEAR_EXCESS or own.capacity or is_contradiction):
             return None
@@ -243,15 +286,15 @@
         return [
             _observation(incarnation, origin, evidence, now_ms)
             for origin, evidence in self._heard.items()
-            if evidence.weight(now_ms)
+            if now_ms - evidence.seen_ms <= TELL_FOR_MS
         ]
 
     def drop_expired(self, now_ms: float) -> None:
-        """Drops observations of peers that no longer count."""
+        """Drops observations of peers of which no copy is left."""
         self._heard = {
             origin: evidence
             for origin, evidence in self._heard.items()
-            if evidence.weight(now_ms)
+            if now_ms - evidence.seen_ms <= _RETENTION_MS
         }
 
     def log_fields(self, now_ms: float) -> dict[str, object]:
@@ -268,20 +311,38 @@
             "heard_age_ms": round(min(ages_ms)) if ages_ms else None,
         }
 
+    def _update_share(self, excess: float, seen_ms: float) -> None:
+        if excess < _NORMAL_EXCESS and seen_ms >= self._cut_ms:
+            self._grow_from_ms = min(self._grow_from_ms, seen_ms)
+        elif (
+            excess >= CLEAR_EXCESS
+            and self._is_confirmed(seen_ms)
+            and seen_ms - self._cut_ms >= _CUT_INTERVAL_MS
+        ):
+            share = self.share(seen_ms) / (1.0 + excess)
+            self._share = max(_MIN_SHARE, share)
+            self._cut_ms = seen_ms
+            self._grow_from_ms = seen_ms + MAX_AGE_MS
+
     def _evidence(self) -> list[_Evidence]:
         own = [] if self._own is None else [self._own]
         return [*own, *self._heard.values()]
 
-    def _mean_excess(
-        self, evidence: Iterable[_Evidence], now_ms: float
-    ) -> float:
-        total_weight = PRIOR_WEIGHT
-        total = 0.0
-        for each in evidence:
-            weight = each.weight(now_ms)
-            total_weight += weight
-            total += weight * each.excess
-        return total / total_weight
+    def _is_confirmed(self, now_ms: float) -> bool:
+        """Returns whether what peers say is more than a short pause."""
+        evidence = self._evidence()
+        refuted_ms = _refuted_ms(evidence)
+        seen_ms = [
+            each.seen_ms
+            for each in evidence
+            if each.is_slow
+            and each.seen_ms >= refuted_ms
+            and each.weight(now_ms)
+        ]
+        return (
+            len(seen_ms) > 1
+            and max(seen_ms) - min(seen_ms) >= CONFIRMED_AFTER_MS
+        )
 
     def _check_load_report(self, ratio: float, told_level: int) -> None:
         factor = 1.0 + max(0, told_level - self._slots) / self._slots
@@ -439,7 +500,7 @@
         """Logs that an upstream became slow or normal, at a bounded rate."""
         excess = capacity.excess(now_ms)
         was_slow = capacity.is_logged_as_slow
-        is_slow = excess >= (_NORMAL_EXCESS if was_slow else CLEAR_EXCESS)
+        is_slow = excess >= (_NORMAL_EXCESS if was_slow else _SLOW_EXCESS)
         if (
             is_slow == was_slow
             or now_ms - capacity.last_log_ms < _LOG_INTERVAL_MS
@@ -461,6 +522,27 @@
         )
 
 
+def _refuted_ms(evidence: Iterable[_Evidence]) -> float:
+    """Returns when the newest normal answer was seen."""
+    return max(
+        (each.seen_ms for each in evidence if each.excess < _NORMAL_EXCESS),
+        default=float("-inf"),
+    )
+
+
+def _mean_excess(evidence: list[_Evidence], now_ms: float) -> float:
+    refuted_ms = _refuted_ms(evidence)
+    total_weight = PRIOR_WEIGHT
+    total = 0.0
+    for each in evidence:
+        weight = each.weight(now_ms)
+        if each.excess >= _NORMAL_EXCESS and each.seen_ms < refuted_ms:
+            weight *= _REFUTED_WEIGHT
+        total_weight += weight
+        total += weight * each.excess
+    return total / total_weight
+
+
 def _observation(
     incarnation: upstream_entries.UpstreamIncarnation,
     origin: str,
@@ -471,7 +553,7 @@
         *incarnation,
         origin,
         evidence.number,
-        round(evidence.excess * _PERCENT),
+        round(max(0.0, evidence.excess) * _PERCENT),
         evidence.capacity,
         math.ceil(max(0.0, now_ms - evidence.seen_ms)),
     )
--- a/greengagedale/gateway/upstream_scores.py
+++ b/greengagedale/gateway/upstream_scores.py
@@ -347,6 +347,7 @@
         """Chooses an upstream with a probability by rank and data centre."""
         weights = [
             (best_ms / rank_ms) ** _RANK_EXPONENT
+            * self._share(upstream)
             * (
                 _LOCAL_PREFERENCE
                 if upstream.data_centre == self._data_centre
@@ -415,6 +416,11 @@
         learned = self.capacities.find(upstream)
         return upstream.slots if learned is None else learned.capacity(now_ms)
 
+    def _share(self, upstream: upstream_entries.Upstream) -> float:
+        """Returns the share of its usual work that an upstream keeps."""
+        learned = self.capacities.find(upstream)
+        return 1.0 if learned is None else learned.share(self._clock.now_ms())
+
     def _latency_ratio(
         self, upstream: upstream_entries.Upstream, now_ms: float
     ) -> float:
