--- a/greengagedale/gateway/metrics.py
+++ b/greengagedale/gateway/metrics.py
@@ -75,7 +75,7 @@
         attempt_latency: Latency of answered attempts by route.
         capacity_changes: Changes of what is believed of upstreams, by the new
             state and the source of the evidence.
-        capacity_observations: Observations of peers about upstreams.
+        capacity_observations: Observations of upstreams by peers, by result.
     """
 
     def __init__(self) -> None:
@@ -128,7 +128,7 @@
             "source",
         )
         self.capacity_observations = Counter(
-            "upstream_observations", "Observations of upstreams.", "direction"
+            "upstream_observations", "Observations by peers.", "result"
         )
 
     def exposition(self) -> bytes:
--- a/greengagedale/gateway/upstream_capacity.py
+++ b/greengagedale/gateway/upstream_capacity.py
@@ -52,6 +52,8 @@
 # Observations are told to peers until they are this old; by then they have
 # reached all of a fleet of hundreds.
 TELL_FOR_MS = 3000.0
+# Time for which an estimate is used again; a search asks for many at once.
+_ESTIMATE_VALID_MS = 20.0
 # Observations of peers are remembered for this long, so that a copy that comes
 # late is not taken for a new one.
 _RETENTION_MS = 2.0 * MAX_AGE_MS
@@ -107,6 +109,22 @@
         )
 
 
+class Estimate(NamedTuple):
+    """What to expect of an upstream.
+
+    Attributes:
+        excess: Latency beyond the typical one, as a multiple of it.
+        capacity: Requests at once that it takes well, at least 1.
+        share: Share of its usual work to send to it.
+        load_trust: How far its load reports are believed, 0 to 1.
+    """
+
+    excess: float
+    capacity: int
+    share: float
+    load_trust: float
+
+
 class _Evidence(NamedTuple):
     number: int
     excess: float
@@ -162,11 +180,7 @@
 
 
 class UpstreamCapacity:
-    """What one incarnation of an upstream is believed to take.
-
-    Attributes:
-        load_trust: How far its load reports are believed, 0 to 1.
-    """
+    """What one incarnation of an upstream is believed to take."""
 
     def __init__(self, slots: int) -> None:
         """Initializes the belief that it is as fast as others up to `slots`."""
@@ -177,7 +191,9 @@
         self._share = 1.0
         self._cut_ms = float("-inf")
         self._grow_from_ms = float("-inf")
-        self.load_trust = 1.0
+        self._load_trust = 1.0
+        self._estimate: Estimate | None = None
+        self._estimate_until_ms = float("-inf")
         self.is_logged_as_slow = False
         self.last_log_ms = float("-inf")
 
@@ -208,6 +224,7 @@
             now_ms,
         )
         self._update_share(latest_excess, now_ms)
+        self._estimate = None
 
     def hear(self, observation: Observation, now_ms: float) -> bool:
         """Adds an observation of a peer; returns whether it was new."""
@@ -224,6 +241,7 @@
             seen_ms,
         )
         self._heard[observation.origin] = evidence
+        self._estimate = None
         self._update_share(evidence.excess, seen_ms)
         if len(self._heard) > _MAX_ORIGINS:
             oldest = min(self._heard, key=lambda key: self._heard[key].seen_ms)
@@ -231,13 +249,23 @@
             return oldest != observation.origin
         return True
 
-    def share(self, now_ms: float) -> float:
-        """Returns the share of its usual work to send to the upstream."""
+    def estimate(self, now_ms: float) -> Estimate:
+        """Returns what to expect now, at most `_ESTIMATE_VALID_MS` old."""
+        if self._estimate is None or now_ms >= self._estimate_until_ms:
+            self._estimate = Estimate(
+                self._excess(now_ms),
+                self._capacity(now_ms),
+                self._share_at(now_ms),
+                self._load_trust,
+            )
+            self._estimate_until_ms = now_ms + _ESTIMATE_VALID_MS
+        return self._estimate
+
+    def _share_at(self, now_ms: float) -> float:
         grown = (now_ms - self._grow_from_ms) / _SHARE_RECOVERY_MS
         return min(1.0, self._share + max(0.0, grown))
 
-    def excess(self, now_ms: float) -> float:
-        """Returns the expected latency beyond the typical one, as a ratio."""
+    def _excess(self, now_ms: float) -> float:
         if self._own is None and not self._heard:
             return 0.0
         evidence = (
@@ -247,8 +275,7 @@
         )
         return max(0.0, _mean_excess(evidence, now_ms))
 
-    def capacity(self, now_ms: float) -> int:
-        """Returns the requests at once that it takes well, at least 1."""
+    def _capacity(self, now_ms: float) -> int:
         known = [
             (each.weight(now_ms), each.capacity)
             for each in self._evidence()
@@ -289,6 +316,16 @@
             if now_ms - evidence.seen_ms <= TELL_FOR_MS
         ]
 
+    def is_notable(self, now_ms: float) -> bool:
+        """Returns whether there may be something to tell of it."""
+        own = self._own
+        if own is not None and (own.is_slow or own.capacity):
+            return True
+        return any(
+            now_ms - each.seen_ms <= TELL_FOR_MS
+            for each in self._heard.values()
+        )
+
     def drop_expired(self, now_ms: float) -> None:
         """Drops observations of peers of which no copy is left."""
         self._heard = {
@@ -301,10 +338,12 @@
         """Returns the inputs of the belief, for a log line."""
         own = self._own
         ages_ms = [now_ms - each.seen_ms for each in self._heard.values()]
+        estimate = self.estimate(now_ms)
         return {
-            "excess": round(self.excess(now_ms), 2),
-            "capacity": self.capacity(now_ms),
-            "load_trust": round(self.load_trust, 2),
+            "excess": round(estimate.excess, 2),
+            "capacity": estimate.capacity,
+            "share": round(estimate.share, 2),
+            "load_trust": round(estimate.load_trust, 2),
             "own_excess": None if own is None else round(own.excess, 2),
             "own_age_ms": None if own is None else round(now_ms - own.seen_ms),
             "origins": sorted(self._heard),
@@ -319,7 +358,7 @@
             and self._is_confirmed(seen_ms)
             and seen_ms - self._cut_ms >= _CUT_INTERVAL_MS
         ):
-            share = self.share(seen_ms) / (1.0 + excess)
+            share = self._share_at(seen_ms) / (1.0 + excess)
             self._share = max(_MIN_SHARE, share)
             self._cut_ms = seen_ms
             self._grow_from_ms = seen_ms + MAX_AGE_MS
@@ -349,8 +388,8 @@
         if factor < _MIN_CHECKED_FACTOR:
             return
         is_false = ratio < 0.5 * factor
-        self.load_trust += _SMOOTHING_FACTOR * (
-            (0.0 if is_false else 1.0) - self.load_trust
+        self._load_trust += _SMOOTHING_FACTOR * (
+            (0.0 if is_false else 1.0) - self._load_trust
         )
 
 
@@ -380,6 +419,8 @@
         self._capacities: dict[
             upstream_entries.UpstreamIncarnation, UpstreamCapacity
         ] = {}
+        # Incarnations with something to tell, a small part of all.
+        self._tellable: set[upstream_entries.UpstreamIncarnation] = set()
 
     @classmethod
     def inactive(cls, clock: clocks.Clock) -> Self:
@@ -404,6 +445,8 @@
         capacity = self._get(upstream.incarnation, upstream.slots)
         now_ms = self._clock.now_ms()
         capacity.record(ratio, told_level, now_ms)
+        if capacity.is_notable(now_ms):
+            self._tellable.add(upstream.incarnation)
         self._log_change(upstream.incarnation, capacity, "own", now_ms)
 
     def record_abandoned(
@@ -415,7 +458,9 @@
         """
         capacity = self.find(upstream)
         excess = (
-            0.0 if capacity is None else capacity.excess(self._clock.now_ms())
+            0.0
+            if capacity is None
+            else capacity.estimate(self._clock.now_ms()).excess
         )
         if ratio - 1.0 > excess:
             self.record(upstream, ratio)
@@ -425,8 +470,10 @@
         now_ms = self._clock.now_ms()
         told = (
             observation
-            for incarnation, capacity in self._capacities.items()
-            for observation in self._told_of(incarnation, capacity, now_ms)
+            for incarnation in self._tellable
+            for observation in self._told_of(
+                incarnation, self._capacities[incarnation], now_ms
+            )
         )
         return sorted(told, key=lambda each: each.age_ms)[:MAX_TOLD]
 
@@ -450,10 +497,12 @@
                 or observation.origin == self._host
                 or not observation.is_plausible
             ):
+                self._metrics.capacity_observations.inc("ignored")
                 continue
             self.is_active = True
             capacity = self._get(upstream.incarnation, upstream.slots)
             if capacity.hear(observation, now_ms):
+                self._tellable.add(upstream.incarnation)
                 self._metrics.capacity_observations.inc("heard")
                 self._log_change(upstream.incarnation, capacity, "peer", now_ms)
 
@@ -469,6 +518,12 @@
         }
         for capacity in self._capacities.values():
             capacity.drop_expired(now_ms)
+        self._tellable = {
+            incarnation
+            for incarnation in self._tellable
+            if incarnation in self._capacities
+            and self._capacities[incarnation].is_notable(now_ms)
+        }
 
     def _get(
         self, incarnation: upstream_entries.UpstreamIncarnation, slots: int
@@ -498,7 +553,7 @@
         now_ms: float,
     ) -> None:
         """Logs that an upstream became slow or normal, at a bounded rate."""
-        excess = capacity.excess(now_ms)
+        excess = capacity.estimate(now_ms).excess
         was_slow = capacity.is_logged_as_slow
         is_slow = excess >= (_NORMAL_EXCESS if was_slow else _SLOW_EXCESS)
         if (
--- a/greengagedale/gateway/upstream_scores.py
+++ b/greengagedale/gateway/upstream_scores.py
@@ -345,9 +345,10 @@
         best_ms: float,
     ) -> upstream_entries.Upstream:
         """Chooses an upstream with a probability by rank and data centre."""
+        now_ms = self._clock.now_ms()
         weights = [
             (best_ms / rank_ms) ** _RANK_EXPONENT
-            * self._share(upstream)
+            * self._estimate(upstream, now_ms).share
             * (
                 _LOCAL_PREFERENCE
                 if upstream.data_centre == self._data_centre
@@ -397,40 +398,19 @@
         self, upstream: upstream_entries.Upstream, now_ms: float
     ) -> float:
         """Returns how many request durations an attempt would take there."""
-        queue_size = self._queue_size(upstream, now_ms)
-        capacity = self._capacity(upstream, now_ms)
-        waiting = max(0.0, queue_size + 1.0 - capacity)
-        return 1.0 + waiting / capacity
-
-    def _queue_size(
-        self, upstream: upstream_entries.Upstream, now_ms: float
-    ) -> float:
-        learned = self.capacities.find(upstream)
-        load_trust = 1.0 if learned is None else learned.load_trust
-        return self.get(upstream).queue_size(now_ms, load_trust)
-
-    def _capacity(
-        self, upstream: upstream_entries.Upstream, now_ms: float
-    ) -> int:
-        """Returns how many requests at once the upstream takes well."""
-        learned = self.capacities.find(upstream)
-        return upstream.slots if learned is None else learned.capacity(now_ms)
-
-    def _share(self, upstream: upstream_entries.Upstream) -> float:
-        """Returns the share of its usual work that an upstream keeps."""
-        learned = self.capacities.find(upstream)
-        return 1.0 if learned is None else learned.share(self._clock.now_ms())
+        estimate = self._estimate(upstream, now_ms)
+        queue_size = self.get(upstream).queue_size(now_ms, estimate.load_trust)
+        waiting = max(0.0, queue_size + 1.0 - estimate.capacity)
+        return 1.0 + waiting / estimate.capacity
 
-    def _latency_ratio(
+    def _estimate(
         self, upstream: upstream_entries.Upstream, now_ms: float
-    ) -> float:
-        """Returns the latency as a multiple of the typical one."""
-        score = self.get(upstream)
-        if not self.capacities.is_active:
-            return score.latency_ratio(now_ms)
+    ) -> capacity_lib.Estimate:
+        """Returns what is learned of an upstream, or its slots."""
         learned = self.capacities.find(upstream)
-        excess = 0.0 if learned is None else learned.excess(now_ms)
-        return (1.0 + excess) * score.cold_factor(now_ms)
+        if learned is None:
+            return capacity_lib.Estimate(0.0, upstream.slots, 1.0, 1.0)
+        return learned.estimate(now_ms)
 
     def _expected_ms(
         self,
@@ -438,14 +418,21 @@
         typical_ms: float,
         now_ms: float,
     ) -> float:
-        queue_size = self._queue_size(upstream, now_ms)
+        score = self.get(upstream)
+        estimate = self._estimate(upstream, now_ms)
+        queue_size = score.queue_size(now_ms, estimate.load_trust)
         queue_factor = self._queue_factor(upstream, now_ms)
         utilization_factor = 1.0 + _UTILIZATION_PENALTY * min(
-            1.0, queue_size / self._capacity(upstream, now_ms)
+            1.0, queue_size / estimate.capacity
+        )
+        latency_ratio = (
+            (1.0 + estimate.excess) * score.cold_factor(now_ms)
+            if self.capacities.is_active
+            else score.latency_ratio(now_ms)
         )
         expected_ms = (
             typical_ms
-            * self._latency_ratio(upstream, now_ms)
+            * latency_ratio
             * queue_factor
             * utilization_factor
             * score.pace_factor(now_ms)
--- a/tests/gateway/test_upstream_capacity.py
+++ b/tests/gateway/test_upstream_capacity.py
@@ -112,7 +112,7 @@
         score.record_load(calls.LoadReport(4, 20, 4), clock.now_ms())
         capacities.record(SLOW, 1.0, 24)
         clock.advance(100.0)
-    assert capacities.find(SLOW).load_trust < 0.1
+    assert capacities.find(SLOW).estimate(clock.now_ms()).load_trust < 0.1
     assert scores.choose([SLOW], TYPICAL_MS).queue_latency_ms < 2 * TYPICAL_MS
 
 
@@ -123,7 +123,7 @@
     for level, _ in itertools.product((1, 1, 2, 3), range(6)):
         capacities.record(SLOW, 1.0 if level < 2 else 2.5, level)
         clock.advance(50.0)
-    assert capacities.find(SLOW).capacity(clock.now_ms()) == 1
+    assert capacities.find(SLOW).estimate(clock.now_ms()).capacity == 1
 
 
 def test_learned_capacity_shortens_the_queue_that_is_accepted(
@@ -154,11 +154,11 @@
 def test_abandoned_attempt_only_raises_the_excess(capacities, clock):
     """Attempts at a slow upstream are cancelled long before they end."""
     capacities.record(SLOW, SLOW_RATIO)
-    before = capacities.find(SLOW).excess(clock.now_ms())
+    before = capacities.find(SLOW).estimate(clock.now_ms()).excess
     capacities.record_abandoned(SLOW, 1.5)
-    assert capacities.find(SLOW).excess(clock.now_ms()) == before
+    assert capacities.find(SLOW).estimate(clock.now_ms()).excess == before
     capacities.record_abandoned(UPSTREAMS[1], SLOW_RATIO)
-    assert capacities.find(UPSTREAMS[1]).excess(clock.now_ms()) > 1.0
+    assert capacities.find(UPSTREAMS[1]).estimate(clock.now_ms()).excess > 1.0
 
 
 def test_host_avoids_an_upstream_that_a_peer_found_slow(
@@ -199,7 +199,9 @@
         target.retain_only({SLOW.incarnation})
     assert [each.observations() for each in circle] == [[], [], []]
     now_ms = clock.now_ms()
-    assert [each.find(SLOW).excess(now_ms) for each in circle] == [0.0] * 3
+    assert [each.find(SLOW).estimate(now_ms).excess for each in circle] == [
+        0.0
+    ] * 3
 
 
 def test_contradiction_by_fast_answers_spreads(scores, capacities, clock):
@@ -258,7 +260,7 @@
     small.record(SLOW, SLOW_RATIO)
     tell(small, large)
     large.record(SLOW, SLOW_RATIO)
-    assert large.find(SLOW).excess(clock.now_ms()) > 1.0
+    assert large.find(SLOW).estimate(clock.now_ms()).excess > 1.0
 
 
 def test_observations_travel_in_both_directions_of_an_exchange(clock):
@@ -285,7 +287,7 @@
     )
     update = exchanges[1]._update_for(summary)
     exchanges[0]._merge(update)
-    assert [each.origin for each in asking.observations()] == ["a", "b"]
+    assert {each.origin for each in asking.observations()} == {"a", "b"}
 
 
 def test_message_of_a_host_without_observations_is_understood():
