Send callers to hosts by what these carry

On the live scores' fleet 135 of 143 hosts have a sixth of the power of the other 8; a wide search takes most of its target latency in processor time there. Where hosts differ by more than [gateway] min_relative_power, callers get the strong ones while these hold a fifth of all power, and an upstream's connections are divided by power instead of equally; the sum stays within the bound. Earlier deployments' hosts differ by 1.7 at most and see no difference. All hosts of a fleet learn what upstreams take if one of them is small.

Ruled out: weighing by load, which would change what callers are told all the time, and callers drop connections to hosts that a new answer leaves out.

tests/gateway and tests/config passed.

--- a/greengagedale/config/gateway.py
+++ b/greengagedale/config/gateway.py
@@ -18,6 +18,7 @@
 _MAX_EXTRA_ATTEMPTS = 1_000_000.0
 _MAX_EXTRA_REQUESTS = 1_000_000.0
 _MAX_BYTES = 1024.0 * 1024.0 * 1024.0
+_MAX_CORES = 1024.0
 _REQUIRED = object()
 
 
@@ -127,17 +128,26 @@
 
 
 class HostSettings(NamedTuple):
-    """Identity of the host.
+    """Identity and size of the host.
 
     Attributes:
         name: Name of the host.
         data_centre: Data centre that it runs in.
         data_centre_regions: Names of all data centres, each with its region.
+        cpu_cores: Computing power of its core, in reference cores.
+        cpu_share: Share of that core that it may use.
     """
 
     name: str
     data_centre: str
     data_centre_regions: tuple[tuple[str, str], ...]
+    cpu_cores: float
+    cpu_share: float
+
+    @property
+    def power_cores(self) -> float:
+        """Computing power of the host, in reference cores."""
+        return self.cpu_cores * self.cpu_share
 
 
 class GatewaySection(NamedTuple):
@@ -152,6 +162,8 @@
         metrics_endpoint: Endpoint for metrics; None disables it.
         locate_ttl_s: Time for which callers may cache the reply to a locate
             request, in seconds.
+        min_relative_power: Callers are not sent to hosts with a smaller
+            fraction of the power of the most powerful host; 0 spares none.
     """
 
     caller_endpoint: str
@@ -160,6 +172,7 @@
     peer_endpoint: str
     metrics_endpoint: str | None
     locate_ttl_s: float
+    min_relative_power: float
 
 
 class StoreSettings(NamedTuple):
@@ -257,18 +270,9 @@
     Attributes:
         max_cores: Hosts with less computing power than this tell each other
             what they see of upstreams; 0 disables it.
-        cpu_cores: Computing power of the host's core, in reference cores.
-        cpu_share: Share of that core that the host may use.
     """
 
     max_cores: float
-    cpu_cores: float
-    cpu_share: float
-
-    @property
-    def is_sharing(self) -> bool:
-        """Whether this host tells others what it sees of upstreams."""
-        return self.cpu_cores * self.cpu_share < self.max_cores
 
 
 class ShutdownSettings(NamedTuple):
@@ -294,6 +298,8 @@
             "name": Name(),
             "data_centre": Name(),
             "data_centre_regions": Pairs(()),
+            "cpu_cores": Number(0.001, _MAX_CORES, 1.0),
+            "cpu_share": Number(0.001, 1.0, 1.0),
         },
     ),
     "gateway": (
@@ -305,6 +311,7 @@
             "peer_endpoint": Endpoint(),
             "metrics_endpoint": Endpoint(None),
             "locate_ttl_s": Number(0.001, 60.0, 1.0),
+            "min_relative_power": Number(0.0, 1.0, 0.0),
         },
     ),
     "platform": (
@@ -350,9 +357,7 @@
     "learning": (
         LearningSettings,
         {
-            "max_cores": Number(0.0, 1024.0, 0.0),
-            "cpu_cores": Number(0.0, 1024.0, 1.0),
-            "cpu_share": Number(0.0, 1.0, 1.0),
+            "max_cores": Number(0.0, _MAX_CORES, 0.0),
         },
     ),
     "shutdown": (ShutdownSettings, {"grace_s": Number(0.1, _HOUR_S, 6.0)}),
--- a/greengagedale/gateway/caller_handlers.py
+++ b/greengagedale/gateway/caller_handlers.py
@@ -302,8 +302,10 @@
         registry: registry_lib.Registry,
         region_map: regions_lib.RegionMap,
         ttl_ms: float,
+        min_relative_power: float = 0.0,
     ) -> None:
         self._codec = codec
+        self._min_relative_power = min_relative_power
         self._local_state = local_state
         self._fleet = fleet
         self._registry = registry
@@ -341,6 +343,7 @@
             own.name,
             self._region_map,
             regions_lib.home_regions(self._registry.table, locate.host),
+            self._min_relative_power,
         )
         endpoints = [state.address.caller_endpoint for state in chosen]
         return self._codec.encode_endpoints(endpoints, self._ttl_ms)
--- a/greengagedale/gateway/daemon.py
+++ b/greengagedale/gateway/daemon.py
@@ -21,6 +21,7 @@
 from greengagedale.gateway import extra_attempts
 from greengagedale.gateway import fleet as fleet_lib
 from greengagedale.gateway import freshness as freshness_lib
+from greengagedale.gateway import host_selection
 from greengagedale.gateway import metrics as metrics_lib
 from greengagedale.gateway import peer_exchange as peer_exchange_lib
 from greengagedale.gateway import proof_refresh
@@ -61,6 +62,7 @@
 _PROOF_CHECK_INTERVAL_S = 0.1
 _LOG_FLUSH_INTERVAL_S = 0.05
 _MS_PER_S = 1000.0
+_MILLICORES = 1000.0
 
 
 async def serve(path: pathlib.Path) -> None:
@@ -107,17 +109,23 @@
         self.reader: store_reader_lib.StoreReader | None = None
         self.is_leaving = False
 
-    def get(self) -> fleet_lib.HostState:
-        """Returns the current state, as a new heartbeat."""
-        self._sequence += 1
+    @property
+    def address(self) -> fleet_lib.HostAddress:
+        """The part of the state that is fixed for this incarnation."""
         settings = self._settings
-        address = fleet_lib.HostAddress(
+        return fleet_lib.HostAddress(
             settings.host.name,
             self._incarnation,
             settings.host.data_centre,
             settings.gateway.caller_endpoint,
             settings.gateway.peer_endpoint,
+            round(settings.host.power_cores * _MILLICORES),
         )
+
+    def get(self) -> fleet_lib.HostState:
+        """Returns the current state, as a new heartbeat."""
+        self._sequence += 1
+        settings = self._settings
         heartbeat = fleet_lib.Heartbeat(
             settings.host.name,
             self._incarnation,
@@ -128,7 +136,7 @@
             self._roster.host_list.revision,
             self._freshness.is_proven(),
         )
-        return fleet_lib.HostState(address, heartbeat)
+        return fleet_lib.HostState(self.address, heartbeat)
 
     def ensure_newer_than(self, incarnation: int) -> None:
         """Raises the incarnation above that of an earlier run of this host."""
@@ -183,7 +191,7 @@
         )
         self._capacities = capacity_lib.Capacities(
             settings.host.name,
-            settings.learning.is_sharing,
+            settings.host.power_cores < settings.learning.max_cores,
             clock,
             self._metrics,
         )
@@ -220,6 +228,7 @@
             settings, self._roster, self._warm_up_rates, self._metrics, clock
         )
         self._evacuations.listeners.append(self._warm_up.observe_evacuations)
+        self._power_share: float | None = None
         self._pools = pools_lib.ConnectionPools(
             self._notices,
             self._evacuations,
@@ -336,6 +345,7 @@
             self._registry,
             self._region_map,
             self._settings.gateway.locate_ttl_s * _MS_PER_S,
+            self._settings.gateway.min_relative_power,
         )
         handlers: list[server.Handler] = [
             self._exchange,
@@ -406,7 +416,22 @@
         accepted = table and table.connections.get(upstream.service)
         if not accepted:
             return upstream.slots
-        return max(1, int(CONNECTIONS_SHARE * accepted / self._host_count()))
+        share = self._power_share
+        if share is None:
+            share = 1.0 / self._host_count()
+        return max(1, int(CONNECTIONS_SHARE * accepted * share))
+
+    def _update_power(self) -> None:
+        """Takes in how much computing power the hosts have."""
+        own = self._own_state.address
+        hosts = [state.address for state in self._fleet.known_hosts()]
+        self._power_share = host_selection.power_share_of(
+            own, hosts, self._settings.gateway.min_relative_power
+        )
+        max_power = self._settings.learning.max_cores * _MILLICORES
+        self._capacities.is_active |= any(
+            0 < host.power_millicores < max_power for host in (own, *hosts)
+        )
 
     async def _tick_budgets(self) -> None:
         while True:
@@ -450,6 +475,7 @@
         while True:
             await asyncio.sleep(_MAINTENANCE_INTERVAL_S)
             self._update_burst_share()
+            self._update_power()
             self._evict_stale()
 
     def _evict_stale(self) -> None:
--- a/greengagedale/gateway/fleet.py
+++ b/greengagedale/gateway/fleet.py
@@ -40,6 +40,8 @@
         data_centre: Data centre that the host runs in.
         caller_endpoint: Address and port for callers.
         peer_endpoint: Address and port for other hosts.
+        power_millicores: Its computing power, in thousandths of a reference
+            core; 0 if it is not told.
     """
 
     name: str
@@ -47,6 +49,7 @@
     data_centre: str
     caller_endpoint: str
     peer_endpoint: str
+    power_millicores: int = 0
 
 
 class Heartbeat(NamedTuple):
--- a/tests/config/test_gateway_settings.py
+++ b/tests/config/test_gateway_settings.py
@@ -32,6 +32,7 @@
     assert settings.gateway.locate_ttl_s == 1.0
     assert settings.gateway.metrics_endpoint is None
     assert settings.peers.seeds == ()
+    assert settings.host.power_cores >= settings.learning.max_cores
 
 
 @pytest.mark.parametrize(
@@ -50,6 +51,9 @@
         ("retries", "burst", float("nan")),
         ("shutdown", "grace_s", -1),
         ("logs", "level", "LOUD"),
+        ("host", "cpu_share", 1.5),
+        ("learning", "max_cores", -1),
+        ("gateway", "min_relative_power", 2),
     ],
 )
 def test_invalid_value_is_reported_with_its_key(section, key, value):
--- a/tests/gateway/test_host_selection.py
+++ b/tests/gateway/test_host_selection.py
@@ -1,6 +1,7 @@
 """Tests of the selection of hosts for callers."""
 
 from gateway_scripts import host_state
+import pytest
 
 from greengagedale.gateway import host_selection
 from greengagedale.gateway import regions
@@ -90,3 +91,72 @@
     home = frozenset(["r1", "r2"])
     chosen = selected_names(hosts(a=2, b=8, c=8), "a", "h", TWO_REGIONS, home)
     assert {name[0] for name in chosen} == {"a", "b"}
+
+
+def uneven_hosts(strong, weak):
+    """Hosts of 2.15 and of 0.361 cores, as in the live scores' fleet."""
+    return [
+        host_state(
+            f"{kind}-{index}", data_centre="a", power_millicores=millicores
+        )
+        for kind, count, millicores in (
+            ("strong", strong, 2151),
+            ("weak", weak, 361),
+        )
+        for index in range(count)
+    ]
+
+
+@pytest.mark.parametrize(
+    ("strong", "weak", "spared"), [(8, 135, 135), (8, 0, 0), (3, 135, 0)]
+)
+def test_weak_hosts_are_spared_if_strong_ones_hold_enough_power(
+    strong, weak, spared
+):
+    """Searches of 36 parts take six times as long on a weak host's core."""
+    states = uneven_hosts(strong, weak)
+    used = host_selection.spare_weak_hosts(states, 0.33)
+    assert len(used) == strong + weak - spared
+
+
+def test_no_host_is_spared_while_the_power_of_one_is_unknown():
+    """Hosts of an earlier release run beside new ones in a rolling update."""
+    states = [*uneven_hosts(8, 20), host_state("old")]
+    assert host_selection.spare_weak_hosts(states, 0.33) == states
+
+
+def test_no_host_is_spared_where_hosts_are_about_equal():
+    states = [
+        host_state(str(millicores), power_millicores=millicores)
+        for millicores in (2151, 1290, 1376)
+    ]
+    assert host_selection.spare_weak_hosts(states, 0.33) == states
+    assert (
+        host_selection.power_share_of(
+            states[0].address, [state.address for state in states[1:]], 0.33
+        )
+        is None
+    )
+
+
+def test_shares_by_power_add_up_to_one():
+    addresses = [state.address for state in uneven_hosts(8, 135)]
+    shares = [
+        host_selection.power_share_of(
+            own, [each for each in addresses if each != own], 0.33
+        )
+        for own in addresses
+    ]
+    assert sum(shares) == pytest.approx(1.0)
+    assert max(shares) == pytest.approx(2.151 / (8 * 2.151 + 135 * 0.361))
+
+
+def test_a_weak_host_of_a_home_region_goes_before_strong_ones_elsewhere():
+    states = [
+        host_state("weak", data_centre="c", power_millicores=361),
+        *uneven_hosts(8, 0),
+    ]
+    chosen = host_selection.select_hosts(
+        states, "a", "h", TWO_REGIONS, frozenset(["r2"]), 0.33
+    )
+    assert [state.name for state in chosen] == ["weak"]
--- a/tests/gateway_scripts.py
+++ b/tests/gateway_scripts.py
@@ -51,9 +51,21 @@
     )
 
 
-def host_state(name, sequence=1, incarnation=1, data_centre="here", **fields):
+def host_state(
+    name,
+    sequence=1,
+    incarnation=1,
+    data_centre="here",
+    power_millicores=0,
+    **fields,
+):
     address = fleet.HostAddress(
-        name, incarnation, data_centre, f"{name}:1", f"{name}:2"
+        name,
+        incarnation,
+        data_centre,
+        f"{name}:1",
+        f"{name}:2",
+        power_millicores,
     )
     values = {
         "is_ready": True,
