--- a/tests/gateway/test_upstream_capacity.py
+++ b/tests/gateway/test_upstream_capacity.py
@@ -283,7 +283,7 @@
         0,
         [],
         [],
-        asking.observations(),
+        observations=asking.observations(),
     )
     update = exchanges[1]._update_for(summary)
     exchanges[0]._merge(update)
