--- a/greengagedale/gateway/daemon.py
+++ b/greengagedale/gateway/daemon.py
@@ -30,6 +30,7 @@
 from greengagedale.gateway import runner as runner_lib
 from greengagedale.gateway import shutdown
 from greengagedale.gateway import store_reader as store_reader_lib
+from greengagedale.gateway import store_revision
 from greengagedale.gateway import sub_requests
 from greengagedale.gateway import supervision
 from greengagedale.gateway import traffic_split
@@ -151,6 +152,7 @@
         self._clock = clock
         self._metrics = metrics_lib.Metrics()
         self._registry = registry_lib.Registry(clock)
+        self._registry.recovery.on_step = self._metrics.recovery_steps.inc
         self._authorizer = authorization.Authorizer(self._registry)
         self._fleet = fleet_lib.Fleet(settings.host.name, clock)
         self._roster = roster_lib.Roster(settings.host.name, clock)
@@ -328,7 +330,7 @@
             is_seed=own in seeds,
         )
 
-    def _alive_hosts(self) -> dict[str, int]:
+    def _alive_hosts(self) -> dict[str, store_revision.Revision]:
         """Returns the live hosts with the host list revision each uses."""
         own = {self._settings.host.name: self._roster.host_list.revision}
         others = {
--- a/greengagedale/gateway/evacuations.py
+++ b/greengagedale/gateway/evacuations.py
@@ -10,6 +10,7 @@
 from typing import NamedTuple
 
 from greengagedale.gateway import metrics as metrics_lib
+from greengagedale.gateway import store_revision
 from greengagedale.gateway import upstream_entries
 
 log = logging.getLogger(__name__)
@@ -23,16 +24,16 @@
     """The evacuated data centres as of a revision of the store.
 
     Attributes:
-        revision: Revision up to which the list is known; 0 for a copy that may
-            be stale.
+        revision: Revision up to which the list is known; `NO_REVISION` for a
+            copy that may be stale.
         data_centres: Sorted names of the evacuated data centres.
     """
 
-    revision: int
+    revision: store_revision.Revision
     data_centres: tuple[str, ...] = ()
 
 
-EMPTY_EVACUATION_LIST = EvacuationList(0)
+EMPTY_EVACUATION_LIST = EvacuationList(store_revision.NO_REVISION)
 
 
 class Evacuations:
@@ -54,7 +55,9 @@
     def apply_copy(self, data_centres: tuple[str, ...]) -> None:
         """Applies a copy that may be stale, unless any list is known."""
         if self.list == EMPTY_EVACUATION_LIST:
-            self._replace(EvacuationList(0, data_centres))
+            self._replace(
+                EvacuationList(store_revision.NO_REVISION, data_centres)
+            )
 
     def replace_if_newer(self, new: EvacuationList) -> bool:
         """Applies a list if it is newer; returns whether evacuations changed.
--- a/greengagedale/gateway/fleet.py
+++ b/greengagedale/gateway/fleet.py
@@ -11,6 +11,7 @@
 import xxhash
 
 from greengagedale import clocks
+from greengagedale.gateway import store_revision
 
 log = logging.getLogger(__name__)
 
@@ -71,7 +72,7 @@
     is_ready: bool
     is_leaving: bool
     read_age_ms: float
-    roster_revision: int
+    roster_revision: store_revision.Revision
     age_ms: int = 0
 
 
--- a/greengagedale/gateway/metrics.py
+++ b/greengagedale/gateway/metrics.py
@@ -69,6 +69,7 @@
         warm_up_choices: What became of upstreams that warm up when requests
             were sent, by service: sent to, withheld or refused.
         evacuations: Evacuations of data centres that began or ended.
+        recovery_steps: Steps of recoveries of the store.
         request_latency: Latency of requests by route.
         attempt_latency: Latency of answered attempts by route.
     """
@@ -105,6 +106,11 @@
         self.evacuations = Counter(
             "evacuations", "Evacuations seen.", "data_centre", "state"
         )
+        self.recovery_steps = Counter(
+            "store_recovery_steps",
+            "Steps after the store came back from an older copy.",
+            "step",
+        )
         self.request_latency = LatencyHistograms(
             "request_latency_ms", "Latency of requests.", "route"
         )
--- a/greengagedale/gateway/peer_exchange.py
+++ b/greengagedale/gateway/peer_exchange.py
@@ -22,6 +22,8 @@
 from greengagedale.gateway import registry as registry_lib
 from greengagedale.gateway import roster as roster_lib
 from greengagedale.gateway import route_config
+from greengagedale.gateway import store_recovery
+from greengagedale.gateway import store_revision
 from greengagedale.gateway import upstream_entries
 from greengagedale.gateway import upstream_notices as notices_lib
 from greengagedale.http1 import client
@@ -66,6 +68,8 @@
         suspects: Requests that may crash upstreams.
         leaving: Incarnations of upstreams that announced that they are leaving.
         evacuations_revision: Revision of its list of evacuated data centres.
+        withdrawals: Incarnations held since the store came back from an older
+            copy.
     """
 
     own: fleet_lib.HostState
@@ -73,10 +77,11 @@
     hosts_digest: int
     routes_version: int
     version: registry_lib.UpstreamsVersion
-    roster_revision: int
+    roster_revision: store_revision.Revision
     suspects: list[quarantine_lib.Suspect]
     leaving: list[upstream_entries.UpstreamIncarnation]
-    evacuations_revision: int = 0
+    evacuations_revision: store_revision.Revision = store_revision.NO_REVISION
+    withdrawals: tuple[store_recovery.Withdrawal, ...] = ()
 
 
 class StateUpdate(NamedTuple):
@@ -94,19 +99,22 @@
         suspects: Requests that may crash upstreams.
         leaving: Incarnations of upstreams that announced that they are leaving.
         evacuations: Its list of evacuated data centres, if it is newer.
+        withdrawals: Incarnations held since the store came back from an older
+            copy.
     """
 
     own: fleet_lib.HostState
     heartbeats: list[fleet_lib.Heartbeat]
     addresses: list[fleet_lib.HostAddress]
     routes: route_config.RouteConfiguration | None
-    routes_revision: int
+    routes_revision: store_revision.Revision
     version: registry_lib.UpstreamsVersion
     upstreams: list[upstream_entries.Upstream] | None
     roster: roster_lib.HostList | None
     suspects: list[quarantine_lib.Suspect]
     leaving: list[upstream_entries.UpstreamIncarnation]
     evacuations: evacuations_lib.EvacuationList | None = None
+    withdrawals: tuple[store_recovery.Withdrawal, ...] = ()
 
 
 _summary_decoder = msgspec.msgpack.Decoder(StateSummary)
@@ -171,6 +179,9 @@
         self._fleet.observe(summary.own)
         self._quarantine.merge(summary.suspects)
         self._notices.merge(summary.leaving)
+        self._registry.merge_withdrawals(
+            summary.withdrawals, summary.version.revision.epoch
+        )
         for heartbeat in summary.heartbeats:
             self._fleet.observe_heartbeat(heartbeat)
         if (
@@ -252,6 +263,7 @@
             self._quarantine.suspects(),
             self._notices.leaving(),
             evacuations_revision=self._evacuations.list.revision,
+            withdrawals=self._registry.recovery.withdrawals(),
         )
         try:
             async with asyncio.timeout(TIMEOUT_MS / _MS_PER_S):
@@ -304,6 +316,7 @@
             evacuations=self._evacuations.list
             if self._evacuations.list.revision > summary.evacuations_revision
             else None,
+            withdrawals=self._registry.recovery.withdrawals(),
         )
 
     def _merge(self, update: StateUpdate) -> None:
@@ -328,6 +341,9 @@
             has_changed |= self._evacuations.replace_if_newer(
                 update.evacuations
             )
+        self._registry.merge_withdrawals(
+            update.withdrawals, update.version.revision.epoch
+        )
         if has_changed:
             self.request_round()
 
--- a/greengagedale/gateway/registry.py
+++ b/greengagedale/gateway/registry.py
@@ -1,7 +1,9 @@
 """Holds the configuration and the upstreams in force on a host.
 
 Both are only replaced by newer ones: the configuration by its version, the
-upstreams by the revision of the store. An entry that is removed during or
+upstreams by the epoch and revision of the store. In a new epoch the store lists
+an older copy, so what is known from before is merged with it, see
+`store_recovery`. An entry that is removed during or
 shortly after an outage of the store may merely have expired there. Upstreams
 that can't renew their entries expire together: if at least half of the entries
 are removed, they are kept until their upstreams have had time to write again.
@@ -14,6 +16,8 @@
 from greengagedale import clocks
 from greengagedale.gateway import route_config
 from greengagedale.gateway import store_api
+from greengagedale.gateway import store_recovery
+from greengagedale.gateway import store_revision
 from greengagedale.gateway import upstream_entries
 
 log = logging.getLogger(__name__)
@@ -36,10 +40,13 @@
             removals.
     """
 
-    revision: int
+    revision: store_revision.Revision
     sub_revision: int
 
 
+NO_VERSION = UpstreamsVersion(store_revision.NO_REVISION, 0)
+
+
 class Registry:
     """The configuration and the upstreams in force on a host.
 
@@ -48,21 +55,25 @@
         routes_revision: Revision of the store up to which the routes are
             known.
         version: Version of the list of upstreams.
-        upstreams: All upstreams by name.
+        upstreams: All upstreams by name, without held ones.
+        recovery: What is held since the store came back from an older copy.
     """
 
     def __init__(self, clock: clocks.Clock) -> None:
         self._clock = clock
         self.table: route_config.RouteTable | None = None
-        self.routes_revision = 0
-        self.version = UpstreamsVersion(0, 0)
+        self.routes_revision = store_revision.NO_REVISION
+        self.version = NO_VERSION
         self.upstreams: dict[str, upstream_entries.Upstream] = {}
         self._by_service: dict[str, list[upstream_entries.Upstream]] = {}
         # Times in ms at which entries missing since an outage are removed.
         self._missing: dict[str, float] = {}
         # Whether so many are missing that they must have expired in the store.
         self._is_mass_expiry = False
+        # Missing entries that stay in use, as an older copy lacks them.
+        self._lost_in_copy: set[str] = set()
         self._grace_until_ms = float("-inf")
+        self.recovery = store_recovery.StoreRecovery(clock)
 
     @property
     def is_ready(self) -> bool:
@@ -82,7 +93,7 @@
         return [
             upstream
             for name, upstream in self.upstreams.items()
-            if name not in self._missing
+            if name not in self._missing or name in self._lost_in_copy
         ]
 
     def upstreams_of(self, service: str) -> list[upstream_entries.Upstream]:
@@ -94,10 +105,21 @@
         self._grace_until_ms = self._clock.now_ms() + RELIST_GRACE_MS
 
     def apply_routes(
-        self, routes: route_config.RouteConfiguration, revision: int
+        self,
+        routes: route_config.RouteConfiguration,
+        revision: store_revision.Revision,
     ) -> bool:
         """Applies a configuration if it is newer; returns whether it was."""
         self.advance_routes_revision(revision)
+        if routes.version < self.routes_version:
+            log.info(
+                "ignored older configuration; keeping the one in force",
+                extra={
+                    "version": routes.version,
+                    "version_in_force": self.routes_version,
+                    "revision": revision,
+                },
+            )
         if routes.version <= self.routes_version:
             return False
         replaced_version = self.routes_version
@@ -113,7 +135,9 @@
         )
         return True
 
-    def advance_routes_revision(self, revision: int) -> None:
+    def advance_routes_revision(
+        self, revision: store_revision.Revision
+    ) -> None:
         """Records that the routes are current up to a revision."""
         self.routes_revision = max(self.routes_revision, revision)
 
@@ -121,27 +145,44 @@
         """Applies a complete list of upstreams read from the store."""
         if listed.revision < self.version.revision:
             return
+        is_recovering = self._begin_epoch(listed.revision)
+        is_copy = listed.revision.epoch > self.version.revision.epoch
         names = {upstream.name for upstream in listed.upstreams}
         removed = [name for name in self.upstreams if name not in names]
         changes = [
             store_api.UpstreamChange(upstream.name, upstream)
             for upstream in listed.upstreams
         ]
-        changes += [store_api.UpstreamChange(name, None) for name in removed]
-        self.apply_changes(store_api.UpstreamsChanged(changes, listed.revision))
+        if is_copy:
+            self.recovery.record_copied(names)
+        if is_recovering:
+            self._keep_lost(removed)
+        else:
+            changes += [
+                store_api.UpstreamChange(name, None) for name in removed
+            ]
+        self._apply(changes, listed.revision, is_copy)
 
     def apply_changes(self, changed: store_api.UpstreamsChanged) -> None:
         """Applies changes read from the store."""
         if changed.revision < self.version.revision:
             return
-        for change in changed.changes:
+        self._apply(changed.changes, changed.revision)
+
+    def _apply(
+        self,
+        changes: list[store_api.UpstreamChange],
+        revision: store_revision.Revision,
+        is_copy: bool = False,
+    ) -> None:
+        for change in changes:
             if change.upstream is None:
                 self._handle_removal(change.name)
             else:
-                self._upsert(change.upstream)
-        if changed.revision > self.version.revision:
-            self.version = UpstreamsVersion(changed.revision, 0)
-        elif changed.changes:
+                self._upsert(change.upstream, is_copy)
+        if revision > self.version.revision:
+            self.version = UpstreamsVersion(revision, 0)
+        elif changes:
             self.version = self.version._replace(
                 sub_revision=self.version.sub_revision + 1
             )
@@ -155,26 +196,61 @@
         """Applies a peer's list if it is newer; returns whether it was."""
         if version <= self.version:
             return False
+        is_copy = version.revision.epoch > self.version.revision.epoch
+        self._begin_epoch(version.revision)
         self.version = version
         self._missing.clear()
-        self._apply_differences(upstreams)
-        self.upstreams = {upstream.name: upstream for upstream in upstreams}
+        self._lost_in_copy.clear()
+        usable = [
+            upstream
+            for upstream in upstreams
+            if not self.recovery.withholds(upstream, is_copy)
+        ]
+        self._apply_differences(usable)
+        for upstream in usable:
+            self.recovery.observe(upstream)
+        self.upstreams = {upstream.name: upstream for upstream in usable}
         self._index()
         return True
 
+    def merge_withdrawals(
+        self,
+        withdrawals: tuple[store_recovery.Withdrawal, ...],
+        epoch: int,
+    ) -> None:
+        """Holds what a peer holds.
+
+        Args:
+            withdrawals: What the peer holds.
+            epoch: Epoch of the peer's list of upstreams; those of another
+                epoch are ignored, as hosts of one epoch tell each other again.
+        """
+        if epoch != self.version.revision.epoch:
+            return
+        withheld = self.recovery.merge(withdrawals, self.upstreams)
+        for name in withheld:
+            del self.upstreams[name]
+        if withheld:
+            self._index()
+
     def remove_expired(self) -> bool:
         """Removes missing entries after their grace; returns if any were."""
         now_ms = self._clock.now_ms()
         expired = [name for name, at in self._missing.items() if at <= now_ms]
         for name in expired:
             del self._missing[name]
+            self._lost_in_copy.discard(name)
             self._remove(name, "expired and not listed again in time")
-        if expired:
+        released = self.recovery.release_expired(self._grace_until_ms)
+        for upstream in released:
+            self.upstreams[upstream.name] = upstream
+            self.recovery.forget(upstream.name)
+        if expired or released:
             self.version = self.version._replace(
                 sub_revision=self.version.sub_revision + 1
             )
             self._index()
-        return bool(expired)
+        return bool(expired or released)
 
     def remove_reassigned(self, upstream: upstream_entries.Upstream) -> None:
         """Removes an upstream whose address another upstream now has."""
@@ -182,7 +258,38 @@
             self._remove(upstream.name, "address belongs to another upstream")
             self._index()
 
-    def _upsert(self, upstream: upstream_entries.Upstream) -> None:
+    def _begin_epoch(self, revision: store_revision.Revision) -> bool:
+        """Begins the recovery in a new epoch; returns whether it is one."""
+        known = self.version.revision
+        if not known or revision.epoch <= known.epoch:
+            return False
+        # Upstreams need time to write again what was lost.
+        self.record_store_failure()
+        self.recovery.begin(revision.epoch)
+        return True
+
+    def _keep_lost(self, names: list[str]) -> None:
+        """Keeps entries in use that an older copy lacks, for a while."""
+        for name in names:
+            if self.upstreams[name].is_leaving:
+                self._remove(name, "leaving, and not in the copy of the store")
+            else:
+                self._missing.setdefault(name, self._grace_until_ms)
+                self._lost_in_copy.add(name)
+        if self._lost_in_copy:
+            log.info(
+                "upstreams that the copy of the store lacks stay in use",
+                extra={
+                    "upstreams": sorted(self._lost_in_copy),
+                    "for_ms": RELIST_GRACE_MS,
+                },
+            )
+
+    def _upsert(
+        self, upstream: upstream_entries.Upstream, is_copy: bool = False
+    ) -> None:
+        if self.recovery.withholds(upstream, is_copy):
+            return
         current = self.upstreams.get(upstream.name)
         if current is not None and not upstream.supersedes(current):
             log.info(
@@ -197,10 +304,13 @@
             )
             return
         self._missing.pop(upstream.name, None)
+        self._lost_in_copy.discard(upstream.name)
         self.upstreams[upstream.name] = upstream
+        self.recovery.observe(upstream)
         _log_change(current, upstream)
 
     def _handle_removal(self, name: str) -> None:
+        self.recovery.record_removed(name)
         if name not in self.upstreams:
             return
         now_ms = self._clock.now_ms()
@@ -223,6 +333,7 @@
     def _remove(self, name: str, reason: str) -> None:
         upstream = self.upstreams.pop(name, None)
         if upstream is not None:
+            self.recovery.remember(upstream)
             log.info(
                 "upstream gone",
                 extra={
--- a/greengagedale/gateway/roster.py
+++ b/greengagedale/gateway/roster.py
@@ -18,6 +18,7 @@
 from typing import NamedTuple
 
 from greengagedale import clocks
+from greengagedale.gateway import store_revision
 
 log = logging.getLogger(__name__)
 
@@ -37,12 +38,13 @@
     """The host list in the store.
 
     Attributes:
-        revision: Revision of the store that wrote the list; 0 if there is none.
+        revision: Revision of the store that wrote the list, in the epoch in
+            which it was written; `NO_REVISION` if there is none.
         hosts: Sorted names of the hosts.
         joining: Names of those hosts that have no full share yet.
     """
 
-    revision: int
+    revision: store_revision.Revision
     hosts: tuple[str, ...]
     joining: tuple[str, ...] = ()
 
@@ -52,7 +54,7 @@
         return frozenset(self.hosts).difference(self.joining)
 
 
-EMPTY_HOST_LIST = HostList(0, ())
+EMPTY_HOST_LIST = HostList(store_revision.NO_REVISION, ())
 
 
 class Roster:
@@ -89,7 +91,7 @@
         self,
         alive: Collection[str],
         is_store_reachable: bool,
-        newest_revision: int = 0,
+        newest_revision: store_revision.Revision = store_revision.NO_REVISION,
     ) -> None:
         """Confirms that the list is current if the arguments show that it is.
 
@@ -128,7 +130,7 @@
     def __init__(self, clock: clocks.Clock) -> None:
         self._clock = clock
         self._last_seen_ms: dict[str, float] = {}
-        self._revision = 0
+        self._revision = store_revision.NO_REVISION
         self._revision_seen_ms = float("-inf")
 
     def reset(self) -> None:
@@ -137,10 +139,12 @@
         They are out of date after this host did not read the store.
         """
         self._last_seen_ms.clear()
-        self._revision = 0
+        self._revision = store_revision.NO_REVISION
 
     def planned_update(
-        self, host_list: HostList, alive: Mapping[str, int]
+        self,
+        host_list: HostList,
+        alive: Mapping[str, store_revision.Revision],
     ) -> HostList | None:
         """Returns the list to write, or None if no update is needed.
 
@@ -168,7 +172,7 @@
         self,
         host_list: HostList,
         hosts: tuple[str, ...],
-        alive: Mapping[str, int],
+        alive: Mapping[str, store_revision.Revision],
     ) -> tuple[str, ...]:
         """Returns the hosts that have no full share yet."""
         now_ms = self._clock.now_ms()
@@ -179,7 +183,7 @@
             # No host had a share before, so none can be exceeded.
             return ()
         all_updated = all(
-            alive.get(name, -1) >= host_list.revision
+            name in alive and alive[name] >= host_list.revision
             for name in host_list.sharing
         )
         if all_updated or now_ms - self._revision_seen_ms > REMOVE_AFTER_MS:
--- a/greengagedale/gateway/store_api.py
+++ b/greengagedale/gateway/store_api.py
@@ -6,6 +6,7 @@
 from greengagedale.gateway import evacuations as evacuations_lib
 from greengagedale.gateway import roster
 from greengagedale.gateway import route_config
+from greengagedale.gateway import store_revision
 from greengagedale.gateway import upstream_entries
 
 
@@ -35,7 +36,7 @@
     """
 
     routes: route_config.RouteConfiguration | None
-    revision: int
+    revision: store_revision.Revision
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -43,7 +44,7 @@
     """All upstreams as of a revision."""
 
     upstreams: list[upstream_entries.Upstream]
-    revision: int
+    revision: store_revision.Revision
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -64,16 +65,22 @@
     """The changes up to a revision; may be empty."""
 
     changes: list[UpstreamChange]
-    revision: int
+    revision: store_revision.Revision
 
 
 class StoreApi(abc.ABC):
     """The part of the platform's store that the gateway uses.
 
     Revisions increase with each change of anything in the store, and are the
-    same for every host.
+    same for every host. A store that returns from an older copy begins a new
+    epoch, see `store_recovery`.
+
+    Attributes:
+        epoch: Latest epoch of the store in any answer; 0 if it has no epochs.
     """
 
+    epoch: int = 0
+
     @abc.abstractmethod
     async def list_upstreams(
         self, allow_stale: bool = False
@@ -87,9 +94,12 @@
 
     @abc.abstractmethod
     async def watch_upstreams(
-        self, revision: int, wait_ms: int
+        self, revision: store_revision.Revision, wait_ms: int
     ) -> UpstreamsChanged | HistoryGone | Unavailable:
-        """Waits for changes after a revision, for at most `wait_ms`."""
+        """Waits for changes after a revision, for at most `wait_ms`.
+
+        The history is gone if the store has begun another epoch.
+        """
 
     @abc.abstractmethod
     async def read_routes(
@@ -104,11 +114,12 @@
 
     @abc.abstractmethod
     async def watch_routes(
-        self, revision: int, wait_ms: int
+        self, revision: store_revision.Revision, wait_ms: int
     ) -> RoutesRead | HistoryGone | Unavailable:
         """Waits for a change after a revision, for at most `wait_ms`.
 
-        The routes are None if nothing changed.
+        The routes are None if nothing changed. The history is gone if the store
+        has begun another epoch.
         """
 
     @abc.abstractmethod
@@ -139,7 +150,10 @@
 
     @abc.abstractmethod
     async def read_roster(self) -> roster.HostList | Unavailable:
-        """Reads the host list; `EMPTY_HOST_LIST` if there is none."""
+        """Reads the host list; `EMPTY_HOST_LIST` if there is none.
+
+        The epoch of its revision is that in which the list was written.
+        """
 
     @abc.abstractmethod
     async def write_roster(
--- a/greengagedale/gateway/store_reader.py
+++ b/greengagedale/gateway/store_reader.py
@@ -16,6 +16,8 @@
 from greengagedale.gateway import registry as registry_lib
 from greengagedale.gateway import roster as roster_lib
 from greengagedale.gateway import store_api as store_api_lib
+from greengagedale.gateway import store_recovery
+from greengagedale.gateway import store_revision
 
 log = logging.getLogger(__name__)
 
@@ -50,7 +52,7 @@
         registry: registry_lib.Registry,
         election: election_lib.ReaderElection,
         roster: roster_lib.Roster,
-        alive: Callable[[], dict[str, int]],
+        alive: Callable[[], dict[str, store_revision.Revision]],
         on_change: Callable[[], None],
         clock: clocks.Clock,
         evacuations: evacuations_lib.Evacuations | None = None,
@@ -80,6 +82,7 @@
         # be read first.
         self._stored_hosts: roster_lib.HostList | None = None
         self._roster_retry_at_ms = float("-inf")
+        self._host_list_recovery = store_recovery.HostListRecovery(clock)
         self._on_change = on_change
         self._clock = clock
         self._last_answer_ms = float("-inf")
@@ -114,9 +117,13 @@
             self._load_copy_of_evacuations(),
         )
         if isinstance(routes, store_api_lib.RoutesRead) and routes.routes:
-            self._registry.apply_routes(routes.routes, 0)
+            self._registry.apply_routes(
+                routes.routes, store_revision.NO_REVISION
+            )
         if isinstance(upstreams, store_api_lib.UpstreamsListed):
-            copied = store_api_lib.UpstreamsListed(upstreams.upstreams, 0)
+            copied = store_api_lib.UpstreamsListed(
+                upstreams.upstreams, store_revision.NO_REVISION
+            )
             self._registry.apply_list(copied)
         log.info(
             "loaded stale copies from the store; newer data follows from peers",
@@ -184,6 +191,7 @@
             watches["evacuations"] = functools.partial(
                 self._watch_evacuations, self._evacuations
             )
+        epoch = self._store.epoch
         tasks = [
             asyncio.create_task(self._run_watch(what, step))
             for what, step in watches.items()
@@ -197,6 +205,12 @@
                     self._record_failure(failure.detail)
                     break
                 self._record_answer()
+                if self._store.epoch != epoch:
+                    log.info(
+                        "store began another epoch; reading in full",
+                        extra={"epoch": self._store.epoch, "was": epoch},
+                    )
+                    break
         finally:
             for task in tasks:
                 task.cancel()
@@ -231,9 +245,7 @@
         if self._stored_hosts is None:
             result = await self._store.read_roster()
         else:
-            updated = self._planner.planned_update(
-                self._stored_hosts, self._alive_hosts()
-            )
+            updated = self._planned_host_list(self._stored_hosts)
             if updated is None:
                 return
             result = await self._store.write_roster(updated)
@@ -245,15 +257,47 @@
             self._roster_retry_at_ms = self._clock.now_ms() + ROSTER_RETRY_MS
             return
         self._stored_hosts = result
+        if self._is_from_earlier_epoch(result):
+            return
         if self._roster.replace_if_newer(result):
             self._on_change()
 
+    def _planned_host_list(
+        self, stored: roster_lib.HostList
+    ) -> roster_lib.HostList | None:
+        """Returns the list to write, or None if none is to be written now."""
+        alive = self._alive_hosts()
+        if not self._is_from_earlier_epoch(stored):
+            return self._planner.planned_update(stored, alive)
+        remembered = self._roster.host_list
+        updated = self._host_list_recovery.planned_update(
+            stored, remembered, alive, self._store.epoch
+        )
+        if updated is not None:
+            self._registry.recovery.on_step("hosts_written")
+            log.info(
+                "writing the host list again, as the store lost it",
+                extra={
+                    "epoch": self._store.epoch,
+                    "stored_revision": stored.revision,
+                    "remembered_revision": remembered.revision,
+                    "hosts": len(updated.hosts),
+                    "joining": len(updated.joining),
+                },
+            )
+        return updated
+
+    def _is_from_earlier_epoch(self, stored: roster_lib.HostList) -> bool:
+        return store_recovery.is_from_earlier_epoch(
+            stored, self._roster.host_list, self._store.epoch
+        )
+
     async def _read_routes(self) -> str | None:
         return await self._apply_routes(await self._store.read_routes())
 
     async def _watch_routes(self) -> str | None:
         revision = self._registry.routes_revision
-        if revision == 0:
+        if not revision or revision.epoch != self._store.epoch:
             return await self._read_routes()
         result = await self._store.watch_routes(revision, WATCH_WAIT_MS)
         if isinstance(result, store_api_lib.HistoryGone):
@@ -275,7 +319,8 @@
 
     async def _watch_upstreams(self) -> str | None:
         revision = self._registry.version.revision
-        if revision == 0 or self._must_relist:
+        is_current = revision and revision.epoch == self._store.epoch
+        if self._must_relist or not is_current:
             return await self._list_upstreams()
         result = await self._store.watch_upstreams(revision, WATCH_WAIT_MS)
         if isinstance(result, store_api_lib.HistoryGone):
--- a/greengagedale/platform/store.py
+++ b/greengagedale/platform/store.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Collection
 import logging
-from typing import Any, Self
+from typing import Any, NamedTuple, Self
 
 import msgspec
 
@@ -11,6 +11,7 @@
 from greengagedale.gateway import metrics as metrics_lib
 from greengagedale.gateway import roster
 from greengagedale.gateway import store_api
+from greengagedale.gateway import store_revision
 from greengagedale.http1 import client
 from greengagedale.http1 import messages
 from greengagedale.platform import store_documents
@@ -31,6 +32,9 @@
 _SUCCESS_CLASS = 2
 _STATUS_NOT_FOUND = 404
 _STATUS_HISTORY_GONE = 410
+# In all answers of a store that may return from an older copy.
+_EPOCH_HEADER = b"store-era"
+_MAX_EPOCH_DIGITS = 15
 _MS_PER_S = 1000.0
 # A watch without changes is answered after its wait time; slow stores took
 # about 300 ms longer.
@@ -73,6 +77,12 @@
     more: bool = False
 
 
+class _Answer(NamedTuple):
+    # The decoded body, and the epoch in which the store answered.
+    body: Any
+    epoch: int
+
+
 class PlatformStore(store_api.StoreApi):
     """Client that accesses objects in the platform's store over HTTP."""
 
@@ -110,62 +120,60 @@
         self, allow_stale: bool = False
     ) -> store_api.UpstreamsListed | store_api.Unavailable:
         """Reads all upstreams, page by page."""
-        result = await self._list(_KIND_UPSTREAMS, allow_stale)
-        if isinstance(result, store_api.Unavailable):
-            return result
+        answer = await self._list(_KIND_UPSTREAMS, allow_stale)
+        if isinstance(answer, store_api.Unavailable):
+            return answer
         decoded = (
             store_documents.decode_upstream(_name_of(item), item.get("spec"))
-            for item in result.items
+            for item in answer.body.items
         )
         upstreams = [upstream for upstream in decoded if upstream]
-        return store_api.UpstreamsListed(upstreams, result.storeRevision)
+        return store_api.UpstreamsListed(upstreams, _revision_of(answer))
 
     async def watch_upstreams(
-        self, revision: int, wait_ms: int
+        self, revision: store_revision.Revision, wait_ms: int
     ) -> (
         store_api.UpstreamsChanged
         | store_api.HistoryGone
         | store_api.Unavailable
     ):
         """Waits for changes after a revision, for at most `wait_ms`."""
-        result = await self._watch(_KIND_UPSTREAMS, revision, wait_ms)
-        if not isinstance(result, _WatchReply):
-            return result
-        changes = [_decode_change(event) for event in result.events]
-        return store_api.UpstreamsChanged(changes, result.storeRevision)
+        answer = await self._watch(_KIND_UPSTREAMS, revision, wait_ms)
+        if not isinstance(answer, _Answer):
+            return answer
+        changes = [_decode_change(event) for event in answer.body.events]
+        return store_api.UpstreamsChanged(changes, _revision_of(answer))
 
     async def read_routes(
         self, allow_stale: bool = False
     ) -> store_api.RoutesRead | store_api.Unavailable:
         """Reads the configuration."""
-        path = _list_path(_KIND_CONFIGURATION, "", allow_stale)
-        result = await self._get("list", path, _ListReply)
-        if isinstance(result, store_api.Unavailable | store_api.HistoryGone):
-            return store_api.Unavailable("the configuration can't be read")
-        if result is None:
-            return store_api.Unavailable("the store has no such kind")
-        return _decode_routes(result.items, result.storeRevision)
+        answer = await self._list(_KIND_CONFIGURATION, allow_stale)
+        if isinstance(answer, store_api.Unavailable):
+            return answer
+        return _decode_routes(answer.body.items, _revision_of(answer))
 
     async def watch_routes(
-        self, revision: int, wait_ms: int
+        self, revision: store_revision.Revision, wait_ms: int
     ) -> store_api.RoutesRead | store_api.HistoryGone | store_api.Unavailable:
         """Waits for a change after a revision, for at most `wait_ms`."""
-        result = await self._watch(_KIND_CONFIGURATION, revision, wait_ms)
-        if not isinstance(result, _WatchReply):
-            return result
-        items = [event.object for event in result.events if not event.deleted]
-        return _decode_routes(items, result.storeRevision)
+        answer = await self._watch(_KIND_CONFIGURATION, revision, wait_ms)
+        if not isinstance(answer, _Answer):
+            return answer
+        events = answer.body.events
+        items = [event.object for event in events if not event.deleted]
+        return _decode_routes(items, _revision_of(answer))
 
     async def read_evacuations(
         self, allow_stale: bool = False
     ) -> evacuations_lib.EvacuationList | store_api.Unavailable:
         """Reads the evacuated data centres, page by page."""
-        result = await self._list(_KIND_EVACUATIONS, allow_stale)
-        if isinstance(result, store_api.Unavailable):
-            return result
-        names = {_name_of(item) for item in result.items} - {""}
+        answer = await self._list(_KIND_EVACUATIONS, allow_stale)
+        if isinstance(answer, store_api.Unavailable):
+            return answer
+        names = {_name_of(item) for item in answer.body.items} - {""}
         return evacuations_lib.EvacuationList(
-            result.storeRevision, tuple(sorted(names))
+            _revision_of(answer), tuple(sorted(names))
         )
 
     async def watch_evacuations(
@@ -176,16 +184,17 @@
         | store_api.Unavailable
     ):
         """Waits for changes of a list, for at most `wait_ms`."""
-        result = await self._watch(_KIND_EVACUATIONS, known.revision, wait_ms)
-        if not isinstance(result, _WatchReply):
-            return result
+        answer = await self._watch(_KIND_EVACUATIONS, known.revision, wait_ms)
+        if not isinstance(answer, _Answer):
+            return answer
         latest = dict.fromkeys(known.data_centres, True)
         latest |= {
-            _name_of(event.object): not event.deleted for event in result.events
+            _name_of(event.object): not event.deleted
+            for event in answer.body.events
         }
         names = (name for name, is_listed in latest.items() if is_listed)
         return evacuations_lib.EvacuationList(
-            result.storeRevision, tuple(sorted(filter(None, names)))
+            _revision_of(answer), tuple(sorted(filter(None, names)))
         )
 
     async def ping(self) -> store_api.Unavailable | None:
@@ -199,29 +208,37 @@
         """Reads the host list; returns `EMPTY_HOST_LIST` if there is none."""
         path = f"{_KIND_FLEET}/{_HOST_LIST_NAME}"
         result = await self._get("read", path, store_documents.StoredHostList)
-        if isinstance(result, store_api.HistoryGone):
-            return store_api.Unavailable("the host list can't be read")
-        if isinstance(result, store_api.Unavailable):
-            return result
-        return roster.EMPTY_HOST_LIST if result is None else result.host_list
+        if result is None:
+            return roster.EMPTY_HOST_LIST
+        answer = self._require_current(result)
+        if isinstance(answer, store_api.Unavailable):
+            return answer
+        return answer.body.host_list
 
     async def write_roster(
         self, host_list: roster.HostList
     ) -> roster.HostList | store_api.Unavailable:
         """Replaces the host list if its revision is still the expected one."""
-        is_new = host_list.revision == 0
+        is_new = not host_list.revision
+        epoch = self.epoch
         result = await self._call(
             "create" if is_new else "replace",
             b"POST" if is_new else b"PUT",
             _KIND_FLEET if is_new else f"{_KIND_FLEET}/{_HOST_LIST_NAME}",
             store_documents.StoredHostList,
-            body=store_documents.encode_host_list(_HOST_LIST_NAME, host_list),
+            body=store_documents.encode_host_list(
+                _HOST_LIST_NAME, host_list, epoch
+            ),
         )
-        if isinstance(result, store_documents.StoredHostList):
-            return result.host_list
-        if isinstance(result, store_api.Unavailable):
-            return result
-        return store_api.Unavailable("the host list no longer exists")
+        answer = self._require_current(result)
+        if isinstance(answer, store_api.Unavailable):
+            return answer
+        if answer.epoch != epoch:
+            # The condition may have held by chance for another object.
+            return store_api.Unavailable(
+                "written in another epoch of the store"
+            )
+        return answer.body.host_list
 
     async def close(self) -> None:
         """Closes all connections."""
@@ -231,45 +248,71 @@
 
     async def _list(
         self, kind: str, allow_stale: bool
-    ) -> _ListReply | store_api.Unavailable:
+    ) -> _Answer | store_api.Unavailable:
         """Lists the objects of a kind, page by page.
 
         The revision is that of the first page, so that the next watch reports
         a change between two pages again.
         """
         items: list[dict[str, Any]] = []
-        revision: int | None = None
+        first: _Answer | None = None
         after = ""
         while True:
-            path = _list_path(kind, after, allow_stale)
-            result = await self._get("list", path, _ListReply)
-            if isinstance(
-                result, store_api.Unavailable | store_api.HistoryGone
-            ):
-                return store_api.Unavailable(f"{kind} can't be listed")
-            if result is None:
-                return store_api.Unavailable("the store has no such kind")
-            items += result.items
-            if revision is None:
-                revision = result.storeRevision
-            if not result.more or not result.items:
-                return _ListReply(items, revision)
-            after = _name_of(result.items[-1])
+            page = await self._list_page(kind, after, allow_stale)
+            if isinstance(page, store_api.Unavailable):
+                return page
+            first = first or page
+            if page.epoch != first.epoch:
+                return store_api.Unavailable("the store changed its epoch")
+            items += page.body.items
+            if not page.body.more or not page.body.items:
+                body = _ListReply(items, first.body.storeRevision)
+                return _Answer(body, first.epoch)
+            after = _name_of(page.body.items[-1])
 
     async def _watch(
-        self, kind: str, revision: int, wait_ms: int
-    ) -> _WatchReply | store_api.HistoryGone | store_api.Unavailable:
+        self,
+        kind: str,
+        revision: store_revision.Revision,
+        wait_ms: int,
+    ) -> _Answer | store_api.HistoryGone | store_api.Unavailable:
         result = await self._get(
             "watch",
-            f"{kind}?watch={revision}&waitMs={wait_ms}",
+            f"{kind}?watch={revision.revision}&waitMs={wait_ms}",
             _WatchReply,
             wait_ms + _WATCH_GRACE_MS,
         )
-        return (
-            store_api.Unavailable("the store has no such kind")
-            if result is None
-            else result
-        )
+        if isinstance(result, store_api.HistoryGone):
+            return result
+        answer = self._require_current(result)
+        if isinstance(answer, _Answer) and answer.epoch != revision.epoch:
+            # The same revision stands for another state in this epoch.
+            return store_api.HistoryGone()
+        return answer
+
+    async def _list_page(
+        self, kind: str, after: str, allow_stale: bool
+    ) -> _Answer | store_api.Unavailable:
+        path = _list_path(kind, after, allow_stale)
+        result = await self._get("list", path, _ListReply)
+        if allow_stale and isinstance(result, _Answer):
+            return result
+        return self._require_current(result)
+
+    def _require_current(
+        self,
+        result: _Answer | store_api.HistoryGone | store_api.Unavailable | None,
+    ) -> _Answer | store_api.Unavailable:
+        """Returns the answer if it has a body and is of the latest epoch."""
+        if isinstance(result, store_api.Unavailable):
+            return result
+        if result is None or isinstance(result, store_api.HistoryGone):
+            return store_api.Unavailable("no such object in the store")
+        if result.epoch < self.epoch:
+            return store_api.Unavailable(
+                f"answer of epoch {result.epoch}, later than {self.epoch}"
+            )
+        return result
 
     async def _get(
         self,
@@ -314,6 +357,7 @@
             self._count_call(operation, "no_reply")
             return store_api.Unavailable(reply.detail)
         self._count_call(operation, str(reply.status))
+        epoch = self._observe_epoch(reply)
         if reply.status == _STATUS_NOT_FOUND:
             return None
         if reply.status == _STATUS_HISTORY_GONE:
@@ -321,12 +365,32 @@
         if reply.status // 100 != _SUCCESS_CLASS:
             return store_api.Unavailable(f"status {reply.status}")
         try:
-            return msgspec.json.decode(reply.body, type=reply_type)
+            return _Answer(
+                msgspec.json.decode(reply.body, type=reply_type), epoch
+            )
         except msgspec.DecodeError as error:
             return store_api.Unavailable(
                 f"answer could not be decoded: {error}"
             )
 
+    def _observe_epoch(self, reply: messages.Reply) -> int:
+        """Returns the epoch of an answer, and records the latest one."""
+        value = reply.header(_EPOCH_HEADER)
+        if value is None:
+            return 0
+        if not value.isdigit() or len(value) > _MAX_EPOCH_DIGITS:
+            log.warning(
+                "epoch of the store invalid", extra={"value": value[:20]}
+            )
+            return 0
+        epoch = int(value)
+        if epoch > self.epoch:
+            log.info(
+                "epoch of the store", extra={"epoch": epoch, "was": self.epoch}
+            )
+            self.epoch = epoch
+        return epoch
+
     async def _exchange(
         self, data: bytes
     ) -> messages.Reply | client.ExchangeFailure:
@@ -365,6 +429,10 @@
     return f"{kind}?{'&'.join(options)}" if options else kind
 
 
+def _revision_of(answer: _Answer) -> store_revision.Revision:
+    return store_revision.Revision(answer.epoch, answer.body.storeRevision)
+
+
 def _name_of(item: dict[str, Any]) -> str:
     meta = item.get("meta")
     name = meta.get("name") if isinstance(meta, dict) else None
@@ -380,7 +448,7 @@
 
 
 def _decode_routes(
-    items: list[dict[str, Any]], revision: int
+    items: list[dict[str, Any]], revision: store_revision.Revision
 ) -> store_api.RoutesRead:
     matching = [i for i in items if _name_of(i) == _CONFIGURATION_NAME]
     routes = (
--- a/greengagedale/platform/store_documents.py
+++ b/greengagedale/platform/store_documents.py
@@ -8,6 +8,7 @@
 from greengagedale import exceptions
 from greengagedale.gateway import roster
 from greengagedale.gateway import route_config
+from greengagedale.gateway import store_revision
 from greengagedale.gateway import upstream_entries
 from greengagedale.http1 import server
 
@@ -108,6 +109,8 @@
 class _HostListSpec(msgspec.Struct):
     hosts: list[str]
     joining: list[str] = []
+    # Epoch of the store in which the list was written.
+    epoch: int = 0
 
 
 class StoredHostList(msgspec.Struct):
@@ -120,22 +123,33 @@
     def host_list(self) -> roster.HostList:
         """The host list in this object."""
         return roster.HostList(
-            self.meta.revision, tuple(self.spec.hosts), tuple(self.spec.joining)
+            store_revision.Revision(self.spec.epoch, self.meta.revision),
+            tuple(self.spec.hosts),
+            tuple(self.spec.joining),
         )
 
 
-def encode_host_list(name: str, host_list: roster.HostList) -> bytes:
+def encode_host_list(
+    name: str, host_list: roster.HostList, epoch: int = 0
+) -> bytes:
     """Encodes the host list object.
 
     Args:
         name: Name of the object.
         host_list: The new list, with the revision of the list to replace.
+        epoch: Epoch of the store, which tells a list that was written since the
+            store last went back from one of its older copy.
     """
     meta: dict[str, Any] = {"name": name}
     if host_list.revision:
         # The store rejects the update if the object has another revision.
-        meta["revision"] = host_list.revision
-    spec = {"hosts": host_list.hosts, "joining": host_list.joining}
+        meta["revision"] = host_list.revision.revision
+    spec: dict[str, Any] = {
+        "hosts": host_list.hosts,
+        "joining": host_list.joining,
+    }
+    if epoch:
+        spec["epoch"] = epoch
     return msgspec.json.encode({"meta": meta, "spec": spec})
 
 
--- a/tests/gateway/test_authorization.py
+++ b/tests/gateway/test_authorization.py
@@ -1,5 +1,6 @@
 """Callers are told by their keys, on arrival and before each send."""
 
+from gateway_scripts import at
 from gateway_scripts import single
 import pytest
 
@@ -31,7 +32,8 @@
     """A registry whose configuration gives two workspaces a key each."""
     held = registry.Registry(clock)
     held.apply_routes(
-        configuration(1, (workspace("w1", KEY), workspace("w2", OTHER_KEY))), 1
+        configuration(1, (workspace("w1", KEY), workspace("w2", OTHER_KEY))),
+        at(1),
     )
     return held
 
@@ -70,10 +72,12 @@
 )
 async def test_nothing_is_sent_after_the_key_is_gone(bench, workspaces):
     bench.add("a")
-    bench.registry.apply_routes(configuration(1, (workspace("w1", KEY),)), 1)
+    bench.registry.apply_routes(
+        configuration(1, (workspace("w1", KEY),)), at(1)
+    )
     identity = bench.context.authorizer.identify(single(), KEY)
     call = bench.call()._replace(identity=identity)
-    bench.registry.apply_routes(configuration(2, workspaces), 2)
+    bench.registry.apply_routes(configuration(2, workspaces), at(2))
     outcome = await bench.runner.run(call, single(), bench.steps)
     assert outcome.reason is outcomes.Reason.KEY_REVOKED
     assert bench.client.sent == []
--- a/tests/gateway/test_evacuations.py
+++ b/tests/gateway/test_evacuations.py
@@ -7,6 +7,7 @@
 import asyncio
 
 from gateway_scripts import Bench
+from gateway_scripts import at
 from gateway_scripts import exchange_of
 from gateway_scripts import fanout
 from gateway_scripts import host_state
@@ -23,7 +24,7 @@
 from greengagedale.gateway import registry as registry_lib
 from greengagedale.http1 import client
 
-NORTH = evacuations_lib.EvacuationList(5, ("north",))
+NORTH = evacuations_lib.EvacuationList(at(5), ("north",))
 
 
 @pytest.fixture
@@ -32,25 +33,27 @@
 
 
 def evacuate(bench, *data_centres):
-    revision = bench.evacuations.list.revision + 1
+    revision = bench.evacuations.list.revision.revision + 1
     bench.evacuations.replace_if_newer(
-        evacuations_lib.EvacuationList(revision, data_centres)
+        evacuations_lib.EvacuationList(at(revision), data_centres)
     )
 
 
 def test_older_list_is_ignored(evacuations):
     assert evacuations.replace_if_newer(NORTH)
     assert not evacuations.replace_if_newer(NORTH._replace(data_centres=()))
-    assert not evacuations.replace_if_newer(evacuations_lib.EvacuationList(4))
+    assert not evacuations.replace_if_newer(
+        evacuations_lib.EvacuationList(at(4))
+    )
     assert evacuations.list == NORTH
-    assert evacuations.replace_if_newer(evacuations_lib.EvacuationList(6))
+    assert evacuations.replace_if_newer(evacuations_lib.EvacuationList(at(6)))
     assert not evacuations.is_evacuated(upstream("a", data_centre="north"))
 
 
 def test_later_revision_of_the_same_list_is_no_change(evacuations):
     evacuations.replace_if_newer(NORTH)
-    assert not evacuations.replace_if_newer(NORTH._replace(revision=9))
-    assert evacuations.list.revision == 9
+    assert not evacuations.replace_if_newer(NORTH._replace(revision=at(9)))
+    assert evacuations.list.revision == at(9)
 
 
 def test_any_list_replaces_a_stale_copy_and_none_is_replaced_by_it(evacuations):
@@ -63,7 +66,7 @@
 
 def test_changes_are_counted(evacuations):
     evacuations.replace_if_newer(NORTH)
-    evacuations.replace_if_newer(evacuations_lib.EvacuationList(6))
+    evacuations.replace_if_newer(evacuations_lib.EvacuationList(at(6)))
     assert evacuations._metrics.evacuations.counts == {
         ("north", "began"): 1,
         ("north", "ended"): 1,
@@ -84,8 +87,8 @@
         [],
         0,
         0,
-        registry_lib.UpstreamsVersion(0, 0),
-        0,
+        registry_lib.NO_VERSION,
+        at(0),
         [],
         [],
     )
--- a/tests/gateway/test_mutations.py
+++ b/tests/gateway/test_mutations.py
@@ -6,6 +6,7 @@
 
 from gateway_scripts import Bench
 from gateway_scripts import answer
+from gateway_scripts import at
 from gateway_scripts import exchange_of
 from gateway_scripts import fanout
 from gateway_scripts import host_state
@@ -109,7 +110,7 @@
 def filled_registry():
     new_registry = registry.Registry(clocks.ManualClock(0.0))
     listed = [upstream("a"), upstream("b", is_leaving=True)]
-    new_registry.apply_list(store_api.UpstreamsListed(listed, 5))
+    new_registry.apply_list(store_api.UpstreamsListed(listed, at(5)))
     return new_registry
 
 
@@ -120,7 +121,7 @@
         routes = route_config.RouteConfiguration(
             version, (single(),), (), server.Limits()
         )
-        new_registry.apply_routes(routes, 6)
+        new_registry.apply_routes(routes, at(6))
     return new_registry.routes_version == 4
 
 
@@ -135,7 +136,7 @@
     bench.add("a", data_centre="north")
     bench.add("b", data_centre="south")
     bench.evacuations.replace_if_newer(
-        evacuations.EvacuationList(1, ("north",))
+        evacuations.EvacuationList(at(1), ("north",))
     )
     for _ in range(20):
         await bench.run(single())
@@ -146,7 +147,7 @@
     """An upstream that warms up gets no more than this host's part."""
     bench = Bench()
     bench.rates["s"] = 1.0
-    bench.roster.replace_if_newer(roster.HostList(1, ("a", "m")))
+    bench.roster.replace_if_newer(roster.HostList(at(1), ("a", "m")))
     cold = upstream("u", warm_up_ms=5000.0)
     # In the second after the host list has changed nothing is sent.
     return [bench.warm_up.try_send(cold) for _ in range(9)] == [None] * 9
@@ -257,12 +258,13 @@
     clock = clocks.MonotonicClock()
     informed, uninformed = filled_registry(), registry.Registry(clock)
     informed.apply_routes(
-        route_config.RouteConfiguration(4, (single(),), (), server.Limits()), 6
+        route_config.RouteConfiguration(4, (single(),), (), server.Limits()),
+        at(6),
     )
     informed_exchange = exchange_of("a", clock, informed)
     uninformed_exchange = exchange_of("b", clock, uninformed)
     summary = peer_exchange.StateSummary(
-        host_state("b"), [], 0, 0, uninformed.version, 0, [], []
+        host_state("b"), [], 0, 0, uninformed.version, at(0), [], []
     )
     uninformed_exchange._merge(informed_exchange._update_for(summary))
     return uninformed.is_ready and uninformed.routes_version == 4
@@ -334,10 +336,10 @@
     """One of five entries removed around an outage is not kept in use."""
     new_registry = registry.Registry(clocks.ManualClock(10_000.0))
     listed = [upstream(name) for name in "abcde"]
-    new_registry.apply_list(store_api.UpstreamsListed(listed, 5))
+    new_registry.apply_list(store_api.UpstreamsListed(listed, at(5)))
     new_registry.record_store_failure()
     removal = store_api.UpstreamChange("a", None)
-    new_registry.apply_changes(store_api.UpstreamsChanged([removal], 6))
+    new_registry.apply_changes(store_api.UpstreamsChanged([removal], at(6)))
     return "a" not in [each.name for each in new_registry.upstreams_of("s")]
 
 
--- a/tests/gateway/test_regions.py
+++ b/tests/gateway/test_regions.py
@@ -8,6 +8,7 @@
 import random
 
 from gateway_scripts import Bench
+from gateway_scripts import at
 from gateway_scripts import fanout
 from gateway_scripts import lost
 from gateway_scripts import refused
@@ -112,7 +113,7 @@
     configuration = route_config.RouteConfiguration(
         1, (single(),), (), server.Limits(), (workspace("far"),)
     )
-    bench.registry.apply_routes(configuration, 1)
+    bench.registry.apply_routes(configuration, at(1))
     identity = calls.CallerIdentity("w", b"digest")
     for _ in range(10):
         call = bench.call()._replace(identity=identity)
--- a/tests/gateway/test_registry.py
+++ b/tests/gateway/test_registry.py
@@ -1,5 +1,6 @@
 """Configuration and upstreams are only replaced by newer ones."""
 
+from gateway_scripts import at
 from gateway_scripts import single
 from gateway_scripts import upstream
 import pytest
@@ -20,7 +21,7 @@
 def registry(clock):
     registry = registry_lib.Registry(clock)
     registry.apply_list(
-        store_api.UpstreamsListed([upstream("a"), upstream("b")], 5)
+        store_api.UpstreamsListed([upstream("a"), upstream("b")], at(5))
     )
     return registry
 
@@ -33,7 +34,7 @@
 
 def change(name, entry, revision):
     item = store_api.UpstreamChange(name, entry)
-    return store_api.UpstreamsChanged([item], revision)
+    return store_api.UpstreamsChanged([item], at(revision))
 
 
 def names(registry):
@@ -41,18 +42,18 @@
 
 
 def test_configuration_never_reverts(registry):
-    assert registry.apply_routes(routes(4), 6)
-    assert not registry.apply_routes(routes(3), 7)
-    assert not registry.apply_routes(routes(4), 8)
+    assert registry.apply_routes(routes(4), at(6))
+    assert not registry.apply_routes(routes(3), at(7))
+    assert not registry.apply_routes(routes(4), at(8))
     assert registry.routes_version == 4
 
 
 def test_host_is_ready_once_it_knows_routes_and_upstreams(clock):
     registry = registry_lib.Registry(clock)
     assert not registry.is_ready
-    registry.apply_routes(routes(1), 1)
+    registry.apply_routes(routes(1), at(1))
     assert not registry.is_ready
-    registry.apply_list(store_api.UpstreamsListed([upstream("a")], 2))
+    registry.apply_list(store_api.UpstreamsListed([upstream("a")], at(2)))
     assert registry.is_ready
 
 
@@ -68,14 +69,14 @@
 
 
 def test_new_list_removes_upstreams_that_are_not_in_it(registry):
-    registry.apply_list(store_api.UpstreamsListed([upstream("b")], 9))
+    registry.apply_list(store_api.UpstreamsListed([upstream("b")], at(9)))
     assert names(registry) == ["b"]
 
 
 def test_older_list_is_ignored(registry):
     registry.apply_changes(change("a", None, 6))
     registry.apply_list(
-        store_api.UpstreamsListed([upstream("a"), upstream("b")], 5)
+        store_api.UpstreamsListed([upstream("a"), upstream("b")], at(5))
     )
     assert names(registry) == ["b"]
 
@@ -115,7 +116,7 @@
 # that left while the store refused hosts went on getting requests.
 def test_few_entries_removed_around_an_outage_are_dropped(registry, clock):
     more = [upstream(name) for name in "abcde"]
-    registry.apply_list(store_api.UpstreamsListed(more, 6))
+    registry.apply_list(store_api.UpstreamsListed(more, at(6)))
     registry.record_store_failure()
     registry.apply_changes(change("a", None, 7))
     assert names(registry) == ["b", "c", "d", "e"]
@@ -128,7 +129,7 @@
     registry,
 ):
     more = [upstream(name) for name in "abcde"]
-    registry.apply_list(store_api.UpstreamsListed(more, 6))
+    registry.apply_list(store_api.UpstreamsListed(more, at(6)))
     registry.record_store_failure()
     for revision, name in enumerate("abc", 7):
         registry.apply_changes(change(name, None, revision))
@@ -161,7 +162,7 @@
 
 def test_older_list_of_a_peer_is_ignored(registry):
     assert not registry.replace_if_newer(
-        [upstream("z")], registry_lib.UpstreamsVersion(4, 3)
+        [upstream("z")], registry_lib.UpstreamsVersion(at(4), 3)
     )
     assert names(registry) == ["a", "b"]
 
--- a/tests/gateway/test_roster.py
+++ b/tests/gateway/test_roster.py
@@ -1,12 +1,13 @@
 """Shares of a fleet-wide limit, computed from the agreed host list."""
 
+from gateway_scripts import at
 import pytest
 
 from greengagedale.gateway import roster as roster_lib
 
 BURST = 160.0
 NAMES = tuple(f"h{number:02}" for number in range(24))
-ALL_LISTED = roster_lib.HostList(5, NAMES)
+ALL_LISTED = roster_lib.HostList(at(5), NAMES)
 
 
 @pytest.fixture
@@ -22,7 +23,7 @@
 
 def alive_hosts(names, revision=99):
     """Returns live hosts that use the host list of a revision."""
-    return dict.fromkeys(names, revision)
+    return dict.fromkeys(names, at(revision))
 
 
 def total_share(rosters):
@@ -83,7 +84,9 @@
 
 def test_older_list_is_ignored(rosters):
     rosters[0].replace_if_newer(ALL_LISTED)
-    assert not rosters[0].replace_if_newer(roster_lib.HostList(4, NAMES[:2]))
+    assert not rosters[0].replace_if_newer(
+        roster_lib.HostList(at(4), NAMES[:2])
+    )
     assert rosters[0].host_list == ALL_LISTED
 
 
@@ -91,8 +94,8 @@
     first = planner.planned_update(
         roster_lib.EMPTY_HOST_LIST, alive_hosts("ba")
     )
-    assert first == roster_lib.HostList(0, ("a", "b"))
-    host_list = roster_lib.HostList(1, ("a", "b"))
+    assert first == roster_lib.HostList(at(0), ("a", "b"))
+    host_list = roster_lib.HostList(at(1), ("a", "b"))
     assert planner.planned_update(host_list, alive_hosts("b")) is None
     clock.advance(roster_lib.REMOVE_AFTER_MS)
     assert planner.planned_update(host_list, alive_hosts("bc")).hosts == (
@@ -102,7 +105,7 @@
 
 
 def test_new_reader_does_not_remove_hosts_at_once(planner, clock):
-    host_list = roster_lib.HostList(1, ("a", "b"))
+    host_list = roster_lib.HostList(at(1), ("a", "b"))
     planner.planned_update(host_list, alive_hosts("ab"))
     clock.advance(roster_lib.REMOVE_AFTER_MS)
     planner.reset()
@@ -114,13 +117,13 @@
 def test_added_hosts_have_no_share_until_others_use_the_list(clock, planner):
     before = [roster_lib.Roster(name, clock) for name in "abcd"]
     added = [roster_lib.Roster(name, clock) for name in "efgh"]
-    host_list = roster_lib.HostList(5, tuple("abcd"))
+    host_list = roster_lib.HostList(at(5), tuple("abcd"))
     for roster in before:
         roster.replace_if_newer(host_list)
     updated = planner.planned_update(
         host_list, {**alive_hosts("a", 5), **alive_hosts("efgh", 0)}
     )
-    longer = updated._replace(revision=6)
+    longer = updated._replace(revision=at(6))
     assert longer.joining == tuple("efgh")
     for roster in (before[0], *added):
         roster.replace_if_newer(longer)
@@ -131,14 +134,14 @@
 
 
 def test_added_hosts_get_a_share_once_others_use_the_list(clock, planner):
-    host_list = roster_lib.HostList(6, tuple("abef"), tuple("ef"))
+    host_list = roster_lib.HostList(at(6), tuple("abef"), tuple("ef"))
     updated = planner.planned_update(
         host_list, {**alive_hosts("ab", 6), **alive_hosts("ef", 0)}
     )
     assert updated == host_list._replace(joining=())
     rosters = [roster_lib.Roster(name, clock) for name in "abef"]
     for roster in rosters:
-        roster.replace_if_newer(updated._replace(revision=7))
+        roster.replace_if_newer(updated._replace(revision=at(7)))
     assert total_share(rosters) == pytest.approx(
         (1.0 - roster_lib.UNLISTED_FRACTION) * BURST
     )
@@ -147,10 +150,10 @@
 def test_added_hosts_get_a_share_once_others_have_dropped_theirs(
     clock, planner
 ):
-    host_list = roster_lib.HostList(6, tuple("abef"), tuple("ef"))
+    host_list = roster_lib.HostList(at(6), tuple("abef"), tuple("ef"))
     alive = {**alive_hosts("aef", 6), **alive_hosts("b", 5)}
     isolated = roster_lib.Roster("b", clock)
-    isolated.replace_if_newer(roster_lib.HostList(5, tuple("ab")))
+    isolated.replace_if_newer(roster_lib.HostList(at(5), tuple("ab")))
     while planner.planned_update(host_list, alive) is None:
         isolated.confirm_current([], is_store_reachable=False)
         clock.advance(500.0)
@@ -158,7 +161,7 @@
 
 
 def test_hosts_added_later_wait_while_earlier_ones_get_a_share(planner):
-    host_list = roster_lib.HostList(6, tuple("abe"), ("e",))
+    host_list = roster_lib.HostList(at(6), tuple("abe"), ("e",))
     updated = planner.planned_update(
         host_list, {**alive_hosts("ab", 6), **alive_hosts("ef", 0)}
     )
--- a/tests/gateway/test_store_reader.py
+++ b/tests/gateway/test_store_reader.py
@@ -4,6 +4,7 @@
 import collections
 import contextlib
 
+from gateway_scripts import at
 from gateway_scripts import host_state
 from gateway_scripts import single
 from gateway_scripts import upstream
@@ -45,7 +46,7 @@
     async def list_upstreams(self, allow_stale=False):
         return self._count(
             "copy" if allow_stale else "list"
-        ) or store_api_lib.UpstreamsListed(self.upstreams, self.revision)
+        ) or store_api_lib.UpstreamsListed(self.upstreams, at(self.revision))
 
     async def watch_upstreams(self, revision, wait_ms):
         failure = self._count("watch")
@@ -55,12 +56,12 @@
         while not self.changes.empty():
             found.append(self.changes.get_nowait())
         self.revision += len(found)
-        return store_api_lib.UpstreamsChanged(found, self.revision)
+        return store_api_lib.UpstreamsChanged(found, at(self.revision))
 
     async def read_routes(self, allow_stale=False):
         return self._count(
             "copy" if allow_stale else "routes"
-        ) or store_api_lib.RoutesRead(self.routes, self.revision)
+        ) or store_api_lib.RoutesRead(self.routes, at(self.revision))
 
     async def watch_routes(self, revision, wait_ms):
         failure = self._count("watch")
@@ -76,13 +77,15 @@
         if failure is None and host_list.revision != self.roster.revision:
             failure = store_api_lib.Unavailable("replaced meanwhile")
         if failure is None:
-            self.roster = host_list._replace(revision=self.roster.revision + 1)
+            self.roster = host_list._replace(
+                revision=at(self.roster.revision.revision + 1)
+            )
         return failure or self.roster
 
     async def read_evacuations(self, allow_stale=False):
         kind = "copy of evacuations" if allow_stale else "evacuations"
         return self._count(kind) or evacuations.EvacuationList(
-            self.revision, self.evacuated
+            at(self.revision), self.evacuated
         )
 
     async def watch_evacuations(self, known, wait_ms):
@@ -91,7 +94,7 @@
             return failure
         self.evacuated = await self.evacuation_changes.get()
         self.revision += 1
-        return evacuations.EvacuationList(self.revision, self.evacuated)
+        return evacuations.EvacuationList(at(self.revision), self.evacuated)
 
     async def ping(self):
         return self._count("pulse")
@@ -111,7 +114,7 @@
 
 def alive_hosts(*names):
     """Returns live hosts that use the newest host list."""
-    return dict.fromkeys(names, 99)
+    return dict.fromkeys(names, at(99))
 
 
 class Bench:
@@ -234,9 +237,9 @@
     await wait_until(lambda: new_bench.registry.is_ready)
     assert new_bench.store.calls == {"copy": 2}
     # Stale copies are stored at revision 0, so any list read later is newer.
-    assert new_bench.registry.version.revision == 0
+    assert new_bench.registry.version.revision == at(0)
     assert new_bench.registry.replace_if_newer(
-        [upstream("c")], registry_lib.UpstreamsVersion(1, 0)
+        [upstream("c")], registry_lib.UpstreamsVersion(at(1), 0)
     )
     assert new_bench.names() == ["c"]
     task.cancel()
@@ -245,10 +248,10 @@
 async def test_stale_copies_do_not_replace_data_of_peers(short_intervals):
     new_bench = Bench()
     new_bench.registry.replace_if_newer(
-        [upstream("c")], registry_lib.UpstreamsVersion(9, 0)
+        [upstream("c")], registry_lib.UpstreamsVersion(at(9), 0)
     )
     new_bench.registry.apply_routes(
-        new_bench.store.routes._replace(version=2), 9
+        new_bench.store.routes._replace(version=2), at(9)
     )
     new_bench.fleet.observe(host_state("a", read_age_ms=0.0))
     task = asyncio.create_task(new_bench.reader.run())
@@ -271,10 +274,10 @@
 
 async def test_host_list_is_read_again_after_a_conflict(bench):
     await wait_until(lambda: bench.store.roster.hosts == ("m",))
-    bench.store.roster = roster_lib.HostList(9, ("m", "z"))
+    bench.store.roster = roster_lib.HostList(at(9), ("m", "z"))
     bench.alive = alive_hosts("m", "a")
     await wait_until(lambda: bench.roster.host_list.hosts == ("a", "m", "z"))
-    assert bench.roster.host_list.revision == 10
+    assert bench.roster.host_list.revision == at(10)
 
 
 async def test_missing_host_list_is_written_again(bench):
@@ -313,7 +316,7 @@
     new_bench = Bench()
     new_bench.registry.apply_list(
         store_api_lib.UpstreamsListed(
-            [upstream("gone"), *new_bench.store.upstreams], 4
+            [upstream("gone"), *new_bench.store.upstreams], at(4)
         )
     )
     for name in ("h1", "h2"):
--- a/tests/gateway/test_upstream_notices.py
+++ b/tests/gateway/test_upstream_notices.py
@@ -4,6 +4,7 @@
 
 from gateway_scripts import Bench
 from gateway_scripts import answer
+from gateway_scripts import at
 from gateway_scripts import exchange_of
 from gateway_scripts import fanout
 from gateway_scripts import host_state
@@ -113,9 +114,9 @@
     )
     uninformed_exchange = exchange_of("b", clock, registry, uninformed)
     informed.observe(UPSTREAM, LEAVING)
-    registry.apply_list(store_api.UpstreamsListed([UPSTREAM], 0))
+    registry.apply_list(store_api.UpstreamsListed([UPSTREAM], at(0)))
     summary = peer_exchange.StateSummary(
-        host_state("b"), [], 0, 0, registry.version, 0, [], []
+        host_state("b"), [], 0, 0, registry.version, at(0), [], []
     )
     uninformed_exchange._merge(informed_exchange._update_for(summary))
     assert uninformed.available(registry.upstreams_of("s")) == []
--- a/tests/gateway/test_warm_up.py
+++ b/tests/gateway/test_warm_up.py
@@ -9,6 +9,7 @@
 import random
 
 from gateway_scripts import Bench
+from gateway_scripts import at
 from gateway_scripts import fanout
 from gateway_scripts import lost
 from gateway_scripts import single
@@ -32,7 +33,7 @@
 
 def listed(hosts, revision=5, joining=()):
     return roster_lib.HostList(
-        revision, tuple(sorted(hosts)), tuple(sorted(joining))
+        at(revision), tuple(sorted(hosts)), tuple(sorted(joining))
     )
 
 
@@ -178,9 +179,9 @@
 def test_host_that_hears_of_a_later_list_does_not_confirm_its_own(clock):
     limited = Limited(clock, host_list=listed(["m"]))
     clock.advance(roster_lib.CONFIRMATION_TIMEOUT_MS + 1.0)
-    limited.roster.confirm_current(["a"], True, newest_revision=6)
+    limited.roster.confirm_current(["a"], True, newest_revision=at(6))
     assert not limited.roster.has_share
-    limited.roster.confirm_current(["a"], True, newest_revision=5)
+    limited.roster.confirm_current(["a"], True, newest_revision=at(5))
     assert limited.roster.has_share
 
 
@@ -252,9 +253,9 @@
         if alive and self.rng.random() < 0.3:
             planned = self.planner.planned_update(self.stored, alive)
             if planned is not None:
-                revision = self.stored.revision + 1
+                revision = at(self.stored.revision.revision + 1)
                 self.stored = planned._replace(revision=revision)
-        newest = max(alive.values(), default=0)
+        newest = max(alive.values(), default=at(0))
         for name, host in self.hosts.items():
             if name not in in_touch:
                 host.roster.confirm_current([name], False)
--- a/tests/gateway_scripts.py
+++ b/tests/gateway_scripts.py
@@ -19,6 +19,7 @@
 from greengagedale.gateway import roster
 from greengagedale.gateway import route_config
 from greengagedale.gateway import runner
+from greengagedale.gateway import store_revision
 from greengagedale.gateway import sub_requests
 from greengagedale.gateway import traffic_split
 from greengagedale.gateway import upstream_entries
@@ -55,7 +56,7 @@
         "is_ready": True,
         "is_leaving": False,
         "read_age_ms": -1.0,
-        "roster_revision": 0,
+        "roster_revision": store_revision.NO_REVISION,
         **fields,
     }
     return fleet.HostState(
@@ -63,6 +64,11 @@
     )
 
 
+def at(revision, epoch=0):
+    """Returns a revision of the store."""
+    return store_revision.Revision(epoch, revision)
+
+
 def exchange_of(name, clock, registry, notices=None, seeds=(), evacuated=None):
     """Creates a host's peer exchange with a registry and notices."""
     return peer_exchange.PeerExchange(
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -5,6 +5,7 @@
 from greengagedale.gateway import metrics
 from greengagedale.gateway import roster
 from greengagedale.gateway import store_api
+from greengagedale.gateway import store_revision
 from greengagedale.platform import store as store_lib
 from standins import gateway_site
 from standins import gateway_store
@@ -30,7 +31,9 @@
 
 async def test_host_list_is_created_read_and_replaced(store):
     assert await store.read_roster() == roster.EMPTY_HOST_LIST
-    created = await store.write_roster(roster.HostList(0, ("a",)))
+    created = await store.write_roster(
+        roster.HostList(store_revision.NO_REVISION, ("a",))
+    )
     assert created.hosts == ("a",)
     replaced = await store.write_roster(created._replace(hosts=("a", "b")))
     assert replaced.revision > created.revision
@@ -38,7 +41,9 @@
 
 
 async def test_concurrently_changed_host_list_is_not_replaced(store):
-    created = await store.write_roster(roster.HostList(0, ("a",)))
+    created = await store.write_roster(
+        roster.HostList(store_revision.NO_REVISION, ("a",))
+    )
     newer = await store.write_roster(created._replace(hosts=("b",)))
     for old in (created, roster.EMPTY_HOST_LIST):
         refused = await store.write_roster(old._replace(hosts=("c",)))
@@ -53,7 +58,7 @@
 
 async def test_busy_store_is_reported_as_unavailable(store, users):
     users.mode = "busy"
-    host_list = roster.HostList(0, ("a",))
+    host_list = roster.HostList(store_revision.NO_REVISION, ("a",))
     assert isinstance(await store.read_roster(), store_api.Unavailable)
     assert isinstance(
         await store.write_roster(host_list), store_api.Unavailable
@@ -67,7 +72,7 @@
     users.put("servers", "i-1", {})
     users.put("evacuations", "south", {})
     began = await store.watch_evacuations(empty, 100)
-    assert began == (users.revision, ("north", "south"))
+    assert began == ((0, users.revision), ("north", "south"))
     users.delete("evacuations", "south")
     ended = await store.watch_evacuations(began, 100)
     assert ended.data_centres == ("north",)
--- a/tests/platform/test_upstream_client.py
+++ b/tests/platform/test_upstream_client.py
@@ -13,6 +13,7 @@
 from greengagedale.gateway import evacuations
 from greengagedale.gateway import metrics
 from greengagedale.gateway import roster
+from greengagedale.gateway import store_revision
 from greengagedale.gateway import upstream_notices as notices_lib
 from greengagedale.gateway import warm_up
 from greengagedale.http1 import client
@@ -262,6 +263,8 @@
 
 
 async def test_evacuated_upstream_gets_no_new_requests(send, server, evacuated):
-    evacuated.replace_if_newer(evacuations.EvacuationList(1, ("here",)))
+    evacuated.replace_if_newer(
+        evacuations.EvacuationList(store_revision.Revision(0, 1), ("here",))
+    )
     assert await send() == NOT_ACCEPTING
     assert server.requests == []
