--- a/greengagedale/platform/store.py
+++ b/greengagedale/platform/store.py
@@ -310,7 +310,7 @@
             return store_api.Unavailable("no such object in the store")
         if result.epoch < self.epoch:
             return store_api.Unavailable(
-                f"answer of epoch {result.epoch}, later than {self.epoch}"
+                f"answer of epoch {result.epoch}; now in {self.epoch}"
             )
         return result
 
