--- a/greengagedale/gateway/registry.py
+++ b/greengagedale/gateway/registry.py
@@ -206,6 +206,7 @@
             for upstream in upstreams
             if not self.recovery.withholds(upstream, is_copy)
         ]
+        self.recovery.retain_listed({upstream.name for upstream in upstreams})
         self._apply_differences(usable)
         for upstream in usable:
             self.recovery.observe(upstream)
--- a/greengagedale/gateway/store_reader.py
+++ b/greengagedale/gateway/store_reader.py
@@ -89,6 +89,7 @@
         self._failing_watches: set[str] = set()
         self._is_reading = False
         self._must_relist = False
+        self._is_recovering = False
         self._is_connected = True
 
     @property
@@ -320,7 +321,7 @@
     async def _watch_upstreams(self) -> str | None:
         revision = self._registry.version.revision
         is_current = revision and revision.epoch == self._store.epoch
-        if self._must_relist or not is_current:
+        if self._has_recovered() or self._must_relist or not is_current:
             return await self._list_upstreams()
         result = await self._store.watch_upstreams(revision, WATCH_WAIT_MS)
         if isinstance(result, store_api_lib.HistoryGone):
@@ -333,6 +334,16 @@
             await asyncio.sleep(CHANGE_BATCH_MS / _MS_PER_S)
         return None
 
+    def _has_recovered(self) -> bool:
+        """Returns whether holds have ended since the last call.
+
+        Entries that another reader held are not known here; they are listed
+        unless their upstreams have gone.
+        """
+        was_recovering = self._is_recovering
+        self._is_recovering = not self._registry.recovery.is_settled
+        return was_recovering and not self._is_recovering
+
     async def _list_upstreams(self) -> str | None:
         listed = await self._store.list_upstreams()
         if isinstance(listed, store_api_lib.Unavailable):
--- a/greengagedale/gateway/store_recovery.py
+++ b/greengagedale/gateway/store_recovery.py
@@ -111,6 +111,11 @@
             return RecoveryState.RECONCILING
         return RecoveryState.HOLDING
 
+    @property
+    def is_settled(self) -> bool:
+        """Whether nothing is held."""
+        return self._is_settled
+
     @property
     def is_reconciled(self) -> bool:
         """Whether hosts have had time to tell each other what they remember."""
@@ -215,6 +220,11 @@
         if held is not None:
             self._held[name] = held._replace(listed=None)
 
+    def retain_listed(self, names: Collection[str]) -> None:
+        """Records that a newer list of a peer holds only these upstreams."""
+        for name in [each for each in self._held if each not in names]:
+            self.record_removed(name)
+
     def withdrawals(self) -> tuple[Withdrawal, ...]:
         """Returns what is held, to tell other hosts; empty when settled."""
         now_ms = self._clock.now_ms()
--- a/standins/gateway_store.py
+++ b/standins/gateway_store.py
@@ -70,7 +70,7 @@
             kind.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, clock: clocks.Clock | None = None) -> None:
         self.mode = "up"
         self.delay_ms = 0.0
         self.calls = 0
@@ -80,7 +80,7 @@
         self._objects: dict[str, dict[str, dict[str, Any]]] = {}
         self._history: list[tuple[int, str, dict[str, Any], bool]] = []
         self._journal: list[_Change] = []
-        self._clock = clocks.MonotonicClock()
+        self._clock = clock or clocks.MonotonicClock()
         # Changes that the latest drill undid, and the journal's length then.
         self._undone: list[_Change] = []
         self._returned_at = 0
--- a/tests/gateway_scripts.py
+++ b/tests/gateway_scripts.py
@@ -26,7 +26,9 @@
 from greengagedale.gateway import upstream_notices
 from greengagedale.gateway import upstream_scores
 from greengagedale.gateway import warm_up
+from greengagedale.http1 import client
 from greengagedale.http1 import messages
+from greengagedale.platform import store as store_lib
 
 WINDOW_MS = 10_000.0
 REGION_MAP = regions.RegionMap({"here": "near", "there": "far"})
@@ -85,6 +87,30 @@
     )
 
 
+class InProcessStore(store_lib.PlatformStore):
+    """The client of a stand-in store in the same process, without a network.
+
+    Attributes:
+        is_cut: Whether the store can't be reached.
+    """
+
+    def __init__(self, users):
+        super().__init__("", 0, 500.0, metrics.Metrics())
+        self._users = users
+        self.is_cut = False
+
+    async def _exchange(self, data):
+        if self.is_cut:
+            return client.ExchangeFailure("cut", sent=False)
+        head, _, body = data.partition(b"\r\n\r\n")
+        method, target, _ = head.split(b" ", 2)
+        response = await self._users.handle(
+            messages.Request(method, target, (), body, 0.0)
+        )
+        headers = tuple((key.lower(), value) for key, value in response.headers)
+        return messages.Reply(response.status, headers, response.body, True)
+
+
 def answer(upstream_name, body=b"", status=200, signature=None):
     return calls.Answer(
         status, signature or f"sig-{upstream_name}", (), body, None
