--- a/tests/gateway/test_recovery_mutations.py
+++ b/tests/gateway/test_recovery_mutations.py
@@ -21,13 +21,13 @@
 class Drilled:
     """A fleet whose store loses changes that all hosts had seen."""
 
-    def __init__(self, *changes):
+    def __init__(self, *changes, copy_age_ms=1100.0):
         self.fleet = Fleet(HOSTS, UPSTREAMS)
         self.rounds(8)
         for change in changes:
             change(self.fleet)
         self.rounds(4)
-        self.fleet.return_older(1100.0)
+        self.fleet.return_older(copy_age_ms)
 
     def rounds(self, count, reader="a"):
         for _ in range(count):
@@ -116,6 +116,7 @@
     host = fleet.hosts["a"]
     late = fleet.run(host.store.list_upstreams())
     fleet.return_older(500.0)
+    fleet.round("a")
     fleet.stop_upstream("u0")
     fleet.round("a")
     host.registry.apply_list(late)
@@ -124,7 +125,7 @@
 
 def shares_stay_within_the_bound():
     """Shares add up to no more than the bound though the list went back."""
-    drilled = Drilled(add_host)
+    drilled = Drilled(add_host, copy_age_ms=2100.0)
     drilled.fleet.hosts["d"].is_isolated = True
     add_host(drilled.fleet, "e")
     for _ in range(80):
@@ -136,7 +137,7 @@
 
 def unknown_shares_are_dropped_first():
     """A reader that knows no list waits for hosts that it can't know."""
-    drilled = Drilled(add_host)
+    drilled = Drilled(add_host, copy_age_ms=2100.0)
     for name in HOSTS:
         drilled.fleet.restart(name)
     drilled.fleet.hosts["d"].is_isolated = True
