--- a/standins/gateway_site.py
+++ b/standins/gateway_site.py
@@ -321,8 +321,10 @@
         hosts: int = 2,
         bounds: Mapping[str, float] = BOUNDS,
         contracts: Sequence[str] = (),
+        era: int | None = None,
     ) -> None:
         self.store = gateway_store.GatewayStore()
+        self.store.era = era
         self.upstreams: dict[str, gateway_upstream.GatewayUpstream] = {}
         self.proxies: dict[str, faultproxy.RouteProxy] = {}
         self._listeners: list[asyncio.Server] = []
@@ -408,9 +410,10 @@
     replicas: int = 2,
     bounds: Mapping[str, float] = BOUNDS,
     contracts: Sequence[str] = (),
+    era: int | None = None,
 ) -> AsyncIterator[Site]:
     """Runs a site for the duration of the context."""
-    site = Site(folder, hosts, bounds, contracts)
+    site = Site(folder, hosts, bounds, contracts, era)
     try:
         await site.start(replicas)
         yield site
