Do not release an entry that the store does not list

Cause: an upstream that the copy lacked was kept in use for 2.3 s; when a peer had seen it leaving, it was held, and the kept entry released at the end of the hold as if the store listed it.

Found by the generated test (TestDrills); the new unit test fails without the change.

--- a/greengagedale/gateway/registry.py
+++ b/greengagedale/gateway/registry.py
@@ -231,6 +231,9 @@
         withheld = self.recovery.merge(withdrawals, self.upstreams)
         for name in withheld:
             del self.upstreams[name]
+            if name in self._missing:
+                # It was kept in use although the store does not list it.
+                self.recovery.record_removed(name)
         if withheld:
             self._index()
 
--- a/tests/gateway/test_store_recovery.py
+++ b/tests/gateway/test_store_recovery.py
@@ -12,6 +12,7 @@
 from recovery_fleet import Fleet
 
 from greengagedale.gateway import roster as roster_lib
+from greengagedale.gateway import store_api
 from greengagedale.gateway import store_reader as store_reader_lib
 from greengagedale.gateway import store_recovery
 from greengagedale.http1 import messages
@@ -119,6 +120,30 @@
     assert in_use(fleet) == [["u1", "u2", "u3"]] * 3
 
 
+# Found by the generated test: an entry that the copy lacked was kept in use,
+# then held as a peer had seen it leaving, and released at the end.
+def test_kept_entry_that_a_peer_saw_leaving_is_not_released(fleet):
+    fleet.start_upstream("u4")
+    settle(fleet)
+    entry = fleet.hosts["c"].registry.upstreams["u4"]
+    leaving = entry._replace(is_leaving=True, sequence=entry.sequence + 1)
+    registry = fleet.hosts["c"].registry
+    registry.apply_changes(
+        store_api.UpstreamsChanged(
+            [store_api.UpstreamChange("u4", leaving)],
+            registry.version.revision._replace(
+                revision=registry.version.revision.revision + 1
+            ),
+        )
+    )
+    fleet.return_older(1100.0)
+    del fleet.entries["u4"]
+    settle(fleet)
+    for _ in range(SETTLE_ROUNDS):
+        fleet.round("a")
+        assert in_use(fleet) == [[*UPSTREAMS]] * 3
+
+
 def test_held_upstream_returns_though_the_reader_is_lost(fleet):
     entry = fleet.entries["u0"]
     fleet.stop_upstream("u0")
