--- a/proofs/gateway_soak.py
+++ b/proofs/gateway_soak.py
@@ -25,6 +25,7 @@
 from proofs import budgets
 from standins import faultproxy
 from standins import gateway_site
+from standins import gateway_store
 
 HOSTS = 3
 REPLICAS = 3
@@ -48,6 +49,8 @@
 _FAULT_DURATION_S = (0.3, 2.5)
 _FAULT_INTERVAL_S = (0.1, 0.8)
 _LOST_ANSWERS_DURATION_S = (0.3, 1.0)
+_COPY_AGE_S = (0.5, 5.0)
+_DRILL_INTERVAL_S = (0.5, 3.0)
 _CONFIGURATION_INTERVAL_S = 1.5
 _EXIT_VIOLATIONS = 1
 
@@ -97,6 +100,7 @@
         site: gateway_site.Site,
         seed: int,
         limits: budgets.BudgetLimits = BUDGET_LIMITS,
+        has_drills: bool = False,
     ) -> None:
         self.violations: list[str] = []
         self.counts: collections.Counter[str] = collections.Counter()
@@ -106,6 +110,8 @@
         self._rng = random.Random(seed)
         # A separate generator, so that a seed gives the same other faults.
         self._budget_rng = random.Random(f"{seed} budgets")
+        self._drill_rng = random.Random(f"{seed} drills")
+        self._has_drills = has_drills
         self._clock = clocks.MonotonicClock()
         self._sent: list[SentRequest] = []
         self._ids = itertools.count(1)
@@ -132,6 +138,10 @@
         fault_tasks.append(
             asyncio.create_task(self._exhaust_budgets(duration_s))
         )
+        if self._has_drills:
+            fault_tasks.append(
+                asyncio.create_task(self._inject_drills(duration_s))
+            )
         await asyncio.gather(*fault_tasks)
         await self._check_recovery()
         for task in background:
@@ -373,6 +383,27 @@
         self._record_disturbance()
         self._active_targets.discard("store")
 
+    async def _inject_drills(self, duration_s: float) -> None:
+        """Lets the store come back from older copies, between other faults."""
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + duration_s
+        while loop.time() < deadline_s:
+            await asyncio.sleep(self._drill_rng.uniform(*_DRILL_INTERVAL_S))
+            if not self._try_claim("store"):
+                continue
+            is_cut = self._drill_rng.random() < 0.5
+            drill = gateway_store.Drill(
+                self._drill_rng.uniform(*_COPY_AGE_S),
+                self._drill_rng.uniform(*_FAULT_DURATION_S),
+                is_cut,
+                are_watches_cut=self._drill_rng.random() < 0.5,
+            )
+            self.counts[f"fault drill {'cut' if is_cut else 'busy'}"] += 1
+            self._record_disturbance()
+            await self._site.store.drill(drill)
+            self._record_disturbance()
+            self._active_targets.discard("store")
+
     async def _drain_upstream(self) -> None:
         name = self._rng.choice(sorted(self._site.upstreams))
         if not self._try_claim(f"drain {name}"):
@@ -527,6 +558,7 @@
     duration_s: float,
     folder: pathlib.Path,
     limits: budgets.BudgetLimits = BUDGET_LIMITS,
+    has_drills: bool = False,
 ) -> Soak:
     """Runs one seed on a new site."""
     bounds = {
@@ -536,9 +568,9 @@
         "budgetBurst": limits.burst,
     }
     async with gateway_site.running_site(
-        folder, HOSTS, REPLICAS, bounds
+        folder, HOSTS, REPLICAS, bounds, era=1 if has_drills else None
     ) as site:
-        soak = Soak(site, seed, limits)
+        soak = Soak(site, seed, limits, has_drills)
         await soak.run(duration_s)
         return soak
 
@@ -552,6 +584,9 @@
     window_s: Annotated[
         float, typer.Option(help="Window of the extra-attempt budget, in s.")
     ] = BUDGET_LIMITS.window_ms / 1000.0,
+    drills: Annotated[
+        bool, typer.Option(help="Let the store come back older.")
+    ] = False,
     keep: Annotated[
         pathlib.Path | None, typer.Option(help="Directory for logs.")
     ] = None,
@@ -566,7 +601,7 @@
             if keep is not None:
                 folder = keep / str(number)
                 folder.mkdir(parents=True, exist_ok=True)
-            soak = loops.run(run_seed(number, run_s, folder, limits))
+            soak = loops.run(run_seed(number, run_s, folder, limits, drills))
         typer.echo(
             f"seed {number}: {len(soak.violations)}"
             f" (extras left {soak.min_remaining_extras:.1f})"
--- a/tests/proofs/test_gateway_soak.py
+++ b/tests/proofs/test_gateway_soak.py
@@ -43,6 +43,16 @@
     assert soak.min_remaining_extras >= 0.0
 
 
+# A store that comes back older between the other faults.
+@pytest.mark.parametrize("seed", [1, 2])
+async def test_drills_between_other_faults_break_no_rule(tmp_path, seed):
+    soak = await gateway_soak.run_seed(
+        seed, RUN_DURATION_S, tmp_path, has_drills=True
+    )
+    assert soak.violations == []
+    assert any(name.startswith("fault drill") for name in soak.counts)
+
+
 class _Upstream:
     def __init__(self, body=b"x" * 16):
         self.body = body
