--- a/greengagedale/gateway/store_recovery.py
+++ b/greengagedale/gateway/store_recovery.py
@@ -270,10 +270,11 @@
         if entry is not None and entry.born_ms == born_ms:
             sequence = max(sequence, entry.sequence)
         in_use = entry is not None and not entry.is_leaving
+        listed = entry if in_use else None
+        if listed is None and held is not None:
+            listed = held.listed
         until_ms = self._clock.now_ms() + min(left_ms, HOLD_MS)
-        self._held[name] = _Held(
-            born_ms, sequence, until_ms, entry if in_use else None
-        )
+        self._held[name] = _Held(born_ms, sequence, until_ms, listed)
         self._is_settled = False
         if in_use:
             self.on_step("held")
--- a/tests/gateway/test_store_recovery.py
+++ b/tests/gateway/test_store_recovery.py
@@ -4,6 +4,8 @@
 drain and leave, and hosts are restarted, frozen and cut off.
 """
 
+import collections
+
 from hypothesis import settings
 from hypothesis import stateful
 from hypothesis import strategies
@@ -219,6 +221,36 @@
     assert fleet.hosts["a"].roster.share_of(BURST) > 2.0
 
 
+def test_steps_of_a_recovery_are_counted(fleet):
+    steps = collections.Counter()
+    recovery = fleet.hosts["a"].registry.recovery
+    recovery.on_step = lambda step: steps.update([step])
+    fleet.stop_upstream("u0")
+    settle(fleet)
+    fleet.return_older(1100.0)
+    fleet.round("a")
+    assert not recovery.is_reconciled
+    settle(fleet, rounds=SETTLE_ROUNDS)
+    assert recovery.is_reconciled
+    assert steps == {"begun": 1, "held": 1, "hosts_written": 1, "settled": 1}
+
+
+# Deployments whose store states no epoch are served as before.
+def test_store_without_epochs_is_never_recovered_from():
+    fleet = Fleet(HOSTS, UPSTREAMS, era=None)
+    for _ in range(20):
+        fleet.round("a")
+    fleet.stop_upstream("u0")
+    fleet.drain("u1")
+    for _ in range(SETTLE_ROUNDS):
+        fleet.round("a")
+        for host in fleet.hosts.values():
+            assert host.registry.recovery.withdrawals() == ()
+            assert host.registry.recovery.is_settled
+    assert in_use(fleet) == [["u2", "u3"]] * 3
+    fleet.close()
+
+
 # The store gets the same number of calls whatever the size of the fleet.
 @pytest.mark.parametrize("count", [4, 143, 820])
 def test_recovery_costs_the_store_few_calls(count):
--- a/tests/recovery_fleet.py
+++ b/tests/recovery_fleet.py
@@ -123,11 +123,11 @@
 class Fleet:
     """Hosts, upstreams, an operator and their store."""
 
-    def __init__(self, names, upstreams=()):
+    def __init__(self, names, upstreams=(), era=1):
         self.clock = clocks.ManualClock(1000.0)
         self.loop = asyncio.new_event_loop()
         self.store = gateway_store.GatewayStore(self.clock)
-        self.store.era = 1
+        self.store.era = era
         # Upstreams that run, with the last entry that each wrote.
         self.entries = {}
         self.version = 0
