--- a/greengagedale/gateway/freshness.py
+++ b/greengagedale/gateway/freshness.py
@@ -140,6 +140,8 @@
 
     def record_rollback(self) -> None:
         """Records that the store has lost changes that it acknowledged."""
+        if not self.is_required:
+            return
         self._ignored_until_ms = self._clock.now_ms() + REWRITE_GRACE_MS
         log.warning(
             "store lost acknowledged changes; ignoring its answers for a while",
--- a/greengagedale/gateway/metrics.py
+++ b/greengagedale/gateway/metrics.py
@@ -71,6 +71,7 @@
         evacuations: Evacuations of data centres that began or ended.
         proof_changes: Times that the proof of a recent configuration was lost
             or gained.
+        recovery_steps: Steps of recoveries of the store.
         request_latency: Latency of requests by route.
         attempt_latency: Latency of answered attempts by route.
         capacity_changes: Changes of what is believed of upstreams, by the new
@@ -115,6 +116,11 @@
             "Changes of the proof that the configuration is recent.",
             "change",
         )
+        self.recovery_steps = Counter(
+            "store_recovery_steps",
+            "Steps after the store came back from an older copy.",
+            "step",
+        )
         self.request_latency = LatencyHistograms(
             "request_latency_ms", "Latency of requests.", "route"
         )
--- a/greengagedale/gateway/peer_exchange.py
+++ b/greengagedale/gateway/peer_exchange.py
@@ -23,6 +23,8 @@
 from greengagedale.gateway import registry as registry_lib
 from greengagedale.gateway import roster as roster_lib
 from greengagedale.gateway import route_config
+from greengagedale.gateway import store_recovery
+from greengagedale.gateway import store_revision
 from greengagedale.gateway import upstream_capacity as capacity_lib
 from greengagedale.gateway import upstream_entries
 from greengagedale.gateway import upstream_notices as notices_lib
@@ -69,6 +71,8 @@
         leaving: Incarnations of upstreams that announced that they are leaving.
         evacuations_revision: Revision of its list of evacuated data centres.
         observations: What hosts have seen of slow upstreams.
+        withdrawals: Incarnations held since the store came back from an older
+            copy.
     """
 
     own: fleet_lib.HostState
@@ -76,11 +80,12 @@
     hosts_digest: int
     routes_version: int
     version: registry_lib.UpstreamsVersion
-    roster_revision: int
+    roster_revision: store_revision.Revision
     suspects: list[quarantine_lib.Suspect]
     leaving: list[upstream_entries.UpstreamIncarnation]
-    evacuations_revision: int = 0
+    evacuations_revision: store_revision.Revision = store_revision.NO_REVISION
     observations: list[capacity_lib.Observation] = []
+    withdrawals: tuple[store_recovery.Withdrawal, ...] = ()
 
 
 class StateUpdate(NamedTuple):
@@ -100,13 +105,15 @@
         evacuations: Its list of evacuated data centres, if it is newer.
         proof: Its proof that its configuration is recent, if it has one.
         observations: What hosts have seen of slow upstreams.
+        withdrawals: Incarnations held since the store came back from an older
+            copy.
     """
 
     own: fleet_lib.HostState
     heartbeats: list[fleet_lib.Heartbeat]
     addresses: list[fleet_lib.HostAddress]
     routes: route_config.RouteConfiguration | None
-    routes_revision: int
+    routes_revision: store_revision.Revision
     version: registry_lib.UpstreamsVersion
     upstreams: list[upstream_entries.Upstream] | None
     roster: roster_lib.HostList | None
@@ -115,6 +122,7 @@
     evacuations: evacuations_lib.EvacuationList | None = None
     proof: freshness_lib.Proof | None = None
     observations: list[capacity_lib.Observation] = []
+    withdrawals: tuple[store_recovery.Withdrawal, ...] = ()
 
 
 _summary_decoder = msgspec.msgpack.Decoder(StateSummary)
@@ -190,6 +198,9 @@
         self._quarantine.merge(summary.suspects)
         self._notices.merge(summary.leaving)
         self._capacities.merge(summary.observations, self._registry.upstreams)
+        self._registry.merge_withdrawals(
+            summary.withdrawals, summary.version.revision.epoch
+        )
         for heartbeat in summary.heartbeats:
             self._fleet.observe_heartbeat(heartbeat)
         if (
@@ -276,6 +287,7 @@
             self._notices.leaving(),
             evacuations_revision=self._evacuations.list.revision,
             observations=self._capacities.observations(),
+            withdrawals=self._registry.recovery.withdrawals(),
         )
         try:
             async with asyncio.timeout(TIMEOUT_MS / _MS_PER_S):
@@ -333,6 +345,7 @@
             else None,
             proof=self._freshness.proof(registry.routes_version),
             observations=self._capacities.observations(),
+            withdrawals=self._registry.recovery.withdrawals(),
         )
 
     def _adopt_proof(self, update: StateUpdate, sent_ms: float) -> None:
@@ -370,6 +383,9 @@
             has_changed |= self._evacuations.replace_if_newer(
                 update.evacuations
             )
+        self._registry.merge_withdrawals(
+            update.withdrawals, update.version.revision.epoch
+        )
         if has_changed:
             self.request_round()
 
--- a/greengagedale/gateway/store_reader.py
+++ b/greengagedale/gateway/store_reader.py
@@ -18,6 +18,8 @@
 from greengagedale.gateway import roster as roster_lib
 from greengagedale.gateway import route_config
 from greengagedale.gateway import store_api as store_api_lib
+from greengagedale.gateway import store_recovery
+from greengagedale.gateway import store_revision
 
 log = logging.getLogger(__name__)
 
@@ -57,7 +59,7 @@
         election: election_lib.ReaderElection,
         roster: roster_lib.Roster,
         freshness: freshness_lib.Freshness,
-        alive: Callable[[], dict[str, int]],
+        alive: Callable[[], dict[str, store_revision.Revision]],
         on_change: Callable[[], None],
         clock: clocks.Clock,
         evacuations: evacuations_lib.Evacuations | None = None,
@@ -83,12 +85,15 @@
         self._election = election
         self._roster = roster
         self._freshness = freshness
+        # Epoch of the store at the last read of the configuration.
+        self._proof_epoch: int | None = None
         self._alive_hosts = alive
         self._planner = roster_lib.RosterPlanner(clock)
         # As last read or written since this host was elected; None if it must
         # be read first.
         self._stored_hosts: roster_lib.HostList | None = None
         self._roster_retry_at_ms = float("-inf")
+        self._host_list_recovery = store_recovery.HostListRecovery(clock)
         self._on_change = on_change
         self._clock = clock
         self._last_answer_ms = float("-inf")
@@ -96,6 +101,7 @@
         self._failing_watches: set[str] = set()
         self._is_reading = False
         self._must_relist = False
+        self._is_recovering = False
         self._is_connected = True
 
     @property
@@ -129,11 +135,15 @@
             self._load_copy_of_evacuations(),
         )
         if isinstance(routes, store_api_lib.RoutesRead) and routes.routes:
-            self._registry.apply_routes(routes.routes, 0)
+            self._registry.apply_routes(
+                routes.routes, store_revision.NO_REVISION
+            )
             if self._freshness.is_required:
                 self._confirm(routes.routes, sent_ms)
         if isinstance(upstreams, store_api_lib.UpstreamsListed):
-            copied = store_api_lib.UpstreamsListed(upstreams.upstreams, 0)
+            copied = store_api_lib.UpstreamsListed(
+                upstreams.upstreams, store_revision.NO_REVISION
+            )
             self._registry.apply_list(copied)
         log.info(
             "loaded stale copies from the store; newer data follows from peers",
@@ -201,6 +211,7 @@
             watches["evacuations"] = functools.partial(
                 self._watch_evacuations, self._evacuations
             )
+        epoch = self._store.epoch
         tasks = [
             asyncio.create_task(self._run_watch(what, step))
             for what, step in watches.items()
@@ -214,6 +225,12 @@
                     self._record_failure(failure)
                     break
                 self._record_answer()
+                if self._store.epoch != epoch:
+                    log.info(
+                        "store began another epoch; reading in full",
+                        extra={"epoch": self._store.epoch, "was": epoch},
+                    )
+                    break
         finally:
             for task in tasks:
                 task.cancel()
@@ -257,9 +274,7 @@
         if self._stored_hosts is None:
             result = await self._store.read_roster()
         else:
-            updated = self._planner.planned_update(
-                self._stored_hosts, self._alive_hosts()
-            )
+            updated = self._planned_host_list(self._stored_hosts)
             if updated is None:
                 return
             result = await self._store.write_roster(updated)
@@ -271,6 +286,8 @@
             self._roster_retry_at_ms = self._clock.now_ms() + ROSTER_RETRY_MS
             return
         self._stored_hosts = result
+        if self._is_from_earlier_epoch(result):
+            return
         if self._roster.replace_if_newer(result):
             self._on_change()
 
@@ -285,9 +302,39 @@
             await self._store.read_routes(), sent_ms
         )
 
+    def _planned_host_list(
+        self, stored: roster_lib.HostList
+    ) -> roster_lib.HostList | None:
+        """Returns the list to write, or None if none is to be written now."""
+        alive = self._alive_hosts()
+        if not self._is_from_earlier_epoch(stored):
+            return self._planner.planned_update(stored, alive)
+        remembered = self._roster.host_list
+        updated = self._host_list_recovery.planned_update(
+            stored, remembered, alive, self._store.epoch
+        )
+        if updated is not None:
+            self._registry.recovery.on_step("hosts_written")
+            log.info(
+                "writing the host list again, as the store lost it",
+                extra={
+                    "epoch": self._store.epoch,
+                    "stored_revision": stored.revision,
+                    "remembered_revision": remembered.revision,
+                    "hosts": len(updated.hosts),
+                    "joining": len(updated.joining),
+                },
+            )
+        return updated
+
+    def _is_from_earlier_epoch(self, stored: roster_lib.HostList) -> bool:
+        return store_recovery.is_from_earlier_epoch(
+            stored, self._roster.host_list, self._store.epoch
+        )
+
     async def _watch_routes(self) -> str | None:
         revision = self._registry.routes_revision
-        if revision == 0:
+        if not revision or revision.epoch != self._store.epoch:
             return await self.read_routes()
         result = await self._store.watch_routes(revision, WATCH_WAIT_MS)
         if isinstance(result, store_api_lib.HistoryGone):
@@ -324,9 +371,16 @@
             result.routes, result.revision
         )
         if sent_ms is not None:
+            self._observe_epoch(result.revision)
             self._confirm(result.routes, sent_ms)
         return has_changed
 
+    def _observe_epoch(self, revision: store_revision.Revision) -> None:
+        """Tells the proof if the store has lost changes since the last read."""
+        if self._proof_epoch is not None and revision.epoch > self._proof_epoch:
+            self._freshness.record_rollback()
+        self._proof_epoch = revision.epoch
+
     def _confirm(
         self, routes: route_config.RouteConfiguration, sent_ms: float
     ) -> None:
@@ -347,7 +401,8 @@
 
     async def _watch_upstreams(self) -> str | None:
         revision = self._registry.version.revision
-        if revision == 0 or self._must_relist:
+        is_current = revision and revision.epoch == self._store.epoch
+        if self._has_recovered() or self._must_relist or not is_current:
             return await self._list_upstreams()
         result = await self._store.watch_upstreams(revision, WATCH_WAIT_MS)
         if isinstance(result, store_api_lib.HistoryGone):
@@ -360,6 +415,16 @@
             await asyncio.sleep(CHANGE_BATCH_MS / _MS_PER_S)
         return None
 
+    def _has_recovered(self) -> bool:
+        """Returns whether holds have ended since the last call.
+
+        Entries that another reader held are not known here; they are listed
+        unless their upstreams have gone.
+        """
+        was_recovering = self._is_recovering
+        self._is_recovering = not self._registry.recovery.is_settled
+        return was_recovering and not self._is_recovering
+
     async def _list_upstreams(self) -> str | None:
         listed = await self._store.list_upstreams()
         if isinstance(listed, store_api_lib.Unavailable):
--- a/tests/gateway/test_store_reader.py
+++ b/tests/gateway/test_store_reader.py
@@ -4,6 +4,7 @@
 import collections
 import contextlib
 
+from gateway_scripts import at
 from gateway_scripts import freshness_of
 from gateway_scripts import host_state
 from gateway_scripts import single
@@ -46,7 +47,7 @@
     async def list_upstreams(self, allow_stale=False):
         return self._count(
             "copy" if allow_stale else "list"
-        ) or store_api_lib.UpstreamsListed(self.upstreams, self.revision)
+        ) or store_api_lib.UpstreamsListed(self.upstreams, at(self.revision))
 
     async def watch_upstreams(self, revision, wait_ms):
         failure = self._count("watch")
@@ -56,12 +57,12 @@
         while not self.changes.empty():
             found.append(self.changes.get_nowait())
         self.revision += len(found)
-        return store_api_lib.UpstreamsChanged(found, self.revision)
+        return store_api_lib.UpstreamsChanged(found, at(self.revision))
 
     async def read_routes(self, allow_stale=False):
         return self._count(
             "copy" if allow_stale else "routes"
-        ) or store_api_lib.RoutesRead(self.routes, self.revision)
+        ) or store_api_lib.RoutesRead(self.routes, at(self.revision))
 
     async def watch_routes(self, revision, wait_ms):
         failure = self._count("watch")
@@ -77,13 +78,15 @@
         if failure is None and host_list.revision != self.roster.revision:
             failure = store_api_lib.Unavailable("replaced meanwhile")
         if failure is None:
-            self.roster = host_list._replace(revision=self.roster.revision + 1)
+            self.roster = host_list._replace(
+                revision=at(self.roster.revision.revision + 1)
+            )
         return failure or self.roster
 
     async def read_evacuations(self, allow_stale=False):
         kind = "copy of evacuations" if allow_stale else "evacuations"
         return self._count(kind) or evacuations.EvacuationList(
-            self.revision, self.evacuated
+            at(self.revision), self.evacuated
         )
 
     async def watch_evacuations(self, known, wait_ms):
@@ -92,7 +95,7 @@
             return failure
         self.evacuated = await self.evacuation_changes.get()
         self.revision += 1
-        return evacuations.EvacuationList(self.revision, self.evacuated)
+        return evacuations.EvacuationList(at(self.revision), self.evacuated)
 
     async def ping(self):
         return self._count("pulse")
@@ -112,7 +115,7 @@
 
 def alive_hosts(*names):
     """Returns live hosts that use the newest host list."""
-    return dict.fromkeys(names, 99)
+    return dict.fromkeys(names, at(99))
 
 
 class Bench:
@@ -284,13 +287,26 @@
 ):
     new_bench = Bench(bound_ms=5000.0)
     new_bench.registry.apply_routes(
-        new_bench.store.routes._replace(version=2), 9
+        new_bench.store.routes._replace(version=2), at(9)
     )
     async with running(new_bench):
         await wait_until(lambda: new_bench.store.calls["watch"] >= 1)
         assert not new_bench.freshness.is_proven()
 
 
+def test_reads_of_a_new_epoch_prove_nothing_for_a_while():
+    new_bench = Bench(bound_ms=5000.0)
+    routes = new_bench.store.routes
+    for epoch in (1, 2):
+        read = store_api_lib.RoutesRead(routes, at(1, epoch))
+        new_bench.reader.take_routes(read, new_bench.clock.now_ms() - epoch)
+    assert new_bench.freshness.is_proven()
+    # The proof is still that of the earlier epoch.
+    proof = new_bench.freshness.proof(routes.version)
+    new_bench.reader.take_routes(read, new_bench.clock.now_ms() + 100.0)
+    assert new_bench.freshness.proof(routes.version).age_ms >= proof.age_ms
+
+
 async def test_stale_copies_are_replaced_by_any_current_list(short_intervals):
     new_bench = Bench()
     new_bench.fleet.observe(host_state("a", read_age_ms=0.0))
@@ -298,9 +314,9 @@
     await wait_until(lambda: new_bench.registry.is_ready)
     assert new_bench.store.calls == {"copy": 2}
     # Stale copies are stored at revision 0, so any list read later is newer.
-    assert new_bench.registry.version.revision == 0
+    assert new_bench.registry.version.revision == at(0)
     assert new_bench.registry.replace_if_newer(
-        [upstream("c")], registry_lib.UpstreamsVersion(1, 0)
+        [upstream("c")], registry_lib.UpstreamsVersion(at(1), 0)
     )
     assert new_bench.names() == ["c"]
     task.cancel()
@@ -309,10 +325,10 @@
 async def test_stale_copies_do_not_replace_data_of_peers(short_intervals):
     new_bench = Bench()
     new_bench.registry.replace_if_newer(
-        [upstream("c")], registry_lib.UpstreamsVersion(9, 0)
+        [upstream("c")], registry_lib.UpstreamsVersion(at(9), 0)
     )
     new_bench.registry.apply_routes(
-        new_bench.store.routes._replace(version=2), 9
+        new_bench.store.routes._replace(version=2), at(9)
     )
     new_bench.fleet.observe(host_state("a", read_age_ms=0.0))
     task = asyncio.create_task(new_bench.reader.run())
@@ -335,10 +351,10 @@
 
 async def test_host_list_is_read_again_after_a_conflict(bench):
     await wait_until(lambda: bench.store.roster.hosts == ("m",))
-    bench.store.roster = roster_lib.HostList(9, ("m", "z"))
+    bench.store.roster = roster_lib.HostList(at(9), ("m", "z"))
     bench.alive = alive_hosts("m", "a")
     await wait_until(lambda: bench.roster.host_list.hosts == ("a", "m", "z"))
-    assert bench.roster.host_list.revision == 10
+    assert bench.roster.host_list.revision == at(10)
 
 
 async def test_missing_host_list_is_written_again(bench):
@@ -377,7 +393,7 @@
     new_bench = Bench()
     new_bench.registry.apply_list(
         store_api_lib.UpstreamsListed(
-            [upstream("gone"), *new_bench.store.upstreams], 4
+            [upstream("gone"), *new_bench.store.upstreams], at(4)
         )
     )
     for name in ("h1", "h2"):
--- a/tests/gateway/test_upstream_capacity.py
+++ b/tests/gateway/test_upstream_capacity.py
@@ -19,6 +19,7 @@
 from greengagedale.gateway import metrics
 from greengagedale.gateway import peer_exchange
 from greengagedale.gateway import registry as registry_lib
+from greengagedale.gateway import store_revision
 from greengagedale.gateway import upstream_capacity as capacity_lib
 from greengagedale.gateway import upstream_scores as scores_lib
 
@@ -280,7 +281,7 @@
         0,
         0,
         exchanges[0]._registry.version,
-        0,
+        store_revision.NO_REVISION,
         [],
         [],
         observations=asking.observations(),
@@ -294,9 +295,9 @@
     """Hosts of two releases run side by side during a rolling update."""
     version = registry_lib.Registry(clocks.ManualClock()).version
     summary = peer_exchange.StateSummary(
-        host_state("b"), [], 0, 0, version, 0, [], []
+        host_state("b"), [], 0, 0, version, store_revision.NO_REVISION, [], []
     )
-    shorter = list(summary)[:-1]
+    shorter = list(summary)[: summary._fields.index("observations")]
     decoded = message_codec.decode(
         message_codec.encode(shorter), peer_exchange._summary_decoder
     )
--- a/tests/gateway_scripts.py
+++ b/tests/gateway_scripts.py
@@ -22,14 +22,17 @@
 from greengagedale.gateway import runner
 from greengagedale.gateway import store_api
 from greengagedale.gateway import store_reader
+from greengagedale.gateway import store_revision
 from greengagedale.gateway import sub_requests
 from greengagedale.gateway import traffic_split
 from greengagedale.gateway import upstream_entries
 from greengagedale.gateway import upstream_notices
 from greengagedale.gateway import upstream_scores
 from greengagedale.gateway import warm_up
+from greengagedale.http1 import client
 from greengagedale.http1 import messages
 from greengagedale.http1 import server
+from greengagedale.platform import store as store_lib
 
 WINDOW_MS = 10_000.0
 REGION_MAP = regions.RegionMap({"here": "near", "there": "far"})
@@ -71,7 +74,7 @@
         "is_ready": True,
         "is_leaving": False,
         "read_age_ms": -1.0,
-        "roster_revision": 0,
+        "roster_revision": store_revision.NO_REVISION,
         **fields,
     }
     return fleet.HostState(
@@ -83,6 +86,11 @@
     return freshness.Freshness(bound_ms, clock, metrics.Metrics())
 
 
+def at(revision, epoch=0):
+    """Returns a revision of the store."""
+    return store_revision.Revision(epoch, revision)
+
+
 def exchange_of(
     name,
     clock,
@@ -108,6 +116,30 @@
     )
 
 
+class InProcessStore(store_lib.PlatformStore):
+    """The client of a stand-in store in the same process, without a network.
+
+    Attributes:
+        is_cut: Whether the store can't be reached.
+    """
+
+    def __init__(self, users):
+        super().__init__("", 0, 500.0, metrics.Metrics())
+        self._users = users
+        self.is_cut = False
+
+    async def _exchange(self, data):
+        if self.is_cut:
+            return client.ExchangeFailure("cut", sent=False)
+        head, _, body = data.partition(b"\r\n\r\n")
+        method, target, _ = head.split(b" ", 2)
+        response = await self._users.handle(
+            messages.Request(method, target, (), body, 0.0)
+        )
+        headers = tuple((key.lower(), value) for key, value in response.headers)
+        return messages.Reply(response.status, headers, response.body, True)
+
+
 def answer(upstream_name, body=b"", status=200, signature=None):
     return calls.Answer(
         status, signature or f"sig-{upstream_name}", (), body, None
@@ -365,7 +397,7 @@
         sent_ms = host.clock.now_ms()
         self._sent.append(
             (
-                lambda: store_api.RoutesRead(self._configurations[-1], 1),
+                lambda: store_api.RoutesRead(self._configurations[-1], at(1)),
                 lambda result: host.reader.take_routes(result, sent_ms),
             )
         )
@@ -379,7 +411,7 @@
             0,
             host.registry.routes_version,
             host.registry.version,
-            0,
+            store_revision.NO_REVISION,
             [],
             [],
         )
@@ -405,7 +437,7 @@
         """Lets a host receive answers of the store that prove nothing."""
         reader = self.hosts[index].reader
         reader._record_answer()
-        reader.take_routes(store_api.RoutesRead(None, 1), None)
+        reader.take_routes(store_api.RoutesRead(None, at(1)), None)
 
     def request(self, index):
         """Sends a request to a host, and on from there if the host allows."""
--- a/tests/platform/test_keys_on_the_wire.py
+++ b/tests/platform/test_keys_on_the_wire.py
@@ -5,6 +5,7 @@
 
 from gateway_scripts import REGION_MAP
 from gateway_scripts import Bench
+from gateway_scripts import at
 from gateway_scripts import freshness_of
 from gateway_scripts import host_state
 from gateway_scripts import single
@@ -50,7 +51,9 @@
         self.fleet = fleet_lib.Fleet("m", bench.clock)
         authorizer = authorization.Authorizer(bench.registry, self.freshness)
         bench.runner._context = bench.context._replace(authorizer=authorizer)
-        bench.registry.apply_list(store_api.UpstreamsListed([upstream("a")], 1))
+        bench.registry.apply_list(
+            store_api.UpstreamsListed([upstream("a")], at(1))
+        )
         workspaces = tuple(
             route_config.Workspace(name, (route_config.key_digest(key),))
             for name, key in (("w1", b"secret-1"), ("w2", b"secret-2"))
@@ -60,7 +63,7 @@
             route_config.RouteConfiguration(
                 1, (single(), public), (), server.Limits(), workspaces
             ),
-            1,
+            at(1),
         )
         self.metrics = bench.metrics
         handler = caller_handlers.CallerHandler(
