Keep connections to other hosts in a module of their own

Cause: the exchange of quotas needs kept connections to other hosts too. The exchange of state behaves as before; its timeout still covers connecting.

--- a/greengagedale/gateway/peer_exchange.py
+++ b/greengagedale/gateway/peer_exchange.py
@@ -17,6 +17,7 @@
 from greengagedale import clocks
 from greengagedale.gateway import fleet as fleet_lib
 from greengagedale.gateway import message_codec
+from greengagedale.gateway import peer_connections
 from greengagedale.gateway import quarantine as quarantine_lib
 from greengagedale.gateway import registry as registry_lib
 from greengagedale.gateway import roster as roster_lib
@@ -145,7 +146,7 @@
         self._seeds = seeds
         self._clock = clock
         self._rng = rng
-        self._idle_connections: dict[str, client.Connection] = {}
+        self._connections = peer_connections.PeerConnections(_UPDATE_LIMITS)
         self._round_requested = asyncio.Event()
 
     async def handle(self, request: messages.Request) -> messages.Response:
@@ -244,10 +245,9 @@
             self._notices.leaving(),
         )
         try:
-            async with asyncio.timeout(TIMEOUT_MS / _MS_PER_S):
-                reply = await self._post(
-                    endpoint, message_codec.encode(summary)
-                )
+            reply = await self._connections.post(
+                endpoint, _PATH, message_codec.encode(summary), TIMEOUT_MS
+            )
         except ConnectionRefusedError:
             self._fleet.record_connection_refused(endpoint)
             return
@@ -316,20 +316,3 @@
 
     def _heartbeats(self) -> list[fleet_lib.Heartbeat]:
         return [state.heartbeat for state in self._fleet.alive()]
-
-    async def _post(
-        self, endpoint: str, body: bytes
-    ) -> messages.Reply | client.ExchangeFailure:
-        connection = self._idle_connections.pop(endpoint, None)
-        if connection is None or not connection.is_usable:
-            address, _, port = endpoint.rpartition(":")
-            connection = await client.Connection.open(
-                address, int(port), TIMEOUT_MS / _MS_PER_S, _UPDATE_LIMITS
-            )
-        headers = ((b"host", endpoint.encode()),)
-        reply = await connection.exchange(
-            messages.encode_request(b"POST", _PATH, headers, body)
-        )
-        if connection.is_usable:
-            self._idle_connections[endpoint] = connection
-        return reply
