Keep workspaces within their quotas over all hosts

- Each listed host owns an equal share of each quota and lends it to a keeper for a short lease (limits/quota_shares.py).
The keeper runs the buckets (limits/quota_buckets.py) and decides on the requests of all hosts.
- gateway/quota_keepers.py ranks hosts as keepers; gateway/quota_exchange.py carries leases and tokens over the peer endpoint.
- Requests over the quota get 429 with the time at which a token is expected; those that can't be checked get 503.

Nothing of it runs without quotas.window_s in the settings.

Ruled out: lending the own share to this host when the keeper does not answer. In fleets of 20 hosts and more such a share holds less than one token, and it would delay the takeover by a lease.

--- a/greengagedale/gateway/caller_handlers.py
+++ b/greengagedale/gateway/caller_handlers.py
@@ -13,12 +13,14 @@
 from greengagedale.gateway import fleet as fleet_lib
 from greengagedale.gateway import host_selection
 from greengagedale.gateway import metrics as metrics_lib
+from greengagedale.gateway import quota_exchange
 from greengagedale.gateway import registry as registry_lib
 from greengagedale.gateway import route_config
 from greengagedale.gateway import runner as runner_lib
 from greengagedale.gateway import sub_requests
 from greengagedale.http1 import messages
 from greengagedale.http1 import server
+from greengagedale.limits import quota_buckets
 
 log = logging.getLogger(__name__)
 
@@ -125,6 +127,7 @@
         registry: registry_lib.Registry,
         runner: runner_lib.Runner,
         authorizer: authorization.Authorizer,
+        quotas: quota_exchange.QuotaExchange | None,
         clock: clocks.Clock,
         metrics: metrics_lib.Metrics,
         request_log: logs.RequestLog,
@@ -133,6 +136,7 @@
         self._registry = registry
         self._runner = runner
         self._authorizer = authorizer
+        self._quotas = quotas
         self._clock = clock
         self._metrics = metrics
         self._request_log = request_log
@@ -177,8 +181,44 @@
             if isinstance(identity, authorization.UnknownKey):
                 return self._refuse_key(call, route, table.version, identity)
             call = call._replace(identity=identity)
+            refusal = await self._check_quota(call, route, table)
+            if refusal is not None:
+                return self._codec.encode_failure(refusal)
         return await self._run(call, route, table.version)
 
+    async def _check_quota(
+        self,
+        call: calls.Call,
+        route: route_config.Route,
+        table: route_config.RouteTable,
+    ) -> outcomes.NotRun | None:
+        """Returns the refusal of a call that its quota does not allow."""
+        name = None if call.identity is None else call.identity.workspace
+        if self._quotas is None or name is None:
+            return None
+        if table.workspaces[name].rate_per_s <= 0.0:
+            return None
+        decision = await self._quotas.admit(name, route.target_latency_ms)
+        if decision.verdict is quota_buckets.Verdict.ALLOWED:
+            return None
+        reason = (
+            outcomes.Reason.OVER_QUOTA
+            if decision.verdict is quota_buckets.Verdict.OVER_QUOTA
+            else outcomes.Reason.QUOTA_UNCHECKED
+        )
+        self._metrics.refusals.inc("edge", str(reason))
+        self._request_log.write(
+            "quota refused",
+            request_id=call.request_id,
+            route=route.name,
+            workspace=name,
+            reason=str(reason),
+            retry_after_ms=decision.retry_after_ms,
+            took_ms=round(self._clock.now_ms() - call.received_ms, 1),
+            version=table.version,
+        )
+        return outcomes.NotRun(reason, decision.retry_after_ms)
+
     def _refuse_key(
         self,
         call: calls.Call,
@@ -243,6 +283,7 @@
             "request",
             request_id=call.request_id,
             route=route.name,
+            workspace=call.identity and call.identity.workspace,
             may_repeat=route.is_idempotent,
             max_attempts=route.max_attempts,
             version=version,
--- a/greengagedale/gateway/daemon.py
+++ b/greengagedale/gateway/daemon.py
@@ -21,6 +21,7 @@
 from greengagedale.gateway import metrics as metrics_lib
 from greengagedale.gateway import peer_exchange as peer_exchange_lib
 from greengagedale.gateway import quarantine as quarantine_lib
+from greengagedale.gateway import quota_exchange as quota_exchange_lib
 from greengagedale.gateway import reader_election as election_lib
 from greengagedale.gateway import registry as registry_lib
 from greengagedale.gateway import roster as roster_lib
@@ -36,6 +37,7 @@
 from greengagedale.http1 import client
 from greengagedale.http1 import messages
 from greengagedale.http1 import server
+from greengagedale.limits import quota_shares
 from greengagedale.platform import caller_codec
 from greengagedale.platform import store as store_lib
 from greengagedale.platform import upstream_client as upstream_client_lib
@@ -169,6 +171,18 @@
             clock,
             rng,
         )
+        terms = quota_shares.QuotaTerms.from_config(settings.quotas)
+        self._quotas = terms and quota_exchange_lib.QuotaExchange(
+            terms,
+            self._own_state.get,
+            self._fleet,
+            self._registry,
+            self._roster,
+            self._exchange,
+            self._metrics,
+            clock,
+            rng,
+        )
         self._fleet.on_own_incarnation = self._own_state.ensure_newer_than
         self._reader = store_reader_lib.StoreReader(
             self._store,
@@ -220,6 +234,7 @@
             self._registry,
             self._runner,
             self._authorizer,
+            self._quotas,
             clock,
             self._metrics,
             logs.RequestLog(clock),
@@ -259,17 +274,25 @@
             self._tick_budgets,
         ):
             _run_in_background(stack, supervision.supervise(work))
+        if self._quotas is not None:
+            stack.callback(self._quotas.close)
+            _run_in_background(stack, supervision.supervise(self._quotas.run))
 
     async def drain(self, grace_s: float) -> None:
         """Shuts down without cutting requests; see `shutdown`."""
         self._own_state.is_leaving = True
         self._exchange.request_round()
+        releasing = self._quotas and asyncio.ensure_future(
+            self._quotas.release()
+        )
         log.info(
             "leaving", extra={"running": self._servers.edge.in_flight_requests}
         )
         await shutdown.drain(
             self._servers.edge, self._edge, grace_s, self._tools.background
         )
+        if releasing is not None:
+            await releasing
 
     def _make_servers(self) -> _Servers:
         codec = caller_codec.PlatformCallerCodec()
@@ -280,7 +303,7 @@
             self._settings.gateway.locate_ttl_s * _MS_PER_S,
         )
         handlers: list[server.Handler] = [
-            self._exchange,
+            self._quotas or self._exchange,
             locator,
             locator,
             _MetricsHandler(self._metrics),
--- a/greengagedale/gateway/metrics.py
+++ b/greengagedale/gateway/metrics.py
@@ -66,6 +66,8 @@
         failures: Attempts that failed, by reason.
         merged_answers: Merged answers by route, and whole or partial.
         store_calls: Calls to the store by operation and result.
+        quota_decisions: Requests of workspaces with a quota, by workspace and
+            verdict, on the host that received them.
         request_latency: Latency of requests by route.
         attempt_latency: Latency of answered attempts by route.
     """
@@ -93,6 +95,12 @@
         self.store_calls = Counter(
             "store_calls", "Calls to the store.", "operation", "result"
         )
+        self.quota_decisions = Counter(
+            "quota_decisions",
+            "Decisions on requests of workspaces with a quota.",
+            "workspace",
+            "verdict",
+        )
         self.request_latency = LatencyHistograms(
             "request_latency_ms", "Latency of requests.", "route"
         )
--- a/greengagedale/gateway/roster.py
+++ b/greengagedale/gateway/roster.py
@@ -107,6 +107,17 @@
             return min(UNLISTED_SHARE, UNLISTED_FRACTION * burst)
         return (1.0 - UNLISTED_FRACTION) * burst / len(self.host_list.hosts)
 
+    def fraction(self) -> float:
+        """Returns this host's fraction of a limit; 0 if it has no share.
+
+        Unlike `share_of`, nothing is reserved for hosts without a share.
+        """
+        unconfirmed_ms = self._clock.now_ms() - self._confirmed_ms
+        has_share = self._own_name in self.host_list.sharing
+        if not has_share or unconfirmed_ms > CONFIRMATION_TIMEOUT_MS:
+            return 0.0
+        return 1.0 / len(self.host_list.hosts)
+
 
 class RosterPlanner:
     """Computes updates of the host list on the host that reads the store."""
--- a/greengagedale/platform/caller_codec.py
+++ b/greengagedale/platform/caller_codec.py
@@ -15,6 +15,7 @@
 _FIELD_ZONE = "zone="
 _PATH_READY = "/-/ready"
 _STATUS_OK = 200
+_STATUS_TOO_MANY_REQUESTS = 429
 _STATUS_UNAVAILABLE = 503
 _STATUS_BAD_GATEWAY = 502
 _STATUS_GATEWAY_TIMEOUT = 504
@@ -93,8 +94,11 @@
         )
         if isinstance(outcome, outcomes.NotRun):
             retry_after = b"%.3f" % (outcome.retry_after_ms / _MS_PER_S)
+            is_over_quota = outcome.reason is outcomes.Reason.OVER_QUOTA
             return messages.Response(
-                _STATUS_UNAVAILABLE,
+                _STATUS_TOO_MANY_REQUESTS
+                if is_over_quota
+                else _STATUS_UNAVAILABLE,
                 (_JSON, (b"Retry-After", retry_after)),
                 body,
             )
--- /dev/null
+++ b/tests/limits/test_quota_bounds.py
@@ -0,0 +1,379 @@
+"""Quotas hold in every window, whatever happens to hosts and messages.
+
+A model of a fleet without a network: lenders and keepers whose messages are
+delivered late, twice or never, and whose processes are replaced at any time.
+Load: one workspace that always asks for more than its quota.
+"""
+
+import bisect
+import dataclasses
+import random
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+import pytest
+
+from greengagedale.limits import quota_buckets
+from greengagedale.limits import quota_shares
+
+TERMS = quota_shares.QuotaTerms(5000.0, 0.1, 20.0)
+QUOTA = quota_shares.Quota(4.0, 6.0)
+WORKSPACE = "w"
+HOSTS = 3
+# A host that is added to the list while the others are in use.
+JOINING = HOSTS
+
+
+@dataclasses.dataclass
+class LeaseMessage:
+    """A request for a lease, and the answer to it once there is one."""
+
+    keeper: int
+    process: quota_shares.Process
+    lender: int
+    known_life: int
+    held_share: float
+    sent_ms: float
+    grant: quota_shares.Grant | None = None
+    answered_life: int = 0
+
+
+class Host:
+    """One process: lender and keeper."""
+
+    def __init__(self, number, life, now_ms):
+        self.process = quota_shares.Process(f"h{number}", life)
+        self.lender = quota_shares.ShareLender(life, 1, TERMS, now_ms)
+        self.keeper = quota_buckets.QuotaKeeper(
+            TERMS, lambda workspace: 0, random.Random(life)
+        )
+        self.keeper.set_quotas({WORKSPACE: QUOTA}, now_ms)
+        self.known_lives = {}
+
+
+class QuotaFleet:
+    """Hosts, the messages between them, and the requests that ran."""
+
+    def __init__(self):
+        self.now_ms = 0.0
+        self.life = 0
+        self.messages = []
+        self.ran_ms = []
+        # Whether each host uses the list with the joining host.
+        self.is_longer = [False] * HOSTS + [False]
+        self.hosts = []
+        for number in range(HOSTS + 1):
+            self.hosts.append(self.start(number))
+
+    def start(self, number):
+        self.life += 1
+        return Host(number, self.life, self.now_ms)
+
+    def share(self, number):
+        if number == JOINING:
+            return 1.0 / (HOSTS + 1) if all(self.is_longer[:HOSTS]) else 0.0
+        return 1.0 / (HOSTS + self.is_longer[number])
+
+    def advance(self, by_ms):
+        self.now_ms += by_ms
+
+    def restart(self, number):
+        self.hosts[number] = self.start(number)
+
+    def use_longer_list(self, number):
+        self.is_longer[number] = True
+
+    def ask_lease(self, keeper, lender):
+        host = self.hosts[keeper]
+        name = f"h{lender}"
+        held = host.keeper.share_of(0, name, self.now_ms)
+        self.messages.append(
+            LeaseMessage(
+                keeper,
+                host.process,
+                lender,
+                host.known_lives.get(lender, 0),
+                held,
+                self.now_ms,
+            )
+        )
+
+    def answer_lease(self, index, is_duplicate=False):
+        """Lets the lender handle a request."""
+        if not self.messages:
+            return
+        message = self.messages[index % len(self.messages)]
+        if message.answered_life and not is_duplicate:
+            return
+        lender = self.hosts[message.lender].lender
+        lender.set_share(self.share(message.lender), HOSTS + 1, self.now_ms)
+        message.grant = lender.lend(
+            0,
+            message.process,
+            self.now_ms,
+            message.held_share if message.known_life == lender.life else 0.0,
+        )
+        message.answered_life = lender.life
+
+    def receive_grant(self, index):
+        """Lets the keeper handle an answer."""
+        answered = [each for each in self.messages if each.answered_life]
+        if not answered:
+            return
+        message = answered[index % len(answered)]
+        self.messages.remove(message)
+        keeper = self.hosts[message.keeper]
+        if keeper.process != message.process:
+            return
+        keeper.known_lives[message.lender] = message.answered_life
+        if message.grant is not None:
+            keeper.keeper.add_lease(
+                0,
+                f"h{message.lender}",
+                message.grant,
+                message.sent_ms,
+                self.now_ms,
+            )
+
+    def lease(self, keeper, lender):
+        """Asks for a lease and gets the answer without delay."""
+        self.ask_lease(keeper, lender)
+        self.answer_lease(-1)
+        self.receive_grant(-1)
+
+    def release(self, keeper):
+        """Lets a keeper leave."""
+        host = self.hosts[keeper]
+        host.keeper.stop()
+        for other in self.hosts:
+            other.lender.release(0, host.process, self.now_ms)
+
+    def spend(self, keeper, late_ms=0.0):
+        """Asks for tokens until one is refused; requests run `late_ms` later.
+
+        Returns:
+            The number of requests that ran.
+        """
+        count = 0
+        while (
+            self.hosts[keeper].keeper.take(WORKSPACE, self.now_ms).verdict
+            is quota_buckets.Verdict.ALLOWED
+        ):
+            self.ran_ms.append(self.now_ms + late_ms)
+            count += 1
+        return count
+
+    def gather(self, keeper):
+        """Lets a keeper renew all leases, and serve meanwhile, for a while."""
+        for _ in range(4):
+            for lender in range(HOSTS + 1):
+                self.lease(keeper, lender)
+            self.advance(300.0)
+            self.spend(keeper)
+
+    def max_in_window(self):
+        """Returns the largest number of requests in any window."""
+        ran_ms = sorted(self.ran_ms)
+        return max(
+            (
+                bisect.bisect_left(ran_ms, start + TERMS.window_ms) - index
+                for index, start in enumerate(ran_ms)
+            ),
+            default=0,
+        )
+
+    def assert_within_quota(self):
+        assert self.max_in_window() <= TERMS.allowance(QUOTA)
+
+
+@pytest.fixture
+def quota_fleet():
+    """A fleet whose first host keeps the whole quota, with full buckets."""
+    fleet = QuotaFleet()
+    fill(fleet)
+    return fleet
+
+
+def fill(fleet):
+    for _ in range(40):
+        for lender in range(HOSTS):
+            fleet.lease(0, lender)
+        fleet.advance(300.0)
+
+
+numbers = strategies.integers(0, HOSTS)
+indexes = strategies.integers(0, 20)
+times_ms = strategies.sampled_from(
+    [1.0, 100.0, 249.0, 400.0, 800.0, 1400.0, 1600.0, 3100.0, 5200.0]
+)
+
+
+def step(name, *arguments):
+    return strategies.tuples(strategies.just(name), *arguments)
+
+
+steps = strategies.one_of(
+    step("advance", times_ms),
+    step("lease", numbers, numbers),
+    step("gather", numbers),
+    step("ask_lease", numbers, numbers),
+    step("answer_lease", indexes, strategies.booleans()),
+    step("receive_grant", indexes),
+    step(
+        "spend",
+        numbers,
+        strategies.sampled_from([0.0, quota_shares.TOKEN_VALIDITY_MS]),
+    ),
+    step("restart", numbers),
+    step("release", numbers),
+    step("use_longer_list", strategies.integers(0, HOSTS - 1)),
+)
+
+
+@settings(deadline=None, max_examples=400)
+@given(strategies.booleans(), strategies.lists(steps, max_size=60))
+def test_no_window_exceeds_the_quota(is_filled, schedule):
+    fleet = QuotaFleet()
+    if is_filled:
+        fill(fleet)
+    for name, *arguments in schedule:
+        getattr(fleet, name)(*arguments)
+    fleet.assert_within_quota()
+
+
+@settings(deadline=None, max_examples=100)
+@given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from(
+                [(4.0, 6.0), (1.0, 2.0), (2.0, 30.0), None]
+            ),
+            strategies.sampled_from([50.0, 700.0, 2500.0]),
+        ),
+        max_size=20,
+    )
+)
+def test_changes_of_the_quota_stay_within_the_largest(changes):
+    fleet = QuotaFleet()
+    fill(fleet)
+    for quota, for_ms in changes:
+        quotas = (
+            {} if quota is None else {WORKSPACE: quota_shares.Quota(*quota)}
+        )
+        fleet.hosts[0].keeper.set_quotas(quotas, fleet.now_ms)
+        fleet.spend(0)
+        fleet.advance(for_ms)
+        for lender in range(HOSTS):
+            fleet.lease(0, lender)
+        fleet.spend(0)
+    largest = quota_shares.Quota(4.0, 30.0)
+    assert fleet.max_in_window() <= TERMS.allowance(largest)
+
+
+def test_lower_quota_binds_after_one_window(quota_fleet):
+    lower = quota_shares.Quota(1.0, 2.0)
+    quota_fleet.hosts[0].keeper.set_quotas(
+        {WORKSPACE: lower}, quota_fleet.now_ms
+    )
+    for _ in range(40):
+        quota_fleet.gather(0)
+    assert quota_fleet.max_in_window() <= TERMS.allowance(lower)
+
+
+# Load: a workspace with a few requests a second, well below its quota.
+def test_requests_below_the_quota_are_never_refused(quota_fleet):
+    for _ in range(400):
+        decision = quota_fleet.hosts[0].keeper.take(
+            WORKSPACE, quota_fleet.now_ms
+        )
+        assert decision.verdict is quota_buckets.Verdict.ALLOWED
+        for lender in range(HOSTS):
+            quota_fleet.lease(0, lender)
+        quota_fleet.advance(1000.0 / QUOTA.rate_per_s)
+
+
+# Load: a workspace whose keeper is lost while it uses its quota.
+def test_keeper_that_takes_over_starts_with_some_tokens(quota_fleet):
+    quota_fleet.spend(0)
+    quota_fleet.advance(quota_shares.lease_ms(HOSTS) + 1.0)
+    quota_fleet.gather(1)
+    got = quota_fleet.hosts[1].keeper.held_share(0, quota_fleet.now_ms)
+    assert got == pytest.approx(1.0)
+    assert len(quota_fleet.ran_ms) > TERMS.capacity(QUOTA) + (
+        TERMS.initial_tokens
+    )
+    quota_fleet.assert_within_quota()
+
+
+def test_keeper_keeps_its_lease_over_a_restart_of_the_lender(quota_fleet):
+    quota_fleet.restart(1)
+    quota_fleet.lease(0, 1)
+    quota_fleet.lease(0, 1)
+    for _ in range(6):
+        quota_fleet.advance(quota_shares.lease_ms(HOSTS) / 2.0)
+        for lender in range(HOSTS):
+            quota_fleet.lease(0, lender)
+        held = quota_fleet.hosts[0].keeper.held_share(0, quota_fleet.now_ms)
+        assert held == pytest.approx(1.0)
+
+
+def test_new_keeper_gets_nothing_from_a_restarted_lender(quota_fleet):
+    quota_fleet.restart(1)
+    quota_fleet.lease(2, 1)
+    quota_fleet.lease(2, 1)
+    assert quota_fleet.hosts[2].keeper.held_share(0, quota_fleet.now_ms) == 0.0
+
+
+def test_host_lost_with_lent_shares_takes_only_its_own(quota_fleet):
+    quota_fleet.advance(quota_shares.lease_ms(HOSTS) + 1.0)
+    for lender in (0, 1):
+        quota_fleet.lease(0, lender)
+    held = quota_fleet.hosts[0].keeper.held_share(0, quota_fleet.now_ms)
+    assert held == pytest.approx(2.0 / 3.0)
+
+
+def test_suspended_keeper_wakes_without_its_shares(quota_fleet):
+    quota_fleet.advance(quota_shares.lease_ms(HOSTS) + 1.0)
+    assert quota_fleet.spend(0) == 0
+    decision = quota_fleet.hosts[0].keeper.take(WORKSPACE, quota_fleet.now_ms)
+    assert decision.verdict is quota_buckets.Verdict.UNDECIDED
+
+
+def test_removed_workspace_gets_no_tokens(quota_fleet):
+    quota_fleet.hosts[0].keeper.set_quotas({}, quota_fleet.now_ms)
+    assert quota_fleet.spend(0) == 0
+
+
+# Load: callers far above their quota; those who return as told get a token.
+def test_refused_callers_return_when_tokens_are_there(quota_fleet):
+    quota_fleet.spend(0)
+    keeper = quota_fleet.hosts[0].keeper
+    returns_ms = sorted(
+        keeper.take(WORKSPACE, quota_fleet.now_ms).retry_after_ms
+        for _ in range(10)
+    )
+    assert len(set(returns_ms)) > 5
+    now_ms = quota_fleet.now_ms
+    allowed = 0
+    for return_ms in returns_ms:
+        while quota_fleet.now_ms < now_ms + return_ms:
+            for lender in range(HOSTS):
+                quota_fleet.lease(0, lender)
+            quota_fleet.advance(50.0)
+        decision = keeper.take(WORKSPACE, quota_fleet.now_ms)
+        allowed += decision.verdict is quota_buckets.Verdict.ALLOWED
+    assert allowed >= 8
+
+
+# Load: a configuration of 1 MB.
+def test_large_configurations_are_applied_quickly(quota_fleet):
+    keeper = quota_fleet.hosts[0].keeper
+    quotas = {f"w{number}": QUOTA for number in range(20_000)}
+    keeper.set_quotas(quotas, quota_fleet.now_ms)
+    decision = keeper.take("w19999", quota_fleet.now_ms)
+    assert decision.verdict is quota_buckets.Verdict.ALLOWED
+    keeper.set_quotas({WORKSPACE: QUOTA}, quota_fleet.now_ms)
+    quota_fleet.advance(TERMS.window_ms + 1.0)
+    keeper.set_quotas({WORKSPACE: QUOTA}, quota_fleet.now_ms)
+    assert len(keeper._buckets[0]) == 1
