--- a/greengagedale/gateway/quota_exchange.py
+++ b/greengagedale/gateway/quota_exchange.py
@@ -240,15 +240,10 @@
         self._spawn(self._ask_keeper(keeper, self._batches.pop(keeper)))
 
     async def _ask_keeper(self, keeper: str, batch: _Batch) -> None:
-        try:
-            decisions = await self._fetch_decisions(keeper, batch)
-        finally:
-            for future in batch.futures:
-                if not future.done():
-                    future.set_result(self._undecided())
-        for future, decision in zip(batch.futures, decisions, strict=False):
-            if not future.done():
-                future.set_result(decision)
+        decisions = await self._fetch_decisions(keeper, batch)
+        for future, decision in itertools.zip_longest(batch.futures, decisions):
+            if future is not None and not future.done():
+                future.set_result(decision or self._undecided())
 
     async def _fetch_decisions(
         self, keeper: str, batch: _Batch
--- /dev/null
+++ b/tests/gateway/test_quota_exchange.py
@@ -0,0 +1,302 @@
+"""Hosts exchange shares and tokens of quotas; failures of hosts, one each.
+
+Hosts run in one loop and exchange messages without a network. Load: workspaces
+whose callers stand at any of the hosts.
+"""
+
+import asyncio
+import random
+
+from gateway_scripts import host_state
+from gateway_scripts import single
+import pytest
+
+from greengagedale.gateway import fleet as fleet_lib
+from greengagedale.gateway import message_codec
+from greengagedale.gateway import metrics
+from greengagedale.gateway import peer_connections
+from greengagedale.gateway import quota_exchange
+from greengagedale.gateway import quota_keepers
+from greengagedale.gateway import registry as registry_lib
+from greengagedale.gateway import roster as roster_lib
+from greengagedale.gateway import route_config
+from greengagedale.http1 import messages
+from greengagedale.http1 import server
+from greengagedale.limits import quota_buckets
+from greengagedale.limits import quota_shares
+
+TERMS = quota_shares.QuotaTerms(5000.0, 0.1, 20.0)
+NAMES = ("a", "b", "c", "d")
+STEP_MS = 250.0
+TARGET_MS = 100.0
+ALLOWED = quota_buckets.Verdict.ALLOWED
+OVER_QUOTA = quota_buckets.Verdict.OVER_QUOTA
+UNDECIDED = quota_buckets.Verdict.UNDECIDED
+
+
+def configuration(version, **quotas):
+    """Returns a configuration with the rates and bursts of workspaces."""
+    workspaces = tuple(
+        route_config.Workspace(name, (), rate_per_s=rate, burst=burst)
+        for name, (rate, burst) in quotas.items()
+    )
+    return route_config.RouteConfiguration(
+        version, (single(),), (), server.Limits(), workspaces
+    )
+
+
+class Network(peer_connections.PeerConnections):
+    """Passes messages to hosts of the same loop."""
+
+    def __init__(self, site):
+        super().__init__(None)
+        self._site = site
+
+    async def post(self, endpoint, path, body, timeout_ms):
+        name = endpoint.partition(":")[0]
+        if name in self._site.stopped:
+            raise ConnectionRefusedError
+        if name in self._site.frozen:
+            self._site.held_up.append((name, path, body))
+            raise TimeoutError
+        message = messages.Request(b"POST", path, (), body, 0.0)
+        response = await self._site.hosts[name].handle(message)
+        if path == self._site.late_path:
+            self._site.clock.advance(self._site.late_ms)
+        return messages.Reply(response.status, (), response.body, True)
+
+
+class Site:
+    """A site of hosts that know each other."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.stopped = set()
+        self.frozen = set()
+        self.held_up = []
+        self.late_path = None
+        self.late_ms = 0.0
+        self.sequence = 0
+        self.hosts = {}
+        self.registries = {}
+        self.fleets = {}
+        for name in NAMES:
+            self.start(name)
+
+    def start(self, name):
+        registry = registry_lib.Registry(self.clock)
+        roster = roster_lib.Roster(name, self.clock)
+        roster.replace_if_newer(roster_lib.HostList(5, NAMES))
+        self.registries[name] = registry
+        self.fleets[name] = fleet_lib.Fleet(name, self.clock)
+        self.hosts[name] = quota_exchange.QuotaExchange(
+            TERMS,
+            lambda: host_state(name, self.sequence),
+            self.fleets[name],
+            registry,
+            roster,
+            None,
+            metrics.Metrics(),
+            self.clock,
+            random.Random(name),
+        )
+        self.hosts[name]._connections = Network(self)
+        self.configure(1, [name], w=(4.0, 6.0), v=(4.0, 6.0))
+
+    def configure(self, version, names=NAMES, **quotas):
+        for name in names:
+            self.registries[name].apply_routes(
+                configuration(version, **quotas), version
+            )
+
+    async def run(self, for_ms):
+        """Lets all running hosts exchange leases for a while."""
+        for _ in range(int(for_ms / STEP_MS)):
+            self.sequence += 1
+            running = [
+                name
+                for name in NAMES
+                if name not in self.stopped and name not in self.frozen
+            ]
+            for name in running:
+                for other in running:
+                    self.fleets[name].observe(host_state(other, self.sequence))
+                self.hosts[name]._tick()
+            await settle()
+            self.clock.advance(STEP_MS)
+
+    def keeper(self, workspace="w"):
+        slot = quota_keepers.slot_of(workspace)
+        host = self.hosts[min(set(NAMES) - self.stopped - self.frozen)]
+        return host._directory.keeper_of(slot)
+
+    def other_than(self, name):
+        return next(
+            other
+            for other in NAMES
+            if other not in {name, *self.stopped, *self.frozen}
+        )
+
+    async def admit(self, name, workspace="w"):
+        return (await self.hosts[name].admit(workspace, TARGET_MS)).verdict
+
+    async def count_allowed(self, name, workspace="w"):
+        """Asks until a request is refused; returns how many were allowed."""
+        count = 0
+        while await self.admit(name, workspace) is ALLOWED:
+            count += 1
+        return count
+
+
+async def settle():
+    for _ in range(20):
+        await asyncio.sleep(0)
+
+
+@pytest.fixture
+async def site(clock):
+    """A site with full buckets."""
+    running = Site(clock)
+    await running.run(20_000.0)
+    return running
+
+
+async def test_hosts_share_one_quota(site):
+    counts = [await site.count_allowed(name) for name in NAMES]
+    capacity = TERMS.capacity(quota_shares.Quota(4.0, 6.0))
+    assert sum(counts) == int(capacity)
+
+
+async def test_one_host_may_use_the_whole_quota(site):
+    name = site.other_than(site.keeper())
+    assert await site.count_allowed(name) > 10
+    assert await site.admit(name) is OVER_QUOTA
+
+
+async def test_requests_of_one_moment_share_a_message(site):
+    keeper = site.keeper()
+    host = site.hosts[site.other_than(keeper)]
+    sent = []
+    post = host._connections.post
+
+    async def count(endpoint, path, body, timeout_ms):
+        sent.append(path)
+        return await post(endpoint, path, body, timeout_ms)
+
+    host._connections.post = count
+    await asyncio.gather(*(host.admit("w", TARGET_MS) for _ in range(5)))
+    assert sent == [quota_exchange._PATH_TOKENS]
+
+
+async def test_late_answer_is_not_used(site):
+    site.late_path = quota_exchange._PATH_TOKENS
+    site.late_ms = quota_shares.TOKEN_VALIDITY_MS + 1.0
+    name = site.other_than(site.keeper())
+    assert await site.admit(name) is UNDECIDED
+
+
+# Failure: the host that holds the quotas of a slot ends.
+async def test_lost_keeper_is_replaced_within_two_seconds(site):
+    lost = site.keeper()
+    asker = site.other_than(lost)
+    site.stopped.add(lost)
+    assert await site.admit(asker) is UNDECIDED
+    await site.run(2000.0)
+    assert site.keeper() != lost
+    assert await site.admit(asker) is ALLOWED
+
+
+# Failure: a host that has lent its share ends.
+async def test_lost_lender_takes_only_its_share(site):
+    keeper = site.keeper()
+    site.stopped.add(site.other_than(keeper))
+    await site.run(3000.0)
+    slot = quota_keepers.slot_of("w")
+    held = site.hosts[keeper]._keeper.held_share(slot, site.clock.now_ms())
+    assert held == pytest.approx(0.75)
+    assert await site.admit(keeper) is ALLOWED
+
+
+# Failure: a host is suspended, and wakes when another one has taken over.
+async def test_suspended_keeper_wakes_without_its_quota(site):
+    suspended = site.keeper()
+    site.frozen.add(suspended)
+    await site.run(4000.0)
+    assert site.keeper() != suspended
+    slot = quota_keepers.slot_of("w")
+    now_ms = site.clock.now_ms()
+    assert site.hosts[suspended]._keeper.held_share(slot, now_ms) == 0.0
+    # Messages that were held up reach it now.
+    for name, path, body in site.held_up:
+        message = messages.Request(b"POST", path, (), body, 0.0)
+        await site.hosts[name].handle(message)
+    held = sum(
+        host._keeper.held_share(slot, now_ms) for host in site.hosts.values()
+    )
+    assert held <= 1.0 + 1e-9
+
+
+async def test_leaving_keeper_hands_over_at_once(site):
+    leaving = site.keeper()
+    asker = site.other_than(leaving)
+    await site.hosts[leaving].release()
+    await site.run(500.0)
+    assert site.keeper() != leaving
+    assert await site.admit(asker) is ALLOWED
+
+
+async def test_keeper_keeps_lease_of_a_restarted_host(site):
+    keeper = site.keeper()
+    restarted = site.other_than(keeper)
+    site.start(restarted)
+    slot = quota_keepers.slot_of("w")
+    for _ in range(8):
+        await site.run(STEP_MS)
+        held = site.hosts[keeper]._keeper.held_share(slot, site.clock.now_ms())
+        assert held == pytest.approx(1.0)
+
+
+# Failure: a workspace is removed while its callers send requests.
+async def test_removed_workspace_is_refused_under_load(site):
+    assert await site.admit("a") is ALLOWED
+    site.configure(2, v=(4.0, 6.0))
+    assert await site.admit("a") is UNDECIDED
+    assert await site.admit("a", "v") is ALLOWED
+
+
+async def test_added_workspace_is_allowed_at_once(site):
+    site.configure(2, w=(4.0, 6.0), v=(4.0, 6.0), new=(1.0, 1.0))
+    assert await site.admit("a", "new") is ALLOWED
+
+
+async def test_removed_quota_is_no_limit(site):
+    site.configure(2, w=(0.0, 0.0))
+    results = [await site.admit("a") for _ in range(100)]
+    assert {*results} == {ALLOWED}
+
+
+async def test_keeper_with_older_configuration_does_not_decide(site):
+    keeper = site.keeper()
+    asker = site.other_than(keeper)
+    site.configure(2, [asker], w=(2.0, 6.0))
+    assert await site.admit(asker) is UNDECIDED
+
+
+# Failure: a configuration of 1 MB arrives under load.
+async def test_large_configuration_leaves_other_quotas_alone(site):
+    many = {f"w{number}": (4.0, 6.0) for number in range(20_000)}
+    site.configure(2, w=(4.0, 6.0), v=(4.0, 6.0), **many)
+    allowed = await site.count_allowed("a")
+    assert allowed == int(TERMS.capacity(quota_shares.Quota(4.0, 6.0)))
+
+
+async def test_malformed_message_is_refused(site):
+    message = messages.Request(
+        b"POST",
+        quota_exchange._PATH_LEASES,
+        (),
+        message_codec.encode([1]),
+        0.0,
+    )
+    response = await site.hosts["a"].handle(message)
+    assert response.status == 400
