Decide by the quotas that the keeper knows while a configuration spreads

Cause: a keeper refused all requests of hosts that had a newer configuration.

A lower quota that the keeper does not know yet binds once it does, which the exchange of state bounds as for all other configuration.

Measured: tests/gateway/test_quota_exchange.py passed.

--- a/greengagedale/gateway/quota_exchange.py
+++ b/greengagedale/gateway/quota_exchange.py
@@ -89,11 +89,9 @@
     """Requests of workspaces that a keeper is to decide on.
 
     Attributes:
-        routes_version: Version of the asking host's configuration.
         workspaces: The workspace of each request.
     """
 
-    routes_version: int
     workspaces: list[str]
 
 
@@ -209,7 +207,7 @@
         if keeper is None:
             decision = self._undecided()
         elif keeper == self._own.host:
-            decision = self._decide(workspace, self._registry.routes_version)
+            decision = self._decide(workspace)
         else:
             wait_ms = max(MIN_WAIT_MS, WAIT_SHARE * target_latency_ms)
             decision = await self._ask(keeper, workspace, wait_ms)
@@ -249,7 +247,7 @@
         self, keeper: str, batch: _Batch
     ) -> list[quota_buckets.Decision]:
         """Returns a keeper's decisions; none if it did not answer in time."""
-        request = TokenRequest(self._registry.routes_version, batch.workspaces)
+        request = TokenRequest(batch.workspaces)
         endpoint = self._endpoints.get(keeper, "")
         reply = await self._post(
             endpoint,
@@ -307,12 +305,7 @@
             if now_ms - self._asked_ms[slot] > ASKED_KEEP_MS:
                 self._tick_requested.set()
             self._asked_ms[slot] = now_ms
-        return TokenReply(
-            [
-                self._decide(workspace, request.routes_version)
-                for workspace in request.workspaces
-            ]
-        )
+        return TokenReply([*map(self._decide, request.workspaces)])
 
     def _handle_lease(self, request: LeaseRequest) -> LeaseReply:
         is_own_life = request.lender_life == self._own.life
@@ -352,12 +345,15 @@
 
     # What this host keeps.
 
-    def _decide(
-        self, workspace: str, asked_version: int
-    ) -> quota_buckets.Decision:
-        """Decides on a request as the keeper of its workspace."""
+    def _decide(self, workspace: str) -> quota_buckets.Decision:
+        """Decides on a request as the keeper of its workspace.
+
+        Hosts learn of a configuration within a second of each other. Meanwhile
+        the quotas that this host knows are in force, as if nobody had the newer
+        ones yet.
+        """
         table = self._registry.table
-        if table is None or table.version < asked_version:
+        if table is None:
             return self._undecided()
         configured = table.workspaces.get(workspace)
         if configured is not None and configured.rate_per_s <= 0.0:
