Count requests in windows instead of filling buckets

The bound is one of windows, so the keeper counts in windows.

What may be exceeded covers the shares that another keeper may just have used: a quarter at any time, three eighths at once, three eighths earned with time (QuotaTerms holds the argument).

A keeper that regains a share that nobody else had meanwhile goes on as before.

--- a/greengagedale/gateway/caller_handlers.py
+++ b/greengagedale/gateway/caller_handlers.py
@@ -20,7 +20,7 @@
 from greengagedale.gateway import sub_requests
 from greengagedale.http1 import messages
 from greengagedale.http1 import server
-from greengagedale.limits import quota_buckets
+from greengagedale.limits import quota_windows
 
 log = logging.getLogger(__name__)
 
@@ -205,11 +205,11 @@
             if call.deadline_ms is None
             else call.deadline_ms - call.received_ms,
         )
-        if decision.verdict is quota_buckets.Verdict.ALLOWED:
+        if decision.verdict is quota_windows.Verdict.ALLOWED:
             return None
         reason = (
             outcomes.Reason.OVER_QUOTA
-            if decision.verdict is quota_buckets.Verdict.OVER_QUOTA
+            if decision.verdict is quota_windows.Verdict.OVER_QUOTA
             else outcomes.Reason.QUOTA_UNCHECKED
         )
         self._metrics.refusals.inc("edge", str(reason))
--- a/greengagedale/gateway/quota_exchange.py
+++ b/greengagedale/gateway/quota_exchange.py
@@ -2,7 +2,7 @@
 
 Each slot of workspaces has a keeper (`quota_keepers`). The keeper asks all live
 hosts for the leases of their shares and renews them (`limits.quota_shares`).
-The other hosts ask it for a token for each request (`limits.quota_buckets`).
+The other hosts ask it for a token for each request (`limits.quota_windows`).
 """
 
 import asyncio
@@ -27,8 +27,8 @@
 from greengagedale.http1 import client
 from greengagedale.http1 import messages
 from greengagedale.http1 import server
-from greengagedale.limits import quota_buckets
 from greengagedale.limits import quota_shares
+from greengagedale.limits import quota_windows
 
 log = logging.getLogger(__name__)
 
@@ -55,7 +55,7 @@
 _STATUS_OK = 200
 _STATUS_BAD_REQUEST = 400
 _MS_PER_S = 1000.0
-_LIFE_BITS = 63
+_LIFE_BITS = 62
 
 
 class LeaseRequest(NamedTuple):
@@ -108,7 +108,7 @@
 class TokenReply(NamedTuple):
     """The keeper's decisions, in the order of the requests."""
 
-    decisions: list[quota_buckets.Decision]
+    decisions: list[quota_windows.Decision]
 
 
 class Release(NamedTuple):
@@ -127,7 +127,7 @@
 class _Batch(NamedTuple):
     asked_ms: float
     asks: list[TokenAsk]
-    futures: list[asyncio.Future[quota_buckets.Decision]]
+    futures: list[asyncio.Future[quota_windows.Decision]]
 
 
 class _Poll(NamedTuple):
@@ -178,7 +178,7 @@
             own_state().name, rng.getrandbits(_LIFE_BITS)
         )
         self._directory = quota_keepers.KeeperDirectory(clock)
-        self._keeper = quota_buckets.QuotaKeeper(
+        self._keeper = quota_windows.QuotaKeeper(
             terms, quota_keepers.slot_of, rng
         )
         self._lender = quota_shares.ShareLender(
@@ -206,7 +206,7 @@
 
     async def admit(
         self, workspace: str, route: route_config.Route, left_ms: float | None
-    ) -> quota_buckets.Decision:
+    ) -> quota_windows.Decision:
         """Decides whether a request of a workspace with a quota may run.
 
         Args:
@@ -234,7 +234,7 @@
 
     async def _ask(
         self, keeper: str, ask: TokenAsk, wait_ms: float
-    ) -> quota_buckets.Decision:
+    ) -> quota_windows.Decision:
         loop = asyncio.get_running_loop()
         batch = self._batches.get(keeper)
         if batch is None:
@@ -242,7 +242,7 @@
             self._batches[keeper] = batch
             # Requests that arrive in the same turn of the loop share a message.
             loop.call_soon(self._send_batch, keeper)
-        future: asyncio.Future[quota_buckets.Decision] = loop.create_future()
+        future: asyncio.Future[quota_windows.Decision] = loop.create_future()
         batch.asks.append(ask)
         batch.futures.append(future)
         try:
@@ -263,7 +263,7 @@
 
     async def _fetch_decisions(
         self, keeper: str, batch: _Batch
-    ) -> list[quota_buckets.Decision]:
+    ) -> list[quota_windows.Decision]:
         """Returns a keeper's decisions; none if it did not answer in time."""
         request = TokenRequest(batch.asks)
         endpoint = self._endpoints.get(keeper, "")
@@ -365,7 +365,7 @@
 
     # What this host keeps.
 
-    def _decide(self, ask: TokenAsk) -> quota_buckets.Decision:
+    def _decide(self, ask: TokenAsk) -> quota_windows.Decision:
         """Decides on a request as the keeper of its workspace.
 
         Hosts learn of a configuration within a second of each other. Meanwhile
@@ -377,7 +377,7 @@
             return self._undecided()
         configured = table.workspaces.get(ask.workspace)
         if configured is not None and configured.rate_per_s <= 0.0:
-            return quota_buckets.ALLOWED
+            return quota_windows.ALLOWED
         self._apply_quotas()
         return self._keeper.take(
             ask.workspace, self._clock.now_ms(), ask.is_returning
@@ -581,8 +581,8 @@
         if not task.cancelled() and task.exception() is not None:
             log.error("quota exchange failed", exc_info=task.exception())
 
-    def _undecided(self) -> quota_buckets.Decision:
-        return quota_buckets.undecided(self._rng)
+    def _undecided(self) -> quota_windows.Decision:
+        return quota_windows.undecided(self._rng)
 
     def _log_shares(self) -> None:
         """Logs who holds what when it has changed."""
--- a/greengagedale/gateway/quota_keepers.py
+++ b/greengagedale/gateway/quota_keepers.py
@@ -23,7 +23,7 @@
 AVOID_MS = 3000.0
 # A process that has sent fewer heartbeats than this fraction of the longest
 # running one's is not a keeper, so that a host that restarts does not take its
-# slots back while buckets still fill. Above the number it always may be.
+# slots back at once. Above the number it always may be.
 YOUNG_FRACTION = 0.25
 SEASONED_HEARTBEATS = 400
 
--- a/greengagedale/limits/quota_shares.py
+++ b/greengagedale/limits/quota_shares.py
@@ -2,7 +2,7 @@
 
 Every listed host owns a share of each quota, and the shares add up to at most
 the whole. A host lends its share to one keeper at a time, which thereby gathers
-the whole quota (see `quota_buckets`). Three rules keep any share from being
+the whole quota (see `quota_windows`). Three rules keep any share from being
 used twice, without a common clock:
 
 - A lender counts a lease from the time at which it received the request, the
@@ -12,7 +12,7 @@
   nothing until those leases have ended, except to a keeper that still holds
   the lease and has answered this process since it started.
 - A share that grows takes effect only after the leases of the hosts that gave
-  it up have ended.
+  it up have ended, and their requests have left the window.
 """
 
 import dataclasses
@@ -27,10 +27,12 @@
 # which limits a keeper to 200 renewals per second and slot.
 MIN_RENEWAL_INTERVAL_MS = 500.0
 RENEWAL_INTERVAL_PER_HOST_MS = 5.0
-# Fractions of the slack that a bucket can save, and that a keeper may spend
-# before its buckets have filled. A window can contain the latter twice.
-SAVED_SLACK_FRACTION = 0.5
-INITIAL_SLACK_FRACTION = 0.25
+# How the requests that are allowed beyond a quota are divided: those that a
+# keeper allows at any time, those that it may allow at once for shares that
+# another keeper may just have used, and those that these earn with time.
+SETTLED_FRACTION = 0.25
+INITIAL_FRACTION = 0.375
+EARNED_FRACTION = 0.375
 # Time for which a token may be used after it was asked for.
 TOKEN_VALIDITY_MS = 250.0
 _MS_PER_S = 1000.0
@@ -71,9 +73,11 @@
 class QuotaTerms(NamedTuple):
     """How far quotas may be exceeded; see `config.QuotasSettings`.
 
-    In any window, a workspace with the whole quota may have as many requests
-    as its bucket holds, those that its rate adds, and twice the initial tokens.
-    These add up to the allowance.
+    A share is settled if its keeper has held it for a whole period, so that no
+    other keeper's requests are in the same window. In any window fall at most
+    the requests of one settled keeper, the initial ones of one further keeper
+    (lenders space them), and what other shares earn with time; or twice the
+    initial ones and twice a period's earnings. Neither exceeds the allowance.
 
     Attributes:
         window_ms: Length of the window.
@@ -95,29 +99,33 @@
         )
 
     @property
-    def initial_tokens(self) -> float:
-        """Tokens of a bucket at the start of a keeper's term."""
-        return INITIAL_SLACK_FRACTION * self.slack
+    def period_ms(self) -> float:
+        """Time within which the tokens of a window's requests are taken."""
+        return self.window_ms + TOKEN_VALIDITY_MS
 
-    def capacity(self, quota: Quota) -> float:
-        """Returns the capacity of a bucket with the whole quota."""
-        saved_slack = SAVED_SLACK_FRACTION * self.slack
-        return quota.burst * (1.0 + self.overage) + saved_slack
+    def allowance(self, quota: Quota) -> float:
+        """Returns the number of requests allowed in any window."""
+        return self._per_window(quota) + self._extra(quota)
 
-    def max_rate_per_ms(self, quota: Quota) -> float:
-        """Returns the highest refill rate of a bucket with the whole quota.
+    def settled(self, quota: Quota) -> float:
+        """Returns the tokens in any period if all shares are settled."""
+        return self._per_window(quota) + SETTLED_FRACTION * self._extra(quota)
 
-        Requests of one window use tokens of a period that is longer by the
-        validity of a token.
-        """
-        period_ms = self.window_ms + TOKEN_VALIDITY_MS
-        per_window = quota.rate_per_s * self.window_ms / _MS_PER_S
-        return per_window * (1.0 + self.overage) / period_ms
+    def initial(self, quota: Quota) -> float:
+        """Returns the initial tokens of shares that are not settled."""
+        return min(
+            INITIAL_FRACTION * self._extra(quota), self.settled(quota) / 2.0
+        )
 
-    def allowance(self, quota: Quota) -> float:
-        """Returns the number of requests allowed in any window."""
-        per_window = quota.rate_per_s * self.window_ms / _MS_PER_S
-        return (per_window + quota.burst) * (1.0 + self.overage) + self.slack
+    def earned_per_ms(self, quota: Quota) -> float:
+        """Returns the tokens that shares earn that are not settled."""
+        return EARNED_FRACTION * self._extra(quota) / self.period_ms
+
+    def _per_window(self, quota: Quota) -> float:
+        return quota.rate_per_s * self.window_ms / _MS_PER_S + quota.burst
+
+    def _extra(self, quota: Quota) -> float:
+        return self._per_window(quota) * self.overage + self.slack
 
 
 class Process(NamedTuple):
@@ -139,14 +147,15 @@
         share: The share, as a fraction of each quota.
         lease_ms: Length of the lease from the time the request was sent.
         idle_ms: Time for which nobody could use the share before.
-        is_initial: Whether the keeper may add initial tokens for the share,
-            once in each bucket while it holds the share.
+        is_initial: Whether the share comes with initial tokens.
+        tenure: Number that changes with each holder of the share.
     """
 
     share: float
     lease_ms: float
     idle_ms: float
     is_initial: bool
+    tenure: int
 
 
 @dataclasses.dataclass(slots=True)
@@ -156,8 +165,8 @@
     Attributes:
         holder: The last holder of the share, or None.
         until_ms: End of the last lease.
-        has_initial: Whether the holder got initial tokens with its lease.
         initial_ms: Time of the last grant with initial tokens, or of the start.
+        tenure: Number of the holder's tenure.
         claimed_share: Share that the holder kept from an earlier process of
             the lender; 0 if none.
     """
@@ -165,7 +174,7 @@
     holder: Process | None
     until_ms: float
     initial_ms: float
-    has_initial: bool = False
+    tenure: int = 0
     claimed_share: float = 0.0
 
 
@@ -197,6 +206,10 @@
         self._started_ms = started_ms
         self._host_count = 1
         self._share = 0.0
+        # Unlikely to be that of an earlier process of this host.
+        self._last_tenure = life
+        # Time from which this host has had a share without interruption.
+        self._owned_from_ms = started_ms
         self._pending: _PendingShare | None = None
         self._slots = [
             _SlotState(None, started_ms, started_ms) for _ in range(slot_count)
@@ -244,6 +257,10 @@
         state = self._slots[slot]
         self._apply_pending(now_ms)
         is_lent = state.holder is not None and now_ms <= state.until_ms
+        owned_ms = now_ms - self._owned_from_ms
+        if self._share > 0.0 and owned_ms > self._terms.period_ms:
+            # What this process owns beyond the claimed share is settled, too.
+            state.claimed_share = 0.0
         if is_lent and state.holder != keeper:
             return None
         if not is_lent:
@@ -258,47 +275,61 @@
         if share <= 0.0:
             return None
         idle_ms = 0.0
-        if not is_lent:
-            state.has_initial = False
-            if not state.claimed_share:
-                idle_from_ms = max(state.until_ms, self._usable_from_ms())
-                idle_ms = min(now_ms - idle_from_ms, self._terms.window_ms)
-        is_initial = not state.has_initial and (
-            now_ms - state.initial_ms > self._initial_spacing_ms()
-        )
-        if is_initial:
-            state.has_initial = True
-            state.initial_ms = now_ms
+        is_initial = False
+        if not is_lent and not state.claimed_share:
+            idle_from_ms = max(
+                state.until_ms, self._usable_from_ms(), self._owned_from_ms
+            )
+            idle_ms = now_ms - idle_from_ms
+        if state.holder != keeper:
+            self._last_tenure += 1
+            state.tenure = self._last_tenure
+            spacing_ms = self._terms.period_ms + self._longest_lease_ms()
+            is_initial = now_ms - state.initial_ms > spacing_ms
+            if is_initial:
+                state.initial_ms = now_ms
         state.holder = keeper
         state.until_ms = now_ms + lease_ms(self._host_count)
-        return Grant(share, lease_ms(self._host_count), idle_ms, is_initial)
+        return Grant(
+            share,
+            lease_ms(self._host_count),
+            idle_ms,
+            is_initial,
+            state.tenure,
+        )
 
     def release(self, slot: int, keeper: Process, now_ms: float) -> None:
         """Ends a lease that its keeper will not use again."""
         state = self._slots[slot]
         if state.holder == keeper and now_ms <= state.until_ms:
             state.until_ms = now_ms
-            state.holder = None if now_ms >= self._usable_from_ms() else keeper
 
     def _lendable_share(self, state: _SlotState) -> float:
+        if not state.claimed_share:
+            return self._share
         listed = self._pending.share if self._pending else self._share
-        return max(self._share, min(state.claimed_share, listed))
+        return min(state.claimed_share, listed)
 
     def _usable_from_ms(self) -> float:
-        return self._started_ms + longest_lease_ms(self._host_count)
-
-    def _initial_spacing_ms(self) -> float:
-        """Returns the least time between grants of initial tokens."""
-        return (
-            self._terms.window_ms
-            + TOKEN_VALIDITY_MS
-            + longest_lease_ms(self._host_count)
-        )
+        return self._started_ms + self._longest_lease_ms()
+
+    def _longest_lease_ms(self) -> float:
+        return longest_lease_ms(self._host_count)
 
     def _apply_pending(self, now_ms: float) -> None:
         pending = self._pending
-        if pending is not None and (
-            now_ms - pending.from_ms > longest_lease_ms(self._host_count)
-        ):
+        if pending is None:
+            return
+        delay_ms = self._longest_lease_ms()
+        if self._share > 0.0:
+            # The keeper adds what is new to a share that may be settled.
+            delay_ms += self._terms.period_ms
+        if now_ms - pending.from_ms > delay_ms:
+            if self._share <= 0.0:
+                self._owned_from_ms = now_ms
+                for state in self._slots:
+                    if not state.claimed_share:
+                        # The last holder may have lost what others use now.
+                        state.holder = None
             self._share = pending.share
             self._pending = None
