Mutations of the quotas, each caught by a check

Leases counted from arrival, lending at once in a new life, a new keeper with the whole quota, tokens of any age. The site of hosts without a network moves to gateway_scripts, as two test modules use it.

--- a/greengagedale/gateway/quota_exchange.py
+++ b/greengagedale/gateway/quota_exchange.py
@@ -278,11 +278,15 @@
             self._record_no_answer(keeper)
             return []
         self._directory.record_answer(keeper)
-        # A process may be suspended at any point; its tokens expire meanwhile.
+        return reply.decisions if self._is_valid(batch) else []
+
+    def _is_valid(self, batch: _Batch) -> bool:
+        """Returns whether tokens that were just received may be used.
+
+        A process may be suspended at any point; its tokens expire meanwhile.
+        """
         age_ms = self._clock.now_ms() - batch.asked_ms
-        if age_ms > quota_shares.TOKEN_VALIDITY_MS:
-            return []
-        return reply.decisions
+        return age_ms <= quota_shares.TOKEN_VALIDITY_MS
 
     def _record_no_answer(self, keeper: str) -> None:
         endpoint = self._endpoints.get(keeper, "")
--- a/greengagedale/limits/quota_windows.py
+++ b/greengagedale/limits/quota_windows.py
@@ -267,12 +267,11 @@
 
     def _shares(self, slot: int, now_ms: float) -> _Shares:
         held = settled = initial = earning_ms = 0.0
-        settled_from_ms = now_ms - self._terms.period_ms
         for lease in self._leases.get(slot, {}).values():
             if now_ms >= lease.until_ms:
                 continue
             held += lease.share
-            if lease.free_ms <= settled_from_ms:
+            if self._is_settled(lease, now_ms):
                 settled += lease.share
                 continue
             earning_ms += lease.share * (now_ms - lease.free_ms)
@@ -280,6 +279,9 @@
                 initial += lease.share
         return _Shares(held, settled, initial, earning_ms)
 
+    def _is_settled(self, lease: _Lease, now_ms: float) -> bool:
+        return now_ms - lease.free_ms >= self._terms.period_ms
+
     def _limit(self, quota: quota_shares.Quota, shares: _Shares) -> float:
         """Returns the number of requests that may be allowed in a period."""
         terms = self._terms
--- a/tests/gateway/test_mutations.py
+++ b/tests/gateway/test_mutations.py
@@ -1,10 +1,12 @@
 """Checks that each mechanism is needed: a check fails without it."""
 
 import asyncio
+import random
 import time
 import types
 
 from gateway_scripts import Bench
+from gateway_scripts import QuotaSite
 from gateway_scripts import answer
 from gateway_scripts import exchange_of
 from gateway_scripts import fanout
@@ -23,6 +25,7 @@
 from greengagedale.gateway import fleet
 from greengagedale.gateway import peer_exchange
 from greengagedale.gateway import quarantine
+from greengagedale.gateway import quota_exchange
 from greengagedale.gateway import reader_election
 from greengagedale.gateway import registry
 from greengagedale.gateway import roster
@@ -36,6 +39,8 @@
 from greengagedale.http1 import client
 from greengagedale.http1 import messages
 from greengagedale.http1 import server
+from greengagedale.limits import quota_shares
+from greengagedale.limits import quota_windows
 from greengagedale.platform import upstream_codec
 from greengagedale.retry import window_budget
 
@@ -337,6 +342,62 @@
     return bench.clock.now_ms() - began_ms < 75.0
 
 
+def quota_keeper(now_ms=0.0):
+    """Returns a keeper of one slot with a quota of ten requests a window."""
+    terms = quota_shares.QuotaTerms(5000.0, 0.0, 0.0)
+    keeper = quota_windows.QuotaKeeper(terms, always(0), random.Random(1))
+    keeper.set_quotas({"w": quota_shares.Quota(1.0, 5.0)}, now_ms)
+    return keeper
+
+
+def quota_lender(started_ms=0.0):
+    """Returns a lender that owns everything, and the terms of its leases."""
+    terms = quota_shares.QuotaTerms(5000.0, 0.0, 0.0)
+    lender = quota_shares.ShareLender(1, 1, terms, started_ms)
+    lender.set_share(1.0, 1, started_ms)
+    return lender
+
+
+async def quota_leases_count_from_the_request():
+    """A keeper stops using a share before its lender may lend it again."""
+    lender, keeper = quota_lender(), quota_keeper()
+    lender.set_share(1.0, 1, 9000.0)
+    first, second = (quota_shares.Process(name, 1) for name in "ab")
+    # The answer takes a second.
+    grant = lender.lend(0, first, 10_000.0, 0.0)
+    keeper.add_lease(0, "l", grant, 10_000.0, 11_000.0)
+    lent_again_ms = 10_000.0 + grant.lease_ms + 1.0
+    again = lender.lend(0, second, lent_again_ms, 0.0)
+    return again is not None and not keeper.held_share(0, lent_again_ms)
+
+
+async def new_processes_lend_nothing_at_once():
+    """A new process does not lend what its predecessor may have lent."""
+    lender = quota_lender()
+    keeper = quota_shares.Process("a", 1)
+    return lender.lend(0, keeper, 1000.0, 0.0) is None
+
+
+async def new_keepers_do_not_use_the_whole_quota():
+    """A keeper that takes over does not allow what another one just did."""
+    keeper = quota_keeper()
+    grant = quota_shares.Grant(1.0, 1500.0, 0.0, True, 1)
+    keeper.add_lease(0, "l", grant, 0.0, 0.0)
+    return keeper.take("w", 0.0).verdict is not quota_windows.Verdict.ALLOWED
+
+
+async def late_tokens_are_not_used():
+    """A token that comes after its validity is not used."""
+    clock = clocks.ManualClock(1000.0)
+    site = QuotaSite(clock)
+    await site.run(20_000.0)
+    site.late_path = quota_exchange._PATH_TOKENS
+    site.late_ms = 10_000.0
+    asker = site.other_than(site.keeper())
+    verdict = await site.admit(asker)
+    return verdict is not quota_windows.Verdict.ALLOWED
+
+
 class _Transport:
     """A transport that accepts and ignores all data."""
 
@@ -391,6 +452,14 @@
         self._by_service.setdefault(item.service, []).append(item)
 
 
+_add_lease = quota_windows.QuotaKeeper.add_lease
+
+
+def count_from_arrival(self, slot, lender, grant, sent_ms, now_ms):
+    del sent_ms
+    _add_lease(self, slot, lender, grant, now_ms, now_ms)
+
+
 MUTATIONS = {
     "ignore_notices": (
         leaving_notices_are_honoured,
@@ -428,6 +497,30 @@
         "waited_ms",
         always(0.0),
     ),
+    "count_leases_from_arrival": (
+        quota_leases_count_from_the_request,
+        quota_windows.QuotaKeeper,
+        "add_lease",
+        count_from_arrival,
+    ),
+    "lend_in_new_life_at_once": (
+        new_processes_lend_nothing_at_once,
+        quota_shares,
+        "longest_lease_ms",
+        always(0.0),
+    ),
+    "start_with_whole_quota": (
+        new_keepers_do_not_use_the_whole_quota,
+        quota_windows.QuotaKeeper,
+        "_is_settled",
+        always(True),
+    ),
+    "use_tokens_at_any_age": (
+        late_tokens_are_not_used,
+        quota_exchange.QuotaExchange,
+        "_is_valid",
+        always(True),
+    ),
     "omit_content_length": (
         request_smuggling_is_prevented,
         messages,
--- a/tests/gateway/test_quota_exchange.py
+++ b/tests/gateway/test_quota_exchange.py
@@ -5,158 +5,30 @@
 """
 
 import asyncio
-import random
 
-from gateway_scripts import host_state
+import gateway_scripts
 from gateway_scripts import single
 import pytest
 
-from greengagedale.gateway import fleet as fleet_lib
 from greengagedale.gateway import message_codec
-from greengagedale.gateway import metrics
-from greengagedale.gateway import peer_connections
 from greengagedale.gateway import quota_exchange
 from greengagedale.gateway import quota_keepers
-from greengagedale.gateway import registry as registry_lib
-from greengagedale.gateway import roster as roster_lib
-from greengagedale.gateway import route_config
 from greengagedale.http1 import messages
-from greengagedale.http1 import server
 from greengagedale.limits import quota_shares
 from greengagedale.limits import quota_windows
 
-TERMS = quota_shares.QuotaTerms(5000.0, 0.1, 20.0)
-NAMES = ("a", "b", "c", "d")
-STEP_MS = 250.0
+STEP_MS = gateway_scripts.QUOTA_STEP_MS
+TERMS = gateway_scripts.QUOTA_TERMS
+NAMES = gateway_scripts.QUOTA_HOSTS
 ALLOWED = quota_windows.Verdict.ALLOWED
 OVER_QUOTA = quota_windows.Verdict.OVER_QUOTA
 UNDECIDED = quota_windows.Verdict.UNDECIDED
 
 
-def configuration(version, **quotas):
-    """Returns a configuration with the rates and bursts of workspaces."""
-    workspaces = tuple(
-        route_config.Workspace(name, (), rate_per_s=rate, burst=burst)
-        for name, (rate, burst) in quotas.items()
-    )
-    return route_config.RouteConfiguration(
-        version, (single(),), (), server.Limits(), workspaces
-    )
-
-
-class Network(peer_connections.PeerConnections):
-    """Passes messages to hosts of the same loop."""
-
-    def __init__(self, site):
-        super().__init__(None)
-        self._site = site
-
-    async def post(self, endpoint, path, body, timeout_ms):
-        name = endpoint.partition(":")[0]
-        if name in self._site.stopped:
-            raise ConnectionRefusedError
-        if name in self._site.frozen:
-            self._site.held_up.append((name, path, body))
-            raise TimeoutError
-        message = messages.Request(b"POST", path, (), body, 0.0)
-        response = await self._site.hosts[name].handle(message)
-        if path == self._site.late_path:
-            self._site.clock.advance(self._site.late_ms)
-        return messages.Reply(response.status, (), response.body, True)
-
-
-class Site:
-    """A site of hosts that know each other."""
-
-    def __init__(self, clock):
-        self.clock = clock
-        self.stopped = set()
-        self.frozen = set()
-        self.held_up = []
-        self.late_path = None
-        self.late_ms = 0.0
-        self.sequence = 0
-        self.hosts = {}
-        self.registries = {}
-        self.fleets = {}
-        for name in NAMES:
-            self.start(name)
-
-    def start(self, name):
-        registry = registry_lib.Registry(self.clock)
-        roster = roster_lib.Roster(name, self.clock)
-        roster.replace_if_newer(roster_lib.HostList(5, NAMES))
-        self.registries[name] = registry
-        self.fleets[name] = fleet_lib.Fleet(name, self.clock)
-        self.hosts[name] = quota_exchange.QuotaExchange(
-            TERMS,
-            lambda: host_state(name, self.sequence),
-            self.fleets[name],
-            registry,
-            roster,
-            None,
-            metrics.Metrics(),
-            self.clock,
-            random.Random(name),
-        )
-        self.hosts[name]._connections = Network(self)
-        self.configure(1, [name], w=(4.0, 6.0), v=(4.0, 6.0))
-
-    def configure(self, version, names=NAMES, **quotas):
-        for name in names:
-            self.registries[name].apply_routes(
-                configuration(version, **quotas), version
-            )
-
-    async def run(self, for_ms):
-        """Lets all running hosts exchange leases for a while."""
-        for _ in range(int(for_ms / STEP_MS)):
-            self.sequence += 1
-            running = [
-                name
-                for name in NAMES
-                if name not in self.stopped and name not in self.frozen
-            ]
-            for name in running:
-                for other in running:
-                    self.fleets[name].observe(host_state(other, self.sequence))
-                self.hosts[name]._tick()
-            await settle()
-            self.clock.advance(STEP_MS)
-
-    def keeper(self, workspace="w"):
-        slot = quota_keepers.slot_of(workspace)
-        host = self.hosts[min(set(NAMES) - self.stopped - self.frozen)]
-        return host._directory.keeper_of(slot)
-
-    def other_than(self, name):
-        return next(
-            other
-            for other in NAMES
-            if other not in {name, *self.stopped, *self.frozen}
-        )
-
-    async def admit(self, name, workspace="w"):
-        host = self.hosts[name]
-        return (await host.admit(workspace, single(), 1000.0)).verdict
-
-    async def count_allowed(self, name, workspace="w"):
-        """Asks until a request is refused; returns how many were allowed."""
-        count = 0
-        while await self.admit(name, workspace) is ALLOWED:
-            count += 1
-        return count
-
-
-async def settle():
-    for _ in range(20):
-        await asyncio.sleep(0)
-
-
 @pytest.fixture
 async def site(clock):
     """A site with settled shares."""
-    running = Site(clock)
+    running = gateway_scripts.QuotaSite(clock)
     await running.run(20_000.0)
     return running
 
--- a/tests/gateway_scripts.py
+++ b/tests/gateway_scripts.py
@@ -11,8 +11,11 @@
 from greengagedale.gateway import extra_attempts
 from greengagedale.gateway import fleet
 from greengagedale.gateway import metrics
+from greengagedale.gateway import peer_connections
 from greengagedale.gateway import peer_exchange
 from greengagedale.gateway import quarantine
+from greengagedale.gateway import quota_exchange
+from greengagedale.gateway import quota_keepers
 from greengagedale.gateway import registry
 from greengagedale.gateway import roster
 from greengagedale.gateway import route_config
@@ -23,8 +26,14 @@
 from greengagedale.gateway import upstream_notices
 from greengagedale.gateway import upstream_scores
 from greengagedale.http1 import messages
+from greengagedale.http1 import server
+from greengagedale.limits import quota_shares
+from greengagedale.limits import quota_windows
 
 WINDOW_MS = 10_000.0
+QUOTA_TERMS = quota_shares.QuotaTerms(5000.0, 0.1, 20.0)
+QUOTA_HOSTS = ("a", "b", "c", "d")
+QUOTA_STEP_MS = 250.0
 
 
 def upstream(name, service="s", data_centre="here", **fields):
@@ -207,3 +216,124 @@
         fanout=route_config.Fanout(tuple(shards), max_records, min_coverage),
         **fields,
     )
+
+
+def quota_configuration(version, **quotas):
+    """Returns a configuration with the rates and bursts of workspaces."""
+    workspaces = tuple(
+        route_config.Workspace(name, (), rate_per_s=rate, burst=burst)
+        for name, (rate, burst) in quotas.items()
+    )
+    return route_config.RouteConfiguration(
+        version, (single(),), (), server.Limits(), workspaces
+    )
+
+
+class QuotaNetwork(peer_connections.PeerConnections):
+    """Passes messages to hosts of the same loop."""
+
+    def __init__(self, site):
+        super().__init__(None)
+        self._site = site
+
+    async def post(self, endpoint, path, body, timeout_ms):
+        name = endpoint.partition(":")[0]
+        if name in self._site.stopped:
+            raise ConnectionRefusedError
+        if name in self._site.frozen:
+            self._site.held_up.append((name, path, body))
+            raise TimeoutError
+        message = messages.Request(b"POST", path, (), body, 0.0)
+        response = await self._site.hosts[name].handle(message)
+        if path == self._site.late_path:
+            self._site.clock.advance(self._site.late_ms)
+        return messages.Reply(response.status, (), response.body, True)
+
+
+class QuotaSite:
+    """A site of hosts that know each other."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.stopped = set()
+        self.frozen = set()
+        self.held_up = []
+        self.late_path = None
+        self.late_ms = 0.0
+        self.sequence = 0
+        self.hosts = {}
+        self.registries = {}
+        self.fleets = {}
+        for name in QUOTA_HOSTS:
+            self.start(name)
+
+    def start(self, name):
+        host_list = roster.Roster(name, self.clock)
+        host_list.replace_if_newer(roster.HostList(5, QUOTA_HOSTS))
+        self.registries[name] = registry.Registry(self.clock)
+        self.fleets[name] = fleet.Fleet(name, self.clock)
+        self.hosts[name] = quota_exchange.QuotaExchange(
+            QUOTA_TERMS,
+            lambda: host_state(name, self.sequence),
+            self.fleets[name],
+            self.registries[name],
+            host_list,
+            None,
+            metrics.Metrics(),
+            self.clock,
+            random.Random(name),
+        )
+        self.hosts[name]._connections = QuotaNetwork(self)
+        self.configure(1, [name], w=(4.0, 6.0), v=(4.0, 6.0))
+
+    def configure(self, version, names=QUOTA_HOSTS, **quotas):
+        for name in names:
+            self.registries[name].apply_routes(
+                quota_configuration(version, **quotas), version
+            )
+
+    async def run(self, for_ms):
+        """Lets all running hosts exchange leases for a while."""
+        for _ in range(int(for_ms / QUOTA_STEP_MS)):
+            self.sequence += 1
+            running = [
+                name
+                for name in QUOTA_HOSTS
+                if name not in self.stopped and name not in self.frozen
+            ]
+            for name in running:
+                for other in running:
+                    self.fleets[name].observe(host_state(other, self.sequence))
+                self.hosts[name]._tick()
+            await settle()
+            self.clock.advance(QUOTA_STEP_MS)
+
+    def keeper(self, workspace="w"):
+        slot = quota_keepers.slot_of(workspace)
+        host = self.hosts[min(set(QUOTA_HOSTS) - self.stopped - self.frozen)]
+        return host._directory.keeper_of(slot)
+
+    def other_than(self, name):
+        return next(
+            other
+            for other in QUOTA_HOSTS
+            if other not in {name, *self.stopped, *self.frozen}
+        )
+
+    async def admit(self, name, workspace="w"):
+        host = self.hosts[name]
+        return (await host.admit(workspace, single(), 1000.0)).verdict
+
+    async def count_allowed(self, name, workspace="w"):
+        """Asks until a request is refused; returns how many were allowed."""
+        count = 0
+        while (
+            await self.admit(name, workspace) is quota_windows.Verdict.ALLOWED
+        ):
+            count += 1
+        return count
+
+
+async def settle():
+    for _ in range(20):
+        await asyncio.sleep(0)
