Give restarted fleets more of what may be exceeded, and shorten leases

Leases last 0.9 s. Shares that are not settled earn no more than the rate, so that workspaces with a low rate leave more of what may be exceeded to initial tokens.

Measured: tests of the quotas passed.

--- a/greengagedale/gateway/quota_exchange.py
+++ b/greengagedale/gateway/quota_exchange.py
@@ -33,8 +33,8 @@
 log = logging.getLogger(__name__)
 
 # Interval at which keepers are chosen anew and leases that are due renewed.
-TICK_INTERVAL_MS = 250.0
-# Timeout of a renewal, less than the interval between renewals.
+TICK_INTERVAL_MS = 150.0
+# Timeout of a renewal; the next one follows at once.
 LEASE_TIMEOUT_MS = 400.0
 # Timeout of a request for tokens; their validity starts when it is sent.
 TOKEN_TIMEOUT_MS = quota_shares.TOKEN_VALIDITY_MS
--- a/greengagedale/limits/quota_shares.py
+++ b/greengagedale/limits/quota_shares.py
@@ -25,14 +25,13 @@
 RENEWALS_PER_LEASE = 3
 # Interval between renewals in small fleets, and the least interval per host,
 # which limits a keeper to 200 renewals per second and slot.
-MIN_RENEWAL_INTERVAL_MS = 500.0
+MIN_RENEWAL_INTERVAL_MS = 300.0
 RENEWAL_INTERVAL_PER_HOST_MS = 5.0
-# How the requests that are allowed beyond a quota are divided: those that a
-# keeper allows at any time, those that it may allow at once for shares that
-# another keeper may just have used, and those that these earn with time.
-SETTLED_FRACTION = 0.25
-INITIAL_FRACTION = 0.375
-EARNED_FRACTION = 0.375
+# Fraction of the requests allowed beyond a quota that is left for shares that
+# another keeper may just have used, and the part of it that these earn with
+# time; the rest they have at once.
+RESERVED_FRACTION = 0.8
+EARNED_FRACTION = 0.75
 # Time for which a token may be used after it was asked for.
 TOKEN_VALIDITY_MS = 250.0
 _MS_PER_S = 1000.0
@@ -76,8 +75,9 @@
     A share is settled if its keeper has held it for a whole period, so that no
     other keeper's requests are in the same window. In any window fall at most
     the requests of one settled keeper, the initial ones of one further keeper
-    (lenders space them), and what other shares earn with time; or twice the
-    initial ones and twice a period's earnings. Neither exceeds the allowance.
+    (lenders space them), and what other shares earn with time; or, if no keeper
+    was settled, twice the initial ones and twice a period's earnings. Neither
+    exceeds the allowance.
 
     Attributes:
         window_ms: Length of the window.
@@ -109,17 +109,27 @@
 
     def settled(self, quota: Quota) -> float:
         """Returns the tokens in any period if all shares are settled."""
-        return self._per_window(quota) + SETTLED_FRACTION * self._extra(quota)
+        return self.allowance(quota) - self.initial(quota) - self._earned(quota)
 
     def initial(self, quota: Quota) -> float:
         """Returns the initial tokens of shares that are not settled."""
+        earned = self._earned(quota)
         return min(
-            INITIAL_FRACTION * self._extra(quota), self.settled(quota) / 2.0
+            RESERVED_FRACTION * self._extra(quota) - earned,
+            self.allowance(quota) / 2.0 - earned,
         )
 
     def earned_per_ms(self, quota: Quota) -> float:
         """Returns the tokens that shares earn that are not settled."""
-        return EARNED_FRACTION * self._extra(quota) / self.period_ms
+        return self._earned(quota) / self.period_ms
+
+    def _earned(self, quota: Quota) -> float:
+        """Returns the tokens earned in a period, no more than the rate."""
+        return min(
+            EARNED_FRACTION * RESERVED_FRACTION * self._extra(quota),
+            quota.rate_per_s * self.period_ms / _MS_PER_S,
+            self.allowance(quota) / 2.0,
+        )
 
     def _per_window(self, quota: Quota) -> float:
         return quota.rate_per_s * self.window_ms / _MS_PER_S + quota.burst
