Reserve two fifths of what may be exceeded for takeovers

Cause: a workspace that asks for more than its quota is refused below what the bound allows.

Two fifths leave the small workspaces, which have a slack far above their rates, as they were, and the large ones a part of their load after a takeover.

Measured: tests of the quotas passed.

--- a/greengagedale/limits/quota_shares.py
+++ b/greengagedale/limits/quota_shares.py
@@ -30,7 +30,7 @@
 # Fraction of the requests allowed beyond a quota that is left for shares that
 # another keeper may just have used, and the part of it that these earn with
 # time; the rest they have at once.
-RESERVED_FRACTION = 0.05
+RESERVED_FRACTION = 0.4
 EARNED_FRACTION = 0.75
 # Time for which a token may be used after it was asked for.
 TOKEN_VALIDITY_MS = 250.0
