--- a/greengagedale/gateway/caller_handlers.py
+++ b/greengagedale/gateway/caller_handlers.py
@@ -289,7 +289,6 @@
             "request",
             request_id=call.request_id,
             route=route.name,
-            workspace=call.identity and call.identity.workspace,
             may_repeat=route.is_idempotent,
             max_attempts=route.max_attempts,
             version=version,
@@ -301,6 +300,7 @@
             else round(call.deadline_ms - self._clock.now_ms()),
             detail=_detail(outcome),
             steps=steps,
+            **_workspace_field(call),
         )
         if isinstance(outcome, outcomes.NotRun):
             self._metrics.refusals.inc("gateway", str(outcome.reason))
@@ -359,6 +359,13 @@
         """Returns the current state."""
 
 
+def _workspace_field(call: calls.Call) -> dict[str, str]:
+    """Returns the log field of the call's workspace, if it has one."""
+    if call.identity is None or call.identity.workspace is None:
+        return {}
+    return {"workspace": call.identity.workspace}
+
+
 def _detail(outcome: outcomes.Outcome | None) -> str:
     if outcome is None:
         return "the caller disconnected"
--- a/greengagedale/gateway/quota_exchange.py
+++ b/greengagedale/gateway/quota_exchange.py
@@ -456,7 +456,7 @@
                     slot, self._own.host, grant, now_ms, now_ms
                 )
         interval_ms = quota_shares.renewal_interval_ms(len(self._endpoints))
-        for name in self._endpoints:
+        for name, endpoint in self._endpoints.items():
             poll = self._polls.get(name, _Poll(float("-inf"), False))
             is_held = all(
                 self._keeper.share_of(slot, name, now_ms) for slot in slots
@@ -464,15 +464,16 @@
             is_due = not is_held or now_ms - poll.sent_ms >= interval_ms
             if is_due and not poll.is_waiting:
                 self._polls[name] = _Poll(now_ms, True)
-                self._spawn(self._renew(name, slots))
+                self._spawn(self._renew(name, endpoint, slots))
         for name in self._polls.keys() - self._endpoints.keys():
             if not self._polls[name].is_waiting:
                 del self._polls[name]
                 self._lender_lives.pop(name, None)
 
-    async def _renew(self, lender: str, slots: list[int]) -> None:
+    async def _renew(
+        self, lender: str, endpoint: str, slots: list[int]
+    ) -> None:
         """Asks a host for the leases of its shares."""
-        endpoint = self._endpoints[lender]
         try:
             # A new process of the host needs the answer to a second request.
             for _ in range(2):
