--- a/tests/limits/test_quota_bounds.py
+++ b/tests/limits/test_quota_bounds.py
@@ -76,6 +76,7 @@
         return 1.0 / (HOSTS + self.is_longer[number])
 
     def advance(self, by_ms):
+        self.assert_shares_are_held_once()
         self.now_ms += by_ms
 
     def restart(self, number):
@@ -136,6 +137,13 @@
                 self.now_ms,
             )
 
+    def lease_slowly(self, keeper, lender, by_ms):
+        """Asks for a lease whose grant arrives late."""
+        self.ask_lease(keeper, lender)
+        self.answer_lease(-1)
+        self.advance(by_ms)
+        self.receive_grant(-1)
+
     def lease(self, keeper, lender):
         """Asks for a lease and gets the answer without delay."""
         self.ask_lease(keeper, lender)
@@ -183,6 +191,12 @@
             default=0,
         )
 
+    def assert_shares_are_held_once(self):
+        held = sum(
+            host.keeper.held_share(0, self.now_ms) for host in self.hosts
+        )
+        assert held <= 1.0 + 1e-9
+
     def assert_within_quota(self):
         assert self.max_in_window() <= TERMS.allowance(QUOTA)
 
@@ -217,6 +231,7 @@
     step("advance", times_ms),
     step("lease", numbers, numbers),
     step("gather", numbers),
+    step("lease_slowly", numbers, numbers, times_ms),
     step("ask_lease", numbers, numbers),
     step("answer_lease", indexes, strategies.booleans()),
     step("receive_grant", indexes),
