--- a/greengagedale/gateway/quota_exchange.py
+++ b/greengagedale/gateway/quota_exchange.py
@@ -364,9 +364,16 @@
             host_count
         ):
             return None
-        self._lender.set_share(self._roster.fraction(), host_count, now_ms)
+        self._update_share()
         return self._lender.lend(slot, keeper, now_ms, claimed_share)
 
+    def _update_share(self) -> None:
+        self._lender.set_share(
+            self._roster.fraction(),
+            len(self._roster.host_list.hosts),
+            self._clock.now_ms(),
+        )
+
     # What this host keeps.
 
     def _decide(self, ask: TokenAsk) -> quota_windows.Decision:
@@ -430,6 +437,7 @@
             if state.accepts_callers
         )
         self._apply_quotas()
+        self._update_share()
         if own.accepts_callers:
             self._renew_leases()
         self._log_shares()
--- a/greengagedale/limits/quota_shares.py
+++ b/greengagedale/limits/quota_shares.py
@@ -124,10 +124,9 @@
         return self._earned(quota) / self.period_ms
 
     def _earned(self, quota: Quota) -> float:
-        """Returns the tokens earned in a period, no more than the rate."""
+        """Returns the tokens that are earned in a period."""
         return min(
             EARNED_FRACTION * RESERVED_FRACTION * self._extra(quota),
-            quota.rate_per_s * self.period_ms / _MS_PER_S,
             self.allowance(quota) / 2.0,
         )
 
