--- a/greengagedale/gateway/caller_handlers.py
+++ b/greengagedale/gateway/caller_handlers.py
@@ -14,6 +14,7 @@
 from greengagedale.gateway import fleet as fleet_lib
 from greengagedale.gateway import host_selection
 from greengagedale.gateway import metrics as metrics_lib
+from greengagedale.gateway import quota_exchange
 from greengagedale.gateway import regions as regions_lib
 from greengagedale.gateway import registry as registry_lib
 from greengagedale.gateway import route_config
@@ -21,6 +22,7 @@
 from greengagedale.gateway import sub_requests
 from greengagedale.http1 import messages
 from greengagedale.http1 import server
+from greengagedale.limits import quota_windows
 
 log = logging.getLogger(__name__)
 
@@ -135,6 +137,7 @@
         runner: runner_lib.Runner,
         authorizer: authorization.Authorizer,
         fleet: fleet_lib.Fleet,
+        quotas: quota_exchange.QuotaExchange | None,
         clock: clocks.Clock,
         rng: random.Random,
         metrics: metrics_lib.Metrics,
@@ -146,6 +149,7 @@
         self._authorizer = authorizer
         self._fleet = fleet
         self._rng = rng
+        self._quotas = quotas
         self._clock = clock
         self._metrics = metrics
         self._request_log = request_log
@@ -197,8 +201,50 @@
             if isinstance(identity, authorization.UnknownKey):
                 return self._refuse_key(call, route, table.version, identity)
             call = call._replace(identity=identity)
+            refusal = await self._check_quota(call, route, table)
+            if refusal is not None:
+                return self._codec.encode_failure(refusal)
         return await self._run(call, route, table.version)
 
+    async def _check_quota(
+        self,
+        call: calls.Call,
+        route: route_config.Route,
+        table: route_config.RouteTable,
+    ) -> outcomes.NotRun | None:
+        """Returns the refusal of a call that its quota does not allow."""
+        name = None if call.identity is None else call.identity.workspace
+        if self._quotas is None or name is None:
+            return None
+        if table.workspaces[name].rate_per_s <= 0.0:
+            return None
+        decision = await self._quotas.admit(
+            name,
+            route,
+            None
+            if call.deadline_ms is None
+            else call.deadline_ms - call.received_ms,
+        )
+        if decision.verdict is quota_windows.Verdict.ALLOWED:
+            return None
+        reason = (
+            outcomes.Reason.OVER_QUOTA
+            if decision.verdict is quota_windows.Verdict.OVER_QUOTA
+            else outcomes.Reason.QUOTA_UNCHECKED
+        )
+        self._metrics.refusals.inc("edge", str(reason))
+        self._request_log.write(
+            "quota refused",
+            request_id=call.request_id,
+            route=route.name,
+            workspace=name,
+            reason=str(reason),
+            retry_after_ms=decision.retry_after_ms,
+            took_ms=round(self._clock.now_ms() - call.received_ms, 1),
+            version=table.version,
+        )
+        return outcomes.NotRun(reason, decision.retry_after_ms)
+
     def _refuse_key(
         self,
         call: calls.Call,
@@ -284,6 +330,7 @@
             else round(call.deadline_ms - self._clock.now_ms()),
             detail=_detail(outcome),
             steps=steps,
+            **_workspace_field(call),
         )
         if isinstance(outcome, outcomes.NotRun):
             self._metrics.refusals.inc("gateway", str(outcome.reason))
@@ -357,6 +404,13 @@
         """Returns the current state."""
 
 
+def _workspace_field(call: calls.Call) -> dict[str, str]:
+    """Returns the log field of the call's workspace, if it has one."""
+    if call.identity is None or call.identity.workspace is None:
+        return {}
+    return {"workspace": call.identity.workspace}
+
+
 def _detail(outcome: outcomes.Outcome | None) -> str:
     if outcome is None:
         return "the caller disconnected"
--- a/greengagedale/gateway/metrics.py
+++ b/greengagedale/gateway/metrics.py
@@ -72,6 +72,8 @@
         proof_changes: Times that the proof of a recent configuration was lost
             or gained.
         recovery_steps: Steps of recoveries of the store.
+        quota_decisions: Requests of workspaces with a quota, by workspace and
+            verdict, on the host that received them.
         request_latency: Latency of requests by route.
         attempt_latency: Latency of answered attempts by route.
         capacity_changes: Changes of what is believed of upstreams, by the new
@@ -121,6 +123,12 @@
             "Steps after the store came back from an older copy.",
             "step",
         )
+        self.quota_decisions = Counter(
+            "quota_decisions",
+            "Decisions on requests of workspaces with a quota.",
+            "workspace",
+            "verdict",
+        )
         self.request_latency = LatencyHistograms(
             "request_latency_ms", "Latency of requests.", "route"
         )
--- a/greengagedale/gateway/peer_exchange.py
+++ b/greengagedale/gateway/peer_exchange.py
@@ -19,6 +19,7 @@
 from greengagedale.gateway import fleet as fleet_lib
 from greengagedale.gateway import freshness as freshness_lib
 from greengagedale.gateway import message_codec
+from greengagedale.gateway import peer_connections
 from greengagedale.gateway import quarantine as quarantine_lib
 from greengagedale.gateway import registry as registry_lib
 from greengagedale.gateway import roster as roster_lib
@@ -179,7 +180,7 @@
             if capacities is None
             else capacities
         )
-        self._idle_connections: dict[str, client.Connection] = {}
+        self._connections = peer_connections.PeerConnections(_UPDATE_LIMITS)
         self._round_requested = asyncio.Event()
 
     async def handle(self, request: messages.Request) -> messages.Response:
@@ -290,10 +291,9 @@
             withdrawals=self._registry.recovery.withdrawals(),
         )
         try:
-            async with asyncio.timeout(TIMEOUT_MS / _MS_PER_S):
-                reply = await self._post(
-                    endpoint, message_codec.encode(summary)
-                )
+            reply = await self._connections.post(
+                endpoint, _PATH, message_codec.encode(summary), TIMEOUT_MS
+            )
         except ConnectionRefusedError:
             self._fleet.record_connection_refused(endpoint)
             return
@@ -388,20 +388,3 @@
         )
         if has_changed:
             self.request_round()
-
-    async def _post(
-        self, endpoint: str, body: bytes
-    ) -> messages.Reply | client.ExchangeFailure:
-        connection = self._idle_connections.pop(endpoint, None)
-        if connection is None or not connection.is_usable:
-            address, _, port = endpoint.rpartition(":")
-            connection = await client.Connection.open(
-                address, int(port), TIMEOUT_MS / _MS_PER_S, _UPDATE_LIMITS
-            )
-        headers = ((b"host", endpoint.encode()),)
-        reply = await connection.exchange(
-            messages.encode_request(b"POST", _PATH, headers, body)
-        )
-        if connection.is_usable:
-            self._idle_connections[endpoint] = connection
-        return reply
--- a/tests/gateway/test_lost_hosts.py
+++ b/tests/gateway/test_lost_hosts.py
@@ -76,15 +76,17 @@
             site.rng,
             evacuations.Evacuations(metrics.Metrics()),
         )
+        # Takes the place of the network.
+        self._connections = self
 
     async def run_round(self):
         for peer in self._choose_peers():
             await self._try_exchange(peer)
 
-    async def _post(self, endpoint, body):
+    async def post(self, endpoint, path, body, timeout_ms):
         other = self._site.reach(self.name, endpoint)
         request = messages.Request(
-            b"POST", peer_exchange._PATH, (), body, self._site.clock.now_ms()
+            b"POST", path, (), body, self._site.clock.now_ms()
         )
         response = await other.handle(request)
         return messages.Reply(response.status, (), response.body, True)
--- a/tests/platform/test_keys_on_the_wire.py
+++ b/tests/platform/test_keys_on_the_wire.py
@@ -72,6 +72,7 @@
             bench.runner,
             authorizer,
             self.fleet,
+            None,
             bench.clock,
             random.Random(1),
             bench.metrics,
