End the preference for new requests when the quota is no longer reached

Cause: a refusal that came only from what is kept for new requests counted as a refusal at the limit. Returning callers thereby renewed the contention that refused them, for as long as they kept returning.

Ruled out: a longer wait for them instead; they would return into the same contention. Their Retry-After is now its end.

--- a/greengagedale/limits/quota_windows.py
+++ b/greengagedale/limits/quota_windows.py
@@ -21,8 +21,8 @@
 # Retry-After of a request that can't be decided on, and its random part.
 UNDECIDED_RETRY_MS = 200
 UNDECIDED_SPREAD_MS = 400
-# For this long after a refusal, requests of returning callers leave this
-# fraction of the limit to new ones.
+# For this long after the limit was reached, requests of returning callers leave
+# this fraction of it to new ones.
 CONTENTION_MS = 1000.0
 FRACTION_FOR_NEW = 0.5
 # Shares are sums of fractions; a full token may be short of one by rounding.
@@ -102,7 +102,8 @@
     Attributes:
         quota: Quota of the workspace.
         allowed_ms: Times of the requests allowed in the last period.
-        refused_ms: Time of the last refusal.
+        refused_ms: Time of the last refusal of a request for which the limit
+            left no token.
         next_retry_ms: Time from which the next refused caller may return.
         removed_ms: Time at which the quota was removed; None if in force.
     """
@@ -242,10 +243,11 @@
         expired_ms = now_ms - self._terms.period_ms
         while window.allowed_ms and window.allowed_ms[0] < expired_ms:
             window.allowed_ms.popleft()
-        kept = 0.0
+        is_full = len(window.allowed_ms) + 1.0 > limit + _ROUNDING
+        kept_for_new = 0.0
         if is_returning and now_ms - window.refused_ms < CONTENTION_MS:
-            kept = FRACTION_FOR_NEW * limit
-        if len(window.allowed_ms) + 1.0 + kept <= limit + _ROUNDING:
+            kept_for_new = FRACTION_FOR_NEW * limit
+        if len(window.allowed_ms) + 1.0 + kept_for_new <= limit + _ROUNDING:
             window.allowed_ms.append(now_ms)
             usage.allowed += 1
             return ALLOWED
@@ -255,9 +257,15 @@
         ):
             return undecided(self._rng)
         usage.over_quota += 1
-        window.refused_ms = now_ms
+        if is_full:
+            # Otherwise returning callers would prolong the contention.
+            window.refused_ms = now_ms
+            free_ms = self._next_free_ms(window, limit, now_ms)
+        else:
+            free_ms = window.refused_ms + CONTENTION_MS
         return Decision(
-            Verdict.OVER_QUOTA, self._retry_after_ms(window, limit, now_ms)
+            Verdict.OVER_QUOTA,
+            self._retry_after_ms(window, limit, free_ms, now_ms),
         )
 
     def collect_usage(self) -> dict[str, Usage]:
@@ -291,17 +299,27 @@
             + shares.earning_ms * terms.earned_per_ms(quota)
         )
 
-    def _retry_after_ms(
+    def _next_free_ms(
         self, window: _Window, limit: float, now_ms: float
-    ) -> int:
-        """Returns when a token is expected that no other caller waits for."""
-        period_ms = self._terms.period_ms
-        # As many requests must leave the period as exceed the limit with one
-        # more.
+    ) -> float:
+        """Returns when enough requests leave the period for one more."""
         leaving = int(len(window.allowed_ms) + 1 - limit)
-        free_ms = now_ms
         if 0 <= leaving < len(window.allowed_ms):
-            free_ms = window.allowed_ms[leaving] + period_ms
+            return window.allowed_ms[leaving] + self._terms.period_ms
+        return now_ms
+
+    def _retry_after_ms(
+        self, window: _Window, limit: float, free_ms: float, now_ms: float
+    ) -> int:
+        """Returns when a token is expected that no other caller waits for.
+
+        Args:
+            window: The workspace's requests.
+            limit: Number of requests that may be allowed in a period.
+            free_ms: Time from which there are tokens.
+            now_ms: Current time.
+        """
+        period_ms = self._terms.period_ms
         interval_ms = period_ms / max(1.0, limit)
         at_ms = min(max(free_ms, window.next_retry_ms), free_ms + period_ms)
         window.next_retry_ms = at_ms + interval_ms
--- a/tests/limits/test_quota_bounds.py
+++ b/tests/limits/test_quota_bounds.py
@@ -7,6 +7,7 @@
 
 import bisect
 import dataclasses
+import itertools
 import random
 
 from hypothesis import given
@@ -436,6 +437,48 @@
     assert allowed[False] > 3 * TERMS.settled(QUOTA)
 
 
+# Load: 1.5 times the quota for 30 s, then 0.8 times with a few callers who keep
+# returning. Their refusals must not prolong the contention.
+def test_returning_callers_are_served_after_contention():
+    fleet = QuotaFleet(quota_shares.Quota(100.0, 50.0))
+    fill(fleet)
+    keeper = fleet.hosts[0].keeper
+    refused = dict.fromkeys((True, False), 0)
+    began_ms = fleet.now_ms
+    for number in itertools.count():
+        elapsed_ms = fleet.now_ms - began_ms
+        if elapsed_ms > 60_000.0:
+            break
+        if number % 20 == 0:
+            for lender in range(HOSTS):
+                fleet.lease(0, lender)
+        is_returning = number % 14 == 0
+        decision = keeper.take(WORKSPACE, fleet.now_ms, is_returning)
+        is_refused = decision.verdict is not quota_windows.Verdict.ALLOWED
+        # What the overload used leaves the window first.
+        if elapsed_ms > 40_000.0:
+            refused[is_returning] += is_refused
+        fleet.advance(1000.0 / (150.0 if elapsed_ms < 30_000.0 else 80.0))
+    assert refused == {True: 0, False: 0}
+
+
+def test_returning_callers_are_told_of_the_end_of_contention(quota_fleet):
+    keeper = quota_fleet.hosts[0].keeper
+    for _ in range(10):
+        keeper.take(WORKSPACE, quota_fleet.now_ms)
+    quota_fleet.advance(4900.0)
+    for lender in range(HOSTS):
+        quota_fleet.lease(0, lender)
+    quota_fleet.spend(0)
+    # Ten requests have left the window.
+    quota_fleet.advance(400.0)
+    decision = keeper.take(WORKSPACE, quota_fleet.now_ms, is_returning=True)
+    assert decision.verdict is quota_windows.Verdict.OVER_QUOTA
+    left_ms = quota_windows.CONTENTION_MS - 400.0
+    interval_ms = TERMS.period_ms / TERMS.settled(QUOTA)
+    assert left_ms <= decision.retry_after_ms <= left_ms + interval_ms + 1.0
+
+
 def test_returning_callers_are_served_without_contention(quota_fleet):
     keeper = quota_fleet.hosts[0].keeper
     decision = keeper.take(WORKSPACE, quota_fleet.now_ms, is_returning=True)
