Tell in each grant from when its keeper has had the share

Cause: only the first grant of a tenure told how long the share was idle and whether it came with initial tokens. If its answer was lost or late, the keeper took a free share as just used by another one, for a whole period.

Ruled out: spacing initial tokens from a keeper's first receipt. A tenure's initial tokens can be used only until its last lease ends, before the next tenure starts, so the spacing of the starts is enough.

The generated test loses messages now, too, and passes.

--- a/greengagedale/limits/quota_shares.py
+++ b/greengagedale/limits/quota_shares.py
@@ -155,8 +155,8 @@
     Attributes:
         share: The share, as a fraction of each quota.
         lease_ms: Length of the lease from the time the request was sent.
-        idle_ms: Time for which nobody could use the share before.
-        is_initial: Whether the share comes with initial tokens.
+        idle_ms: Time for which nobody but the keeper could use the share.
+        is_initial: Whether the tenure came with initial tokens.
         tenure: Number that changes with each holder of the share.
     """
 
@@ -177,6 +177,8 @@
         initial_ms: Time of the last grant with initial tokens, of the start, or
             from which this host has had a share, whichever is last.
         tenure: Number of the holder's tenure.
+        free_ms: Time from which nobody but the holder could use the share.
+        is_initial: Whether the tenure came with initial tokens.
         claimed_share: Share that the holder kept from an earlier process of
             the lender; 0 if none.
     """
@@ -185,6 +187,8 @@
     until_ms: float
     initial_ms: float
     tenure: int = 0
+    free_ms: float = float("inf")
+    is_initial: bool = False
     claimed_share: float = 0.0
 
 
@@ -284,30 +288,36 @@
         share = self._lendable_share(state)
         if share <= 0.0:
             return None
-        idle_ms = 0.0
-        is_initial = False
-        if not is_lent and not state.claimed_share:
-            idle_from_ms = max(
-                state.until_ms, self._usable_from_ms(), self._owned_from_ms
-            )
-            idle_ms = now_ms - idle_from_ms
         if state.holder != keeper:
-            self._last_tenure += 1
-            state.tenure = self._last_tenure
-            spacing_ms = self._terms.period_ms + self._longest_lease_ms()
-            is_initial = now_ms - state.initial_ms > spacing_ms
-            if is_initial:
-                state.initial_ms = now_ms
+            self._start_tenure(state, now_ms)
         state.holder = keeper
         state.until_ms = now_ms + lease_ms(self._host_count)
         return Grant(
             share,
             lease_ms(self._host_count),
-            idle_ms,
-            is_initial,
+            now_ms - state.free_ms,
+            state.is_initial,
             state.tenure,
         )
 
+    def _start_tenure(self, state: _SlotState, now_ms: float) -> None:
+        """Records from when, and with what, a new holder has the share.
+
+        Every grant of the tenure says so: the first ones may be lost.
+        """
+        self._last_tenure += 1
+        state.tenure = self._last_tenure
+        if state.claimed_share:
+            state.free_ms = now_ms
+        else:
+            state.free_ms = max(
+                state.until_ms, self._usable_from_ms(), self._owned_from_ms
+            )
+        spacing_ms = self._terms.period_ms + self._longest_lease_ms()
+        state.is_initial = now_ms - state.initial_ms > spacing_ms
+        if state.is_initial:
+            state.initial_ms = now_ms
+
     def release(self, slot: int, keeper: Process, now_ms: float) -> None:
         """Ends a lease that its keeper will not use again."""
         state = self._slots[slot]
--- a/tests/limits/test_quota_bounds.py
+++ b/tests/limits/test_quota_bounds.py
@@ -146,6 +146,11 @@
                 self.now_ms,
             )
 
+    def lose_message(self, index):
+        """Drops a request, or the answer to it."""
+        if self.messages:
+            del self.messages[index % len(self.messages)]
+
     def lease_slowly(self, keeper, lender, by_ms):
         """Asks for a lease whose grant arrives late."""
         self.ask_lease(keeper, lender)
@@ -225,6 +230,13 @@
         fleet.advance(300.0)
 
 
+def lose_grants(fleet, keeper):
+    for lender in range(HOSTS):
+        fleet.ask_lease(keeper, lender)
+        fleet.answer_lease(-1)
+    fleet.messages.clear()
+
+
 numbers = strategies.integers(0, HOSTS)
 indexes = strategies.integers(0, 20)
 times_ms = strategies.sampled_from(
@@ -244,6 +256,7 @@
     step("ask_lease", numbers, numbers),
     step("answer_lease", indexes, strategies.booleans()),
     step("receive_grant", indexes),
+    step("lose_message", indexes),
     step(
         "spend",
         numbers,
@@ -359,6 +372,27 @@
     quota_fleet.assert_within_quota()
 
 
+# Failure: the answer to the first request for a lease is lost.
+def test_lost_grant_leaves_the_share_settled(quota_fleet):
+    quota_fleet.advance(20_000.0)
+    lose_grants(quota_fleet, 1)
+    quota_fleet.advance(quota_shares.renewal_interval_ms(HOSTS))
+    for lender in range(HOSTS):
+        quota_fleet.lease(1, lender)
+    assert quota_fleet.spend(1) == int(TERMS.settled(QUOTA))
+
+
+# Failure: the same, after another keeper used the share.
+def test_lost_grant_leaves_the_initial_tokens(quota_fleet):
+    quota_fleet.spend(0)
+    quota_fleet.advance(quota_shares.lease_ms(HOSTS) + 1.0)
+    lose_grants(quota_fleet, 1)
+    for lender in range(HOSTS):
+        quota_fleet.lease(1, lender)
+    assert quota_fleet.spend(1) == int(TERMS.initial(QUOTA))
+    quota_fleet.assert_within_quota()
+
+
 def test_keeper_keeps_its_lease_over_a_restart_of_the_lender(quota_fleet):
     quota_fleet.restart(1)
     quota_fleet.lease(0, 1)
