Confirm the host list after a lapse only by messages sent since

Cause: a host suspended for more than 60 s is taken off the list, and the others grow. When it woke, messages that waited in its sockets made hosts seem alive and a reader active, or carried an older list, so that it had its full share again, without a lapse that its lender would have seen. The share of the burst of extra attempts had the same fault. A keeper that such a host lent to could use more than the whole.

Ruled out: a latch that the lender resets. Times in messages were ruled out, as clocks differ.

The check that shares are held once adds up the leases now: the sum that a keeper reports is limited to one and would hide a fault.

Not run: suspension of real processes.

--- a/greengagedale/gateway/roster.py
+++ b/greengagedale/gateway/roster.py
@@ -18,6 +18,7 @@
 from typing import NamedTuple
 
 from greengagedale import clocks
+from greengagedale.gateway import fleet
 
 log = logging.getLogger(__name__)
 
@@ -31,6 +32,9 @@
 # A listed host that was not seen for this long is removed from the list: twice
 # the time after which it has given up its share if it is still alive.
 REMOVE_AFTER_MS = 2.0 * CONFIRMATION_TIMEOUT_MS
+# A process that wakes first reads messages that waited for it. For this long,
+# they can make hosts seem alive, and one of them a reader of the store.
+_WAITED_MESSAGES_MS = fleet.LOST_AFTER_MS + fleet.READER_STALE_MS
 
 
 class HostList(NamedTuple):
@@ -66,6 +70,7 @@
         self._own_name = own_name
         self._clock = clock
         self._confirmed_ms = clock.now_ms()
+        self._lapse_noted_ms = float("-inf")
         self.host_list = EMPTY_HOST_LIST
 
     def replace_if_newer(self, host_list: HostList) -> bool:
@@ -73,7 +78,7 @@
         if host_list.revision <= self.host_list.revision:
             return False
         self.host_list = host_list
-        self._confirmed_ms = self._clock.now_ms()
+        self._confirm()
         log.info(
             "hosts listed",
             extra={
@@ -97,7 +102,29 @@
         """
         others = {*self.host_list.hosts} - {self._own_name}
         if is_store_reachable or others <= {*alive}:
-            self._confirmed_ms = self._clock.now_ms()
+            self._confirm()
+
+    def _confirm(self) -> None:
+        """Confirms that the list is current.
+
+        After a lapse, only what was sent since the process woke counts.
+        """
+        now_ms = self._clock.now_ms()
+        if now_ms - self._confirmed_ms > CONFIRMATION_TIMEOUT_MS:
+            noted_ms = now_ms - self._lapse_noted_ms
+            if noted_ms > CONFIRMATION_TIMEOUT_MS:
+                self._lapse_noted_ms = now_ms
+                log.info(
+                    "hosts unconfirmed",
+                    extra={
+                        "revision": self.host_list.revision,
+                        "unconfirmed_ms": int(now_ms - self._confirmed_ms),
+                    },
+                )
+                return
+            if noted_ms <= _WAITED_MESSAGES_MS:
+                return
+        self._confirmed_ms = now_ms
 
     def share_of(self, burst: float) -> float:
         """Returns this host's share of a burst limit over all hosts."""
--- a/greengagedale/limits/quota_windows.py
+++ b/greengagedale/limits/quota_windows.py
@@ -83,7 +83,7 @@
     """The shares held in a slot at one time.
 
     Attributes:
-        held: Sum of all shares.
+        held: Sum of all shares; at most 1, as are the others together.
         settled: Sum of those that nobody else used in the last period.
         initial: Sum of the others that came with initial tokens.
         earning_ms: Sum of the others, each times the time since it is free.
@@ -274,7 +274,7 @@
         return usage
 
     def _shares(self, slot: int, now_ms: float) -> _Shares:
-        held = settled = initial = earning_ms = 0.0
+        held = settled = unsettled = initial = earning_ms = 0.0
         for lease in self._leases.get(slot, {}).values():
             if now_ms >= lease.until_ms:
                 continue
@@ -282,10 +282,17 @@
             if self._is_settled(lease, now_ms):
                 settled += lease.share
                 continue
+            unsettled += lease.share
             earning_ms += lease.share * (now_ms - lease.free_ms)
             if lease.is_initial:
                 initial += lease.share
-        return _Shares(held, settled, initial, earning_ms)
+        # Hosts that learn of a list at different times may lend more than one.
+        settled = min(1.0, settled)
+        if unsettled and settled + unsettled > 1.0:
+            fraction = (1.0 - settled) / unsettled
+            initial *= fraction
+            earning_ms *= fraction
+        return _Shares(min(1.0, held), settled, initial, earning_ms)
 
     def _is_settled(self, lease: _Lease, now_ms: float) -> bool:
         return now_ms - lease.free_ms >= self._terms.period_ms
--- a/tests/gateway/test_quota_exchange.py
+++ b/tests/gateway/test_quota_exchange.py
@@ -13,6 +13,7 @@
 from greengagedale.gateway import message_codec
 from greengagedale.gateway import quota_exchange
 from greengagedale.gateway import quota_keepers
+from greengagedale.gateway import roster as roster_lib
 from greengagedale.http1 import messages
 from greengagedale.limits import quota_shares
 from greengagedale.limits import quota_windows
@@ -108,6 +109,18 @@
     assert held <= 1.0 + 1e-9
 
 
+# Failure: a host is suspended until it is off the list, and wakes to messages
+# that waited for it.
+async def test_woken_host_lends_nothing_by_messages_that_waited(site):
+    host = site.hosts["a"]
+    slot = quota_keepers.slot_of("w")
+    site.clock.advance(roster_lib.REMOVE_AFTER_MS + 10_000.0)
+    host._roster.confirm_current(NAMES, is_store_reachable=True)
+    host._tick()
+    assert host._lender.holder_of(slot, site.clock.now_ms()) is None
+    assert host._keeper.held_share(slot, site.clock.now_ms()) == 0.0
+
+
 async def test_leaving_keeper_hands_over_at_once(site):
     leaving = site.keeper()
     asker = site.other_than(leaving)
--- a/tests/gateway/test_roster.py
+++ b/tests/gateway/test_roster.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from greengagedale.gateway import fleet as fleet_lib
 from greengagedale.gateway import roster as roster_lib
 
 BURST = 160.0
@@ -81,6 +82,40 @@
     assert isolated.share_of(BURST) == roster_lib.UNLISTED_SHARE
 
 
+# Failure: a host is suspended until it is off the list, and wakes to messages
+# that waited for it. Seen with a full share at once.
+@pytest.mark.parametrize("waited", ["confirmation", "list"])
+def test_woken_host_has_no_share_by_messages_that_waited(
+    rosters, clock, waited
+):
+    woken = rosters[0]
+    woken.replace_if_newer(ALL_LISTED)
+    clock.advance(roster_lib.REMOVE_AFTER_MS + 10_000.0)
+    if waited == "list":
+        woken.replace_if_newer(ALL_LISTED._replace(revision=6))
+    until_ms = clock.now_ms() + (
+        fleet_lib.LOST_AFTER_MS + fleet_lib.READER_STALE_MS
+    )
+    while clock.now_ms() <= until_ms:
+        woken.confirm_current(NAMES, is_store_reachable=True)
+        assert woken.fraction() == 0.0
+        assert woken.share_of(BURST) == roster_lib.UNLISTED_SHARE
+        clock.advance(100.0)
+    woken.confirm_current(NAMES, is_store_reachable=True)
+    assert woken.fraction() == pytest.approx(1.0 / len(NAMES))
+
+
+def test_host_suspended_again_has_no_share_by_messages_that_waited(
+    rosters, clock
+):
+    woken = rosters[0]
+    woken.replace_if_newer(ALL_LISTED)
+    for _ in range(3):
+        clock.advance(roster_lib.REMOVE_AFTER_MS)
+        woken.confirm_current(NAMES, is_store_reachable=True)
+        assert woken.fraction() == 0.0
+
+
 def test_older_list_is_ignored(rosters):
     rosters[0].replace_if_newer(ALL_LISTED)
     assert not rosters[0].replace_if_newer(roster_lib.HostList(4, NAMES[:2]))
--- a/tests/limits/test_quota_bounds.py
+++ b/tests/limits/test_quota_bounds.py
@@ -207,7 +207,9 @@
 
     def assert_shares_are_held_once(self):
         held = sum(
-            host.keeper.held_share(0, self.now_ms) for host in self.hosts
+            host.keeper.share_of(0, f"h{lender}", self.now_ms)
+            for host in self.hosts
+            for lender in range(self.host_count)
         )
         assert held <= 1.0 + 1e-9
 
@@ -427,6 +429,25 @@
     assert decision.verdict is quota_windows.Verdict.UNDECIDED
 
 
+# Failure: a host that was suspended lends by an earlier list of fewer hosts.
+@pytest.mark.parametrize("idle_ms", [0.0, 60_000.0])
+def test_keeper_uses_no_more_than_the_whole(idle_ms):
+    allowed = []
+    for lenders in (2, 3):
+        host = Host(0, 1, 0.0, LARGE_QUOTA)
+        for number in range(lenders):
+            grant = quota_shares.Grant(0.5, 900.0, idle_ms, True, 1)
+            host.keeper.add_lease(0, f"h{number}", grant, 0.0, 0.0)
+        assert host.keeper.held_share(0, 800.0) == 1.0
+        allowed.append(
+            [
+                host.keeper.take(WORKSPACE, 800.0).verdict
+                for _ in range(int(TERMS.allowance(LARGE_QUOTA)))
+            ].count(quota_windows.Verdict.ALLOWED)
+        )
+    assert allowed[0] == allowed[1]
+
+
 def test_removed_workspace_gets_no_tokens(quota_fleet):
     quota_fleet.hosts[0].keeper.set_quotas({}, quota_fleet.now_ms)
     assert quota_fleet.spend(0) == 0
