Check the age of a token last, on the keeper's own requests too

Cause: the age was checked when the answer came, a turn of the loop before the requests resume, and not at all for the keeper's own requests. A suspension in between let them run late, outside of the window that they count in.

Ruled out: a check where the upstream is called; a gap remains there, too, and extra attempts pass by it.

Not run: suspension of real processes.

--- a/greengagedale/gateway/quota_exchange.py
+++ b/greengagedale/gateway/quota_exchange.py
@@ -125,7 +125,6 @@
 
 
 class _Batch(NamedTuple):
-    asked_ms: float
     asks: list[TokenAsk]
     futures: list[asyncio.Future[quota_windows.Decision]]
 
@@ -214,6 +213,7 @@
             route: Route of the request.
             left_ms: Time that the caller still waits; None if unknown.
         """
+        asked_ms = self._clock.now_ms()
         ask = TokenAsk(
             workspace,
             self._returning.is_returning(
@@ -229,6 +229,11 @@
         else:
             wait_ms = max(MIN_WAIT_MS, WAIT_SHARE * route.target_latency_ms)
             decision = await self._ask(keeper, ask, wait_ms)
+        if (
+            decision.verdict is quota_windows.Verdict.ALLOWED
+            and not self._is_valid(asked_ms)
+        ):
+            decision = self._undecided()
         self._metrics.quota_decisions.inc(workspace, str(decision.verdict))
         return decision
 
@@ -238,7 +243,7 @@
         loop = asyncio.get_running_loop()
         batch = self._batches.get(keeper)
         if batch is None:
-            batch = _Batch(self._clock.now_ms(), [], [])
+            batch = _Batch([], [])
             self._batches[keeper] = batch
             # Requests that arrive in the same turn of the loop share a message.
             loop.call_soon(self._send_batch, keeper)
@@ -278,14 +283,14 @@
             self._record_no_answer(keeper)
             return []
         self._directory.record_answer(keeper)
-        return reply.decisions if self._is_valid(batch) else []
+        return reply.decisions
 
-    def _is_valid(self, batch: _Batch) -> bool:
-        """Returns whether tokens that were just received may be used.
+    def _is_valid(self, asked_ms: float) -> bool:
+        """Returns whether a token may be used that was asked for at a time.
 
         A process may be suspended at any point; its tokens expire meanwhile.
         """
-        age_ms = self._clock.now_ms() - batch.asked_ms
+        age_ms = self._clock.now_ms() - asked_ms
         return age_ms <= quota_shares.TOKEN_VALIDITY_MS
 
     def _record_no_answer(self, keeper: str) -> None:
--- a/tests/gateway/test_quota_exchange.py
+++ b/tests/gateway/test_quota_exchange.py
@@ -68,6 +68,38 @@
     assert await site.admit(name) is UNDECIDED
 
 
+# Failure: a host is suspended between the answer and the requests it is for.
+async def test_token_is_not_used_after_a_suspension(site):
+    host = site.hosts[site.other_than(site.keeper())]
+    fetch = host._fetch_decisions
+
+    async def suspend_after(keeper, batch):
+        decisions = await fetch(keeper, batch)
+        asyncio.get_running_loop().call_soon(
+            site.clock.advance, quota_shares.TOKEN_VALIDITY_MS + 1.0
+        )
+        return decisions
+
+    host._fetch_decisions = suspend_after
+    decision = await host.admit("w", single(), 1000.0)
+    assert decision.verdict is UNDECIDED
+
+
+# Failure: a keeper is suspended while it decides on a request of its own.
+async def test_own_token_is_not_used_after_a_suspension(site):
+    host = site.hosts[site.keeper()]
+    decide = host._decide
+
+    def suspend_after(ask):
+        decision = decide(ask)
+        site.clock.advance(quota_shares.TOKEN_VALIDITY_MS + 1.0)
+        return decision
+
+    host._decide = suspend_after
+    decision = await host.admit("w", single(), 1000.0)
+    assert decision.verdict is UNDECIDED
+
+
 # Failure: the host that holds the quotas of a slot ends.
 async def test_lost_keeper_is_replaced_within_two_seconds(site):
     lost = site.keeper()
