Let precedence decide who waits while queues are long

Requests with keys were refused by long queues regardless of whose they were, so a rush of some workspaces cost the others as much as themselves. Now the time that a request may wait depends on its rank (the workspace's priority before the route's) and on the use of its workspace within the rank. Extra attempts leave a reserve by the same rank. Where no keys are configured, nothing changes.

limits.admission was not reused: it queues requests on the host by a known capacity, while here only the queues of upstreams are known.

--- a/greengagedale/gateway/daemon.py
+++ b/greengagedale/gateway/daemon.py
@@ -24,6 +24,7 @@
 from greengagedale.gateway import host_selection
 from greengagedale.gateway import metrics as metrics_lib
 from greengagedale.gateway import peer_exchange as peer_exchange_lib
+from greengagedale.gateway import precedence as precedence_lib
 from greengagedale.gateway import proof_refresh
 from greengagedale.gateway import quarantine as quarantine_lib
 from greengagedale.gateway import reader_election as election_lib
@@ -272,6 +273,7 @@
             self._evacuations,
             self._warm_up,
             self._region_map,
+            precedence_lib.Precedence(rng),
         )
         self._runner = runner_lib.Runner(
             self._tools, self._budgets, traffic_split.TrafficSplitter(rng)
@@ -491,6 +493,7 @@
         self._notices.evict_expired()
         self._warm_up.retain_only(incarnations)
         self._budgets.evict_unused(self._clock.now_ms())
+        self._tools.precedence.evict_idle(self._clock.now_ms())
         if self._registry.table is not None:
             self._runner.retain_only(self._registry.table.configuration)
         self._scores.retain_only(incarnations)
--- a/greengagedale/gateway/metrics.py
+++ b/greengagedale/gateway/metrics.py
@@ -68,6 +68,9 @@
         store_calls: Calls to the store by operation and result.
         warm_up_choices: What became of upstreams that warm up when requests
             were sent, by service: sent to, withheld or refused.
+        precedence_refusals: Requests and attempts that were not sent because
+            of long queues, by effective priority and by what limited their
+            patience; only where requests need keys.
         evacuations: Evacuations of data centres that began or ended.
         proof_changes: Times that the proof of a recent configuration was lost
             or gained.
@@ -108,6 +111,12 @@
             "service",
             "result",
         )
+        self.precedence_refusals = Counter(
+            "precedence_refusals",
+            "Not sent because of long queues, by rank and limit.",
+            "rank",
+            "limit",
+        )
         self.evacuations = Counter(
             "evacuations", "Evacuations seen.", "data_centre", "state"
         )
--- a/greengagedale/gateway/runner.py
+++ b/greengagedale/gateway/runner.py
@@ -7,11 +7,13 @@
 from greengagedale import outcomes
 from greengagedale.gateway import calls
 from greengagedale.gateway import extra_attempts
+from greengagedale.gateway import precedence as precedence_lib
 from greengagedale.gateway import records
 from greengagedale.gateway import regions as regions_lib
 from greengagedale.gateway import route_config
 from greengagedale.gateway import sub_requests
 from greengagedale.gateway import traffic_split
+from greengagedale.gateway import upstream_scores as scores_lib
 
 log = logging.getLogger(__name__)
 
@@ -27,7 +29,7 @@
 DEADLINE_MARGIN_MS = 12.0
 # Minimum Retry-After, also used when a service has no listed upstream or all
 # of them refuse.
-RETRY_AFTER_MS = 100
+RETRY_AFTER_MS = precedence_lib.MIN_RETRY_AFTER_MS
 # Retry-After for quarantined requests, that is, requests that crash upstreams.
 QUARANTINE_RETRY_MS = 60_000
 # While too many shards are unresponsive, one search per interval is sent as a
@@ -132,6 +134,25 @@
         Cancelling it cancels the attempts in flight, except one of a request
         that must run at most once.
         """
+        standing = self._context.standing_of(call, route)
+        if standing is None:
+            return await self._run_in_regions(call, route, steps)
+        precedence = self._context.precedence
+        precedence.record_arrival(standing, self._context.clock.now_ms())
+        outcome = await self._run_in_regions(call, route, steps)
+        precedence.record_end(
+            standing,
+            isinstance(outcome, outcomes.Ran),
+            self._context.clock.now_ms(),
+        )
+        return outcome
+
+    async def _run_in_regions(
+        self,
+        call: calls.Call,
+        route: route_config.Route,
+        steps: list[sub_requests.Step],
+    ) -> outcomes.Outcome:
         allowed = regions_lib.allowed_regions(
             route, self._context.authorizer.workspace_of(call)
         )
@@ -238,7 +259,7 @@
         after_ms = _cutoff_after_ms(route.target_latency_ms, waited_ms)
         cutoff_ms = call.received_ms + after_ms
         refusal = self._refuse_if_overloaded(
-            route, fanout, available, cutoff_ms, steps
+            call, route, fanout, available, cutoff_ms, steps
         )
         if refusal is not None:
             return refusal
@@ -282,6 +303,7 @@
 
     def _refuse_if_overloaded(
         self,
+        call: calls.Call,
         route: route_config.Route,
         fanout: route_config.Fanout,
         shards: list[str],
@@ -291,13 +313,19 @@
         """Refuses a search if queues would make too many of its parts late.
 
         Sending it would cost the other shards work for a search that fails.
+        How long a queue may be depends on the precedence of the search.
 
         Returns:
             The refusal, or None if the search can be sent.
         """
         scores = self._context.scores
         now_ms = self._context.clock.now_ms()
-        if not scores.was_overloaded_recently(now_ms):
+        standing = self._context.standing_of(call, route)
+        patience = self._context.patience(standing, now_ms)
+        if (
+            not scores.was_overloaded_recently(now_ms)
+            and patience.factor >= 1.0
+        ):
             return None
         typical_ms = self.latency_of(route).typical_ms()
         choices = (
@@ -305,26 +333,27 @@
             for shard in shards
             if self._is_responsive(shard)
         )
-        waits_ms = [
-            choice.queue_latency_ms - (cutoff_ms - now_ms)
-            if sub_requests.is_too_late(choice, cutoff_ms, now_ms)
-            else 0.0
-            for choice in choices
-            if choice is not None
-        ]
-        if len(waits_ms) < fanout.min_parts:
+        found = [choice for choice in choices if choice is not None]
+        if len(found) < fanout.min_parts:
             # Too many shards are down; this search is sent as a probe.
             return None
-        wait_ms = sorted(waits_ms)[fanout.min_parts - 1]
-        if wait_ms <= 0.0:
+        late_count = _late_count(found, cutoff_ms, now_ms, patience.factor)
+        if len(found) - late_count >= fanout.min_parts:
             return None
-        scores.record_queue_overload(now_ms)
-        late_count = sum(wait_ms > 0.0 for wait_ms in waits_ms)
+        full_count = _late_count(found, cutoff_ms, now_ms, 1.0)
+        if len(found) - full_count < fanout.min_parts:
+            scores.record_queue_overload(now_ms)
+        latencies_ms = sorted(choice.queue_latency_ms for choice in found)
+        wait_ms = latencies_ms[fanout.min_parts - 1] - (cutoff_ms - now_ms)
+        note = self._context.record_too_late(standing, patience, now_ms)
         steps.append(
-            _arrival_step("too late", f"queues of {late_count} shards")
+            _arrival_step("too late", f"queues of {late_count} shards{note}")
+        )
+        retry_after_ms = self._context.retry_after_ms(
+            standing, patience, wait_ms
         )
         return outcomes.NotRun(
-            outcomes.Reason.OVERLOADED, max(RETRY_AFTER_MS, int(wait_ms))
+            outcomes.Reason.OVERLOADED, max(RETRY_AFTER_MS, retry_after_ms)
         )
 
     def _estimate_waited_ms(
@@ -502,6 +531,18 @@
         return outcomes.from_failures(attempt_failures, reason, retry_after_ms)
 
 
+def _late_count(
+    choices: list[scores_lib.UpstreamChoice],
+    cutoff_ms: float,
+    now_ms: float,
+    patience: float,
+) -> int:
+    return sum(
+        sub_requests.is_too_late(choice, cutoff_ms, now_ms, patience)
+        for choice in choices
+    )
+
+
 def _arrival_step(kind: str, reason: str) -> sub_requests.Step:
     """Returns a step recorded at the arrival of a request."""
     return sub_requests.Step(0.0, kind, "", "", reason)
--- a/greengagedale/gateway/sub_requests.py
+++ b/greengagedale/gateway/sub_requests.py
@@ -11,6 +11,7 @@
 from greengagedale.gateway import evacuations as evacuations_lib
 from greengagedale.gateway import extra_attempts
 from greengagedale.gateway import metrics as metrics_lib
+from greengagedale.gateway import precedence as precedence_lib
 from greengagedale.gateway import quarantine as quarantine_lib
 from greengagedale.gateway import regions as regions_lib
 from greengagedale.gateway import route_config
@@ -113,6 +114,7 @@
         evacuations: The evacuated data centres.
         warm_up: Limits what upstreams get while they warm up.
         region_map: The regions of the data centres.
+        precedence: Decides whose requests wait while queues are long.
     """
 
     client: calls.UpstreamClient
@@ -128,6 +130,7 @@
     evacuations: evacuations_lib.Evacuations
     warm_up: warm_up_lib.WarmUpLimit
     region_map: regions_lib.RegionMap
+    precedence: precedence_lib.Precedence
 
     def within(self, allowed: frozenset[str]) -> "SubRequestContext":
         """Returns a context that has only the upstreams of some regions."""
@@ -137,6 +140,52 @@
             )
         )
 
+    def standing_of(
+        self, call: calls.Call, route: route_config.Route
+    ) -> precedence_lib.Standing | None:
+        """Returns the standing of a call; None if requests need no keys."""
+        return precedence_lib.standing_of(
+            call, route, self.authorizer.workspace_of(call)
+        )
+
+    def patience(
+        self, standing: precedence_lib.Standing | None, now_ms: float
+    ) -> precedence_lib.Patience:
+        """Returns how long a request may wait in queues now."""
+        if standing is None:
+            return precedence_lib.FULL_PATIENCE
+        return self.precedence.patience(
+            standing, self.scores.was_overloaded_recently(now_ms), now_ms
+        )
+
+    def record_too_late(
+        self,
+        standing: precedence_lib.Standing | None,
+        patience: precedence_lib.Patience,
+        now_ms: float,
+    ) -> str:
+        """Records that a request isn't sent; returns a note for its step."""
+        if standing is None:
+            return ""
+        if patience.factor < 1.0:
+            self.precedence.record_turned_away(now_ms)
+        self.metrics.precedence_refusals.inc(str(standing.rank), patience.limit)
+        return (
+            f", rank {standing.rank}, use {patience.use:.1f},"
+            f" patience {patience.factor:.2f}"
+        )
+
+    def retry_after_ms(
+        self,
+        standing: precedence_lib.Standing | None,
+        patience: precedence_lib.Patience,
+        wait_ms: float,
+    ) -> int:
+        """Returns the Retry-After of a request that would wait too long."""
+        if standing is None:
+            return int(wait_ms)
+        return self.precedence.retry_after_ms(wait_ms, patience)
+
     def in_use(self, service: str) -> list[upstream_entries.Upstream]:
         """Returns the upstreams of a service that are not evacuated."""
         return self.evacuations.outside(self.upstreams_of(service))
@@ -214,6 +263,7 @@
         self._fingerprint = calls.fingerprint_of(call)
         self._route = route
         self.service = service
+        self._standing = context.standing_of(call, route)
         self._deadline_ms = deadline_ms
         self._useful_until_ms = useful_until_ms
         self._allowance = allowance
@@ -373,25 +423,33 @@
                 )
             return reason
         upstream = choice.upstream
-        if is_too_late(choice, self._useful_until_ms, now_ms) and (
-            kind == "hedge" or self._allowance.try_use()
-        ):
+        patience = (
+            precedence_lib.FULL_PATIENCE
+            if kind == "retry"
+            else context.patience(self._standing, now_ms)
+        )
+        if is_too_late(
+            choice, self._useful_until_ms, now_ms, patience.factor
+        ) and (kind == "hedge" or self._allowance.try_use()):
             # An attempt that is answered too late only lengthens the queue.
             if is_too_late(
                 choice, self._useful_until_ms, self._call.received_ms
             ):
                 context.scores.record_queue_overload(now_ms)
             context.metrics.refusals.inc("too_late", kind)
-            self._retry_after_ms = int(
-                choice.queue_latency_ms - (self._useful_until_ms - now_ms)
+            self._retry_after_ms = context.retry_after_ms(
+                self._standing,
+                patience,
+                choice.queue_latency_ms - (self._useful_until_ms - now_ms),
             )
+            note = context.record_too_late(self._standing, patience, now_ms)
             if not self._has_logged_too_late:
                 self._has_logged_too_late = True
-                self._add_step(now_ms, "too late", upstream, kind)
+                self._add_step(now_ms, "too late", upstream, kind + note)
             return outcomes.Reason.OVERLOADED
         is_extra = self._delivered_count > 0
         if is_extra and not self._budget.try_withdraw(
-            now_ms, self._reserve_share(kind)
+            now_ms, self._reserve_share(kind, now_ms)
         ):
             context.metrics.refusals.inc("budget", kind)
             if not self._has_logged_no_budget:
@@ -408,6 +466,8 @@
             context.metrics.extra_attempts.inc(self.service, kind)
             self._add_step(now_ms, kind, upstream, "")
         context.metrics.attempts.inc(self.service)
+        if self._standing is not None:
+            context.precedence.record_attempt(self._standing, now_ms)
         attempt = calls.Attempt(
             self._call,
             upstream,
@@ -433,9 +493,17 @@
         arrived_ms = self._context.clock.now_ms() + IN_TRANSIT_MS
         self._budget.on_attempt_end(arrived_ms)
 
-    def _reserve_share(self, kind: str) -> float:
+    def _reserve_share(self, kind: str, now_ms: float) -> float:
         """Returns the fraction of the burst that an attempt must leave."""
-        share = PRIORITY_RESERVE_SHARE if self._route.priority > 1 else 0.0
+        standing = self._standing
+        if standing is None:
+            keeps_reserve = self._route.priority > 1
+        else:
+            keeps_reserve = (
+                standing.rank > 1
+                or self._context.precedence.keeps_reserve(standing, now_ms)
+            )
+        share = PRIORITY_RESERVE_SHARE if keeps_reserve else 0.0
         return share + (HEDGE_RESERVE_SHARE if kind == "hedge" else 0.0)
 
     async def _send(
@@ -562,11 +630,25 @@
 
 
 def is_too_late(
-    choice: scores_lib.UpstreamChoice, useful_until_ms: float, now_ms: float
+    choice: scores_lib.UpstreamChoice,
+    useful_until_ms: float,
+    now_ms: float,
+    patience: float = 1.0,
 ) -> bool:
-    """Returns whether an answer is expected too late to be useful."""
-    remaining_ms = max(0.0, useful_until_ms - now_ms)
-    return choice.queue_latency_ms > TOO_LATE_FACTOR * remaining_ms
+    """Returns whether an answer is expected too late to be useful.
+
+    Args:
+        choice: The upstream that would be sent to.
+        useful_until_ms: Time after which the answer is no longer useful.
+        now_ms: Current time.
+        patience: Fraction of the time left for waiting in a queue that the
+            request may use.
+    """
+    limit_ms = TOO_LATE_FACTOR * max(0.0, useful_until_ms - now_ms)
+    if patience < 1.0:
+        run_ms = choice.queue_latency_ms - choice.queue_wait_ms
+        limit_ms -= (1.0 - patience) * max(0.0, limit_ms - run_ms)
+    return choice.queue_latency_ms > limit_ms
 
 
 async def _wait_or_cancel(task: _Task) -> None:
--- a/greengagedale/gateway/upstream_scores.py
+++ b/greengagedale/gateway/upstream_scores.py
@@ -240,10 +240,12 @@
         upstream: The upstream.
         queue_latency_ms: Expected latency of an attempt there with its current
             queue, if it is otherwise as fast as the others.
+        queue_wait_ms: The part of it that is spent waiting in the queue.
     """
 
     upstream: upstream_entries.Upstream
     queue_latency_ms: float
+    queue_wait_ms: float = 0.0
 
 
 class UpstreamScores:
@@ -335,8 +337,9 @@
             chosen = self._choose_weighted(scored, best_ms)
         else:
             chosen = self._choose_tied(scored, best_ms)
+        queue_factor = self._queue_factor(chosen, now_ms)
         return UpstreamChoice(
-            chosen, typical_ms * self._queue_factor(chosen, now_ms)
+            chosen, typical_ms * queue_factor, typical_ms * (queue_factor - 1.0)
         )
 
     def _choose_weighted(
--- a/tests/gateway_scripts.py
+++ b/tests/gateway_scripts.py
@@ -14,6 +14,7 @@
 from greengagedale.gateway import freshness
 from greengagedale.gateway import metrics
 from greengagedale.gateway import peer_exchange
+from greengagedale.gateway import precedence
 from greengagedale.gateway import quarantine
 from greengagedale.gateway import regions
 from greengagedale.gateway import registry
@@ -228,6 +229,7 @@
             self.evacuations,
             self.warm_up,
             REGION_MAP,
+            precedence.Precedence(rng),
         )
         # An earlier process has spent nothing within the window.
         started_ms = self.clock.now_ms() - 2.0 * WINDOW_MS
@@ -253,18 +255,42 @@
             for service, upstreams in self.upstreams.items()
         }
 
-    def call(self, left_ms=1000.0, target=None):
+    def call(self, left_ms=1000.0, target=None, workspace=None):
         now_ms = self.clock.now_ms()
         if target is None:
             # Callers rarely send the same request twice.
             target = b"/a/%d" % next(self._request_numbers)
         message = messages.Request(b"GET", target, (), b"", now_ms)
         return calls.Call(
-            "id", "host", target.decode(), message, now_ms, now_ms + left_ms
+            "id",
+            "host",
+            target.decode(),
+            message,
+            now_ms,
+            now_ms + left_ms,
+            workspace
+            and calls.CallerIdentity(
+                workspace, route_config.key_digest(workspace.encode())
+            ),
         )
 
-    async def run(self, route, left_ms=1000.0, target=None):
-        call = self.call(left_ms, target)
+    def use_workspaces(self, *workspaces):
+        """Puts a configuration in force whose keys are workspaces' names."""
+        keyed = tuple(
+            each._replace(
+                key_digests=(route_config.key_digest(each.name.encode()),)
+            )
+            for each in workspaces
+        )
+        self.registry.apply_routes(
+            route_config.RouteConfiguration(
+                1, (single(),), (), server.Limits(), keyed
+            ),
+            1,
+        )
+
+    async def run(self, route, left_ms=1000.0, target=None, workspace=None):
+        call = self.call(left_ms, target, workspace)
         return await self.runner.run(call, route, self.steps)
 
 
