--- a/tests/gateway/test_mutations.py
+++ b/tests/gateway/test_mutations.py
@@ -12,6 +12,7 @@
 from gateway_scripts import fanout
 from gateway_scripts import host_state
 from gateway_scripts import lost
+from gateway_scripts import run_beside_long_queues
 from gateway_scripts import single
 from gateway_scripts import unreachable
 from gateway_scripts import upstream
@@ -27,6 +28,7 @@
 from greengagedale.gateway import fleet
 from greengagedale.gateway import freshness
 from greengagedale.gateway import peer_exchange
+from greengagedale.gateway import precedence
 from greengagedale.gateway import quarantine
 from greengagedale.gateway import reader_election
 from greengagedale.gateway import regions
@@ -166,6 +168,13 @@
     return bench.client.sent == ["b"]
 
 
+async def lower_ranks_give_way():
+    """A search of a lower rank is not sent where a more urgent one waits."""
+    bench = Bench()
+    await run_beside_long_queues(bench, "wide")
+    return bench.client.sent == []
+
+
 async def old_heartbeats_end():
     """A lost host's heartbeat is not passed on again and again."""
     clock = clocks.ManualClock()
@@ -533,6 +542,12 @@
 
 
 MUTATIONS = {
+    "ignore_precedence": (
+        lower_ranks_give_way,
+        precedence.Precedence,
+        "patience",
+        always(precedence.FULL_PATIENCE),
+    ),
     "prove_on_arrival_of_exchange": (
         late_answers_prove_the_time_of_their_request,
         freshness.Freshness,
--- a/tests/gateway/test_precedence.py
+++ b/tests/gateway/test_precedence.py
@@ -4,18 +4,16 @@
 usually fill 90% of it; three of them send 7 times as much.
 """
 
-import asyncio
 import collections
 import heapq
 import random
 
-from gateway_scripts import fanout
 from gateway_scripts import lost
+from gateway_scripts import run_beside_long_queues
 from gateway_scripts import single
 import pytest
 
 from greengagedale import outcomes
-from greengagedale.gateway import calls
 from greengagedale.gateway import precedence
 from greengagedale.gateway import route_config
 from greengagedale.gateway import sub_requests
@@ -212,38 +210,13 @@
     assert ranks == [standing("urgent", 0), standing("unset", 2, 5.0), None]
 
 
-SHARDS = "abcdef"
-
-
-async def run_beside_queues(bench, workspace):
-    """Runs a search of rank 2 beside one of rank 0, queues of medium length."""
-    bench.use_workspaces(
-        route_config.Workspace("urgent", (), priority=0),
-        route_config.Workspace("wide", (), priority=2),
-    )
-    for shard in SHARDS:
-        bench.add(shard, shard)
-    route = fanout(SHARDS, min_coverage=0.8, target_latency_ms=400.0)
-    await bench.run(route, workspace="urgent")
-    now_ms = bench.clock.now_ms()
-    bench.context.scores.record_queue_overload(now_ms)
-    typical_ms = bench.runner.latency_of(route).typical_ms()
-    # Queues that take 0.75 of the time that is left for waiting.
-    waiting = int(2 * 0.75 * (450.0 / typical_ms - 1.0))
-    for shard in SHARDS:
-        score = bench.context.scores.get(bench.upstreams[shard][0])
-        score.record_load(calls.LoadReport(2, waiting, 2), now_ms)
-    bench.client.sent.clear()
-    return await bench.run(route, workspace=workspace)
-
-
 async def test_urgent_search_is_sent_to_slow_shards(bench):
-    outcome = await run_beside_queues(bench, "urgent")
+    outcome = await run_beside_long_queues(bench, "urgent")
     assert isinstance(outcome, outcomes.Ran)
 
 
 async def test_wide_search_is_not_sent_to_slow_shards(bench):
-    outcome = await run_beside_queues(bench, "wide")
+    outcome = await run_beside_long_queues(bench, "wide")
     assert isinstance(outcome, outcomes.NotRun)
     assert outcome.reason is outcomes.Reason.OVERLOADED
     assert bench.client.sent == []
@@ -252,7 +225,7 @@
 
 
 async def test_search_without_keys_is_sent_to_slow_shards(bench):
-    outcome = await run_beside_queues(bench, None)
+    outcome = await run_beside_long_queues(bench, None)
     assert isinstance(outcome, outcomes.Ran)
     assert not bench.metrics.precedence_refusals.counts
 
--- a/tests/gateway_scripts.py
+++ b/tests/gateway_scripts.py
@@ -318,6 +318,29 @@
     )
 
 
+async def run_beside_long_queues(bench, workspace):
+    """Runs a search of rank 2 beside one of rank 0, queues of medium length."""
+    bench.use_workspaces(
+        route_config.Workspace("urgent", (), priority=0),
+        route_config.Workspace("wide", (), priority=2),
+    )
+    shards = "abcdef"
+    for shard in shards:
+        bench.add(shard, shard)
+    route = fanout(shards, min_coverage=0.8, target_latency_ms=400.0)
+    await bench.run(route, workspace="urgent")
+    now_ms = bench.clock.now_ms()
+    bench.context.scores.record_queue_overload(now_ms)
+    typical_ms = bench.runner.latency_of(route).typical_ms()
+    # Queues that take 0.75 of the time that is left for waiting.
+    waiting = int(2 * 0.75 * (450.0 / typical_ms - 1.0))
+    for shard in shards:
+        score = bench.context.scores.get(bench.upstreams[shard][0])
+        score.record_load(calls.LoadReport(2, waiting, 2), now_ms)
+    bench.client.sent.clear()
+    return await bench.run(route, workspace=workspace)
+
+
 class OffsetClock(clocks.Clock):
     """A host's clock, which agrees with that of others in its rate only."""
 
