--- a/tests/gateway_scripts.py
+++ b/tests/gateway_scripts.py
@@ -286,7 +286,7 @@
             route_config.RouteConfiguration(
                 1, (single(),), (), server.Limits(), keyed
             ),
-            1,
+            at(1),
         )
 
     async def run(self, route, left_ms=1000.0, target=None, workspace=None):
