--- a/tests/gateway_scripts.py
+++ b/tests/gateway_scripts.py
@@ -15,6 +15,7 @@
 from greengagedale.gateway import metrics
 from greengagedale.gateway import peer_connections
 from greengagedale.gateway import peer_exchange
+from greengagedale.gateway import precedence
 from greengagedale.gateway import quarantine
 from greengagedale.gateway import quota_exchange
 from greengagedale.gateway import quota_keepers
@@ -236,6 +237,7 @@
             self.evacuations,
             self.warm_up,
             REGION_MAP,
+            precedence.Precedence(rng),
         )
         # An earlier process has spent nothing within the window.
         started_ms = self.clock.now_ms() - 2.0 * WINDOW_MS
@@ -261,18 +263,42 @@
             for service, upstreams in self.upstreams.items()
         }
 
-    def call(self, left_ms=1000.0, target=None):
+    def call(self, left_ms=1000.0, target=None, workspace=None):
         now_ms = self.clock.now_ms()
         if target is None:
             # Callers rarely send the same request twice.
             target = b"/a/%d" % next(self._request_numbers)
         message = messages.Request(b"GET", target, (), b"", now_ms)
         return calls.Call(
-            "id", "host", target.decode(), message, now_ms, now_ms + left_ms
+            "id",
+            "host",
+            target.decode(),
+            message,
+            now_ms,
+            now_ms + left_ms,
+            workspace
+            and calls.CallerIdentity(
+                workspace, route_config.key_digest(workspace.encode())
+            ),
         )
 
-    async def run(self, route, left_ms=1000.0, target=None):
-        call = self.call(left_ms, target)
+    def use_workspaces(self, *workspaces):
+        """Puts a configuration in force whose keys are workspaces' names."""
+        keyed = tuple(
+            each._replace(
+                key_digests=(route_config.key_digest(each.name.encode()),)
+            )
+            for each in workspaces
+        )
+        self.registry.apply_routes(
+            route_config.RouteConfiguration(
+                1, (single(),), (), server.Limits(), keyed
+            ),
+            at(1),
+        )
+
+    async def run(self, route, left_ms=1000.0, target=None, workspace=None):
+        call = self.call(left_ms, target, workspace)
         return await self.runner.run(call, route, self.steps)
 
 
@@ -300,6 +326,29 @@
     )
 
 
+async def run_beside_long_queues(bench, workspace):
+    """Runs a search of rank 2 beside one of rank 0, queues of medium length."""
+    bench.use_workspaces(
+        route_config.Workspace("urgent", (), priority=0),
+        route_config.Workspace("wide", (), priority=2),
+    )
+    shards = "abcdef"
+    for shard in shards:
+        bench.add(shard, shard)
+    route = fanout(shards, min_coverage=0.8, target_latency_ms=400.0)
+    await bench.run(route, workspace="urgent")
+    now_ms = bench.clock.now_ms()
+    bench.context.scores.record_queue_overload(now_ms)
+    typical_ms = bench.runner.latency_of(route).typical_ms()
+    # Queues that take 0.75 of the time that is left for waiting.
+    waiting = int(2 * 0.75 * (450.0 / typical_ms - 1.0))
+    for shard in shards:
+        score = bench.context.scores.get(bench.upstreams[shard][0])
+        score.record_load(calls.LoadReport(2, waiting, 2), now_ms)
+    bench.client.sent.clear()
+    return await bench.run(route, workspace=workspace)
+
+
 class OffsetClock(clocks.Clock):
     """A host's clock, which agrees with that of others in its rate only."""
 
