--- a/greengagedale/limits/quota_shares.py
+++ b/greengagedale/limits/quota_shares.py
@@ -268,21 +268,12 @@
         """
         state = self._slots[slot]
         self._apply_pending(now_ms)
-        is_lent = state.holder is not None and now_ms <= state.until_ms
         owned_ms = now_ms - self._owned_from_ms
         if self._share > 0.0 and owned_ms > self._terms.period_ms:
             # What this process owns beyond the claimed share is settled, too.
             state.claimed_share = 0.0
-        if is_lent and state.holder != keeper:
+        if not self._may_lend(state, keeper, now_ms, claimed_share):
             return None
-        if not is_lent:
-            usable_from_ms = self._usable_from_ms()
-            if now_ms < usable_from_ms:
-                if state.holder is not None or not claimed_share:
-                    return None
-                state.claimed_share = claimed_share
-            else:
-                state.claimed_share = 0.0
         share = self._lendable_share(state)
         if share <= 0.0:
             return None
@@ -298,6 +289,24 @@
             state.tenure,
         )
 
+    def _may_lend(
+        self,
+        state: _SlotState,
+        keeper: Process,
+        now_ms: float,
+        claimed_share: float,
+    ) -> bool:
+        """Returns whether nobody else can hold the share; records a claim."""
+        if state.holder is not None and now_ms <= state.until_ms:
+            return state.holder == keeper
+        if now_ms >= self._usable_from_ms():
+            state.claimed_share = 0.0
+            return True
+        if state.holder is not None or not claimed_share:
+            return False
+        state.claimed_share = claimed_share
+        return True
+
     def _start_tenure(self, state: _SlotState, now_ms: float) -> None:
         """Records from when, and with what, a new holder has the share.
 
--- a/greengagedale/limits/quota_windows.py
+++ b/greengagedale/limits/quota_windows.py
@@ -86,13 +86,13 @@
         held: Sum of all shares; at most 1, as are the others together.
         settled: Sum of those that nobody else used in the last period.
         initial: Sum of the others that came with initial tokens.
-        earning_ms: Sum of the others, each times the time since it is free.
+        earning_share_ms: Sum of the others, each times the time it is free.
     """
 
     held: float
     settled: float
     initial: float
-    earning_ms: float
+    earning_share_ms: float
 
 
 @dataclasses.dataclass(slots=True)
@@ -274,7 +274,7 @@
         return usage
 
     def _shares(self, slot: int, now_ms: float) -> _Shares:
-        held = settled = unsettled = initial = earning_ms = 0.0
+        held = settled = unsettled = initial = earning_share_ms = 0.0
         for lease in self._leases.get(slot, {}).values():
             if now_ms >= lease.until_ms:
                 continue
@@ -283,7 +283,7 @@
                 settled += lease.share
                 continue
             unsettled += lease.share
-            earning_ms += lease.share * (now_ms - lease.free_ms)
+            earning_share_ms += lease.share * (now_ms - lease.free_ms)
             if lease.is_initial:
                 initial += lease.share
         # Hosts that learn of a list at different times may lend more than one.
@@ -291,8 +291,8 @@
         if unsettled and settled + unsettled > 1.0:
             fraction = (1.0 - settled) / unsettled
             initial *= fraction
-            earning_ms *= fraction
-        return _Shares(min(1.0, held), settled, initial, earning_ms)
+            earning_share_ms *= fraction
+        return _Shares(min(1.0, held), settled, initial, earning_share_ms)
 
     def _is_settled(self, lease: _Lease, now_ms: float) -> bool:
         return now_ms - lease.free_ms >= self._terms.period_ms
@@ -303,7 +303,7 @@
         return (
             shares.settled * terms.settled(quota)
             + shares.initial * terms.initial(quota)
-            + shares.earning_ms * terms.earned_per_ms(quota)
+            + shares.earning_share_ms * terms.earned_per_ms(quota)
         )
 
     def _next_free_ms(
