--- a/greengagedale/limits/quota_shares.py
+++ b/greengagedale/limits/quota_shares.py
@@ -72,12 +72,10 @@
 class QuotaTerms(NamedTuple):
     """How far quotas may be exceeded; see `config.QuotasSettings`.
 
-    A share is settled if its keeper has held it for a whole period, so that no
-    other keeper's requests are in the same window. In any window fall at most
-    the requests of one settled keeper, the initial ones of one further keeper
-    (lenders space them, also from the time at which they got their share), and
-    what other shares earn with time; or, if no keeper was settled, twice the
-    initial ones and twice a period's earnings. Neither exceeds the allowance.
+    A share is settled if nobody but its keeper can have used it for a whole
+    period. Others count for initial tokens (lenders space them, also from the
+    time at which they got their share) and for what they earn with time. That
+    the sum stays within the allowance is shown in docs/design/quotas.md.
 
     Attributes:
         window_ms: Length of the window.
@@ -270,21 +268,12 @@
         """
         state = self._slots[slot]
         self._apply_pending(now_ms)
-        is_lent = state.holder is not None and now_ms <= state.until_ms
         owned_ms = now_ms - self._owned_from_ms
         if self._share > 0.0 and owned_ms > self._terms.period_ms:
             # What this process owns beyond the claimed share is settled, too.
             state.claimed_share = 0.0
-        if is_lent and state.holder != keeper:
+        if not self._may_lend(state, keeper, now_ms, claimed_share):
             return None
-        if not is_lent:
-            usable_from_ms = self._usable_from_ms()
-            if now_ms < usable_from_ms:
-                if state.holder is not None or not claimed_share:
-                    return None
-                state.claimed_share = claimed_share
-            else:
-                state.claimed_share = 0.0
         share = self._lendable_share(state)
         if share <= 0.0:
             return None
@@ -300,6 +289,24 @@
             state.tenure,
         )
 
+    def _may_lend(
+        self,
+        state: _SlotState,
+        keeper: Process,
+        now_ms: float,
+        claimed_share: float,
+    ) -> bool:
+        """Returns whether nobody else can hold the share; records a claim."""
+        if state.holder is not None and now_ms <= state.until_ms:
+            return state.holder == keeper
+        if now_ms >= self._usable_from_ms():
+            state.claimed_share = 0.0
+            return True
+        if state.holder is not None or not claimed_share:
+            return False
+        state.claimed_share = claimed_share
+        return True
+
     def _start_tenure(self, state: _SlotState, now_ms: float) -> None:
         """Records from when, and with what, a new holder has the share.
 
