--- a/greengagedale/gateway/authorization.py
+++ b/greengagedale/gateway/authorization.py
@@ -30,7 +30,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class UnprovenConfiguration:
-    """The host can't tell: its configuration may be too old.
+    """The host can't decide: its configuration may be too old.
 
     A key that it knows may be revoked, and one that it doesn't may be new.
 
--- a/greengagedale/gateway/fleet.py
+++ b/greengagedale/gateway/fleet.py
@@ -42,7 +42,7 @@
         caller_endpoint: Address and port for callers.
         peer_endpoint: Address and port for other hosts.
         power_millicores: Its computing power, in thousandths of a reference
-            core; 0 if it is not told.
+            core; 0 if unknown.
     """
 
     name: str
--- a/greengagedale/gateway/route_config.py
+++ b/greengagedale/gateway/route_config.py
@@ -47,7 +47,7 @@
 
 
 class Workspace(NamedTuple):
-    """A workspace: a member's callers, told by their keys.
+    """A workspace: a member's callers, identified by their keys.
 
     Attributes:
         name: Name of the workspace.
--- a/greengagedale/gateway/upstream_capacity.py
+++ b/greengagedale/gateway/upstream_capacity.py
@@ -2,8 +2,8 @@
 
 An answer is compared with the typical latency of its route. The excess over
 it, and the load at which it was seen, are evidence about one incarnation of an
-upstream. Where a host sees too little of each upstream alone, hosts tell each
-other clear evidence. Each observation keeps its origin, its number and its
+upstream. Where a host sees too little of each upstream alone, hosts share
+clear evidence. Each observation keeps its origin, its number and its
 age, so that passing it on never renews it.
 """
 
@@ -29,8 +29,8 @@
 _SMOOTHING_FACTOR = 0.5
 # Upper bound of an excess, as a multiple of the typical latency.
 _MAX_EXCESS = 20.0
-# An excess from which on an upstream counts as clearly slow and others are
-# told. Short disturbances that more than double latencies stay below it.
+# An excess from which on an upstream counts as clearly slow, which is shared
+# with others. Short disturbances that more than double latencies stay below it.
 CLEAR_EXCESS = 3.0
 # Mean excess from which on an upstream is logged as slow.
 _SLOW_EXCESS = 1.5
@@ -49,9 +49,9 @@
 # Observations of peers that an upstream is slow count only once two of them are
 # at least this far apart; upstreams pause for up to 250 ms.
 CONFIRMED_AFTER_MS = 250.0
-# Observations are told to peers until they are this old; by then they have
+# Observations are shared with peers until they are this old; by then they have
 # reached all of a fleet of hundreds.
-TELL_FOR_MS = 3000.0
+SHARE_FOR_MS = 3000.0
 # Time for which an estimate is used again; a search asks for many at once.
 _ESTIMATE_VALID_MS = 20.0
 # Observations of peers are remembered for this long, so that a copy that comes
@@ -59,9 +59,9 @@
 _RETENTION_MS = 2.0 * MAX_AGE_MS
 # Observations kept of one upstream, each of another origin.
 _MAX_ORIGINS = 8
-# Observations told in one message, of one upstream and in all.
-_MAX_TOLD_EACH = 2
-MAX_TOLD = 32
+# Observations sent in one message, of one upstream and in all.
+_MAX_SHARED_EACH = 2
+MAX_SHARED = 32
 # Time between two log lines about one upstream.
 _LOG_INTERVAL_MS = 1000.0
 _PERCENT = 100.0
@@ -73,8 +73,8 @@
 # An upstream takes a load well if answers at that load take at most this many
 # times as long as at the loads below it.
 _MAX_SLOWDOWN_BY_LOAD = 1.6
-# A told load that predicts at least this queue factor is checked against the
-# latency of the answer.
+# A reported load that predicts at least this queue factor is checked against
+# the latency of the answer.
 _MIN_CHECKED_FACTOR = 1.5
 
 
@@ -296,7 +296,7 @@
         while others say that it is slow. The origin is left empty.
         """
         own = self._own
-        if own is None or now_ms - own.seen_ms > TELL_FOR_MS:
+        if own is None or now_ms - own.seen_ms > SHARE_FOR_MS:
             return None
         is_contradiction = own.excess < _NORMAL_EXCESS and any(
             each.is_slow and each.weight(now_ms) and each.seen_ms < own.seen_ms
@@ -313,16 +313,16 @@
         return [
             _observation(incarnation, origin, evidence, now_ms)
             for origin, evidence in self._heard.items()
-            if now_ms - evidence.seen_ms <= TELL_FOR_MS
+            if now_ms - evidence.seen_ms <= SHARE_FOR_MS
         ]
 
     def is_notable(self, now_ms: float) -> bool:
-        """Returns whether there may be something to tell of it."""
+        """Returns whether there may be something to share of it."""
         own = self._own
         if own is not None and (own.is_slow or own.capacity):
             return True
         return any(
-            now_ms - each.seen_ms <= TELL_FOR_MS
+            now_ms - each.seen_ms <= SHARE_FOR_MS
             for each in self._heard.values()
         )
 
@@ -408,7 +408,7 @@
         Args:
             host: Name of this host.
             is_sharing: Whether this host learns from the start. If not, it
-                begins when a peer tells it what it saw.
+                begins when a peer shares what it saw.
             clock: Clock of the process.
             metrics: Metrics of the process.
         """
@@ -419,12 +419,12 @@
         self._capacities: dict[
             upstream_entries.UpstreamIncarnation, UpstreamCapacity
         ] = {}
-        # Incarnations with something to tell, a small part of all.
+        # Incarnations with something to share, a small part of all.
         self._tellable: set[upstream_entries.UpstreamIncarnation] = set()
 
     @classmethod
     def inactive(cls, clock: clocks.Clock) -> Self:
-        """Makes beliefs that stay empty unless a peer tells something."""
+        """Makes beliefs that stay empty unless a peer shares something."""
         return cls("", False, clock, metrics_lib.Metrics())
 
     def find(
@@ -466,16 +466,16 @@
             self.record(upstream, ratio)
 
     def observations(self) -> list[Observation]:
-        """Returns the observations to tell a peer, newest first."""
+        """Returns the observations to share with a peer, newest first."""
         now_ms = self._clock.now_ms()
-        told = (
+        shared = (
             observation
             for incarnation in self._tellable
             for observation in self._told_of(
                 incarnation, self._capacities[incarnation], now_ms
             )
         )
-        return sorted(told, key=lambda each: each.age_ms)[:MAX_TOLD]
+        return sorted(shared, key=lambda each: each.age_ms)[:MAX_SHARED]
 
     def merge(
         self,
@@ -485,11 +485,11 @@
         """Adds observations of a peer about listed upstreams.
 
         Args:
-            observations: What the peer tells.
+            observations: What the peer shares.
             upstreams: The listed upstreams by name.
         """
         now_ms = self._clock.now_ms()
-        for observation in itertools.islice(observations, MAX_TOLD):
+        for observation in itertools.islice(observations, MAX_SHARED):
             upstream = upstreams.get(observation.name)
             if (
                 upstream is None
@@ -539,11 +539,11 @@
         capacity: UpstreamCapacity,
         now_ms: float,
     ) -> list[Observation]:
-        told = capacity.heard_observations(incarnation, now_ms)
+        shared = capacity.heard_observations(incarnation, now_ms)
         own = capacity.own_observation(incarnation, now_ms)
         if own is not None:
-            told.append(own._replace(origin=self._host))
-        return sorted(told, key=lambda each: each.age_ms)[:_MAX_TOLD_EACH]
+            shared.append(own._replace(origin=self._host))
+        return sorted(shared, key=lambda each: each.age_ms)[:_MAX_SHARED_EACH]
 
     def _log_change(
         self,
--- a/greengagedale/gateway/warm_up.py
+++ b/greengagedale/gateway/warm_up.py
@@ -19,7 +19,7 @@
 attempt can no longer arrive (`retry.window_budget`). A part that is added, or
 that an earlier process of the host may have used, is available a second later.
 
-What is not covered: requests that arrive before this host is told that the
+What is not covered: requests that arrive before this host learns that the
 upstream has become cold.
 """
 
--- a/tests/gateway/test_upstream_capacity.py
+++ b/tests/gateway/test_upstream_capacity.py
@@ -244,7 +244,7 @@
     for each in upstreams:
         capacities.record(each, SLOW_RATIO)
     observations = capacities.observations()
-    assert len(observations) == capacity_lib.MAX_TOLD
+    assert len(observations) == capacity_lib.MAX_SHARED
     assert len(message_codec.encode(observations)) < 1000
 
 
