--- a/tests/recovery_fleet.py
+++ b/tests/recovery_fleet.py
@@ -112,7 +112,7 @@
             self.roster.host_list.revision,
             [],
             [],
-            self.registry.recovery.withdrawals(),
+            withdrawals=self.registry.recovery.withdrawals(),
         )
         peer.registry.merge_withdrawals(
             summary.withdrawals, summary.version.revision.epoch
