--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,32 +1,8 @@
 """Tests of the host list in the platform's store, against a stand-in store."""
 
-import pytest
-
-from greengagedale.gateway import metrics
 from greengagedale.gateway import roster
 from greengagedale.gateway import store_api
 from greengagedale.gateway import store_revision
-from greengagedale.platform import store as store_lib
-from standins import gateway_site
-from standins import gateway_store
-
-
-@pytest.fixture
-async def users():
-    server = gateway_store.GatewayStore()
-    server.port = gateway_site.free_port()
-    await server.start("127.0.0.1", server.port)
-    yield server
-    server.close()
-
-
-@pytest.fixture
-async def store(users):
-    client = store_lib.PlatformStore.from_config(
-        f"127.0.0.1:{users.port}", 500.0, metrics.Metrics()
-    )
-    yield client
-    await client.close()
 
 
 async def test_host_list_is_created_read_and_replaced(store):
--- a/tests/platform/test_store_epochs.py
+++ b/tests/platform/test_store_epochs.py
@@ -4,12 +4,9 @@
 
 import pytest
 
-from greengagedale.gateway import metrics
 from greengagedale.gateway import roster
 from greengagedale.gateway import store_api
 from greengagedale.gateway import store_revision
-from greengagedale.platform import store as store_lib
-from standins import gateway_site
 from standins import gateway_store
 
 ENTRY = {
@@ -27,22 +24,10 @@
 
 
 @pytest.fixture
-async def users():
-    server = gateway_store.GatewayStore()
-    server.era = 1
-    server.port = gateway_site.free_port()
-    await server.start("127.0.0.1", server.port)
-    yield server
-    server.close()
-
-
-@pytest.fixture
-async def store(users):
-    client = store_lib.PlatformStore.from_config(
-        f"127.0.0.1:{users.port}", 500.0, metrics.Metrics()
-    )
-    yield client
-    await client.close()
+def users(users):
+    """The stand-in of a store that tells its era."""
+    users.era = 1
+    return users
 
 
 def now_s(users):
