--- a/review/1/case.py
+++ b/review/1/case.py
@@ -30,7 +30,7 @@
         backends_lib.Backend(record, f"desk-{number}", "desk", WORK_S)
         for number in range(BACKENDS)
     ]
-    async with harness.running_site(record, hosts=2) as site:
+    async with harness.running_site(record) as site:
         for backend in backends:
             await harness.add_upstream(site, backend)
         route = gateway_site.route(
--- a/review/harness.py
+++ b/review/harness.py
@@ -38,10 +38,7 @@
     "ttl_max_s": 5,
 }
 CONFIG_MS = 3000
-DRAIN_MS = 3000
 STABILITY_WINDOW_MS = 4000
-# Backends write about this often to the store (`heartbeatMs`).
-HEARTBEAT_S = 1.2
 
 
 class Record:
@@ -77,7 +74,7 @@
     record = Record(folder, os.environ.get("TROUBLE", "1") != "0")
     try:
         has_held = asyncio.run(_run_within_limit(case, record))
-    except Exception:
+    except BaseException:
         record.write("could not run: " + traceback.format_exc())
         traceback.print_exc()
         return COULD_NOT_RUN
@@ -137,7 +134,7 @@
     store: gateway_store.GatewayStore | None = None,
     site_type: type[gateway_site.Site] = gateway_site.Site,
 ) -> AsyncIterator[gateway_site.Site]:
-    """Runs a site whose backends write to the store at their heartbeat.
+    """Runs a site of the project's own stand-ins.
 
     Args:
         record: Record of the case.
@@ -151,13 +148,11 @@
             site.store = store
         for host in site.hosts:
             use_deployed_command(host)
-        heartbeats = asyncio.create_task(_write_heartbeats(site))
         try:
             await site.start()
             record.write(f"site started with {hosts} hosts")
             yield site
         finally:
-            heartbeats.cancel()
             await site.stop()
             record.write("all processes ended")
 
@@ -181,15 +176,6 @@
     host.environment["PYTHONPATH"] = str(ROOT / "target" / "deps")
 
 
-async def _write_heartbeats(site: gateway_site.Site) -> None:
-    while True:
-        await asyncio.sleep(HEARTBEAT_S)
-        for name, upstream in site.upstreams.items():
-            if not getattr(upstream, "is_gone", False):
-                state = "draining" if upstream.is_leaving else "ready"
-                site.write_upstream_entry(name, state)
-
-
 async def send(
     record: Record,
     host: gateway_site.HostProcess,
