--- a/greengagedale/gateway/fleet.py
+++ b/greengagedale/gateway/fleet.py
@@ -30,6 +30,7 @@
 # of it within a second. The rest of the 3 s within which changes must reach all
 # hosts is left for another host to take over.
 READER_STALE_MS = 1800.0
+_MAX_PORT_DIGITS = 5
 
 
 class HostAddress(NamedTuple):
@@ -278,7 +279,8 @@
 
 def _is_endpoint(text: str) -> bool:
     address, _, port = text.rpartition(":")
-    return bool(address) and port.isdigit() and 0 < int(port) < 1 << 16
+    is_number = port.isdecimal() and len(port) <= _MAX_PORT_DIGITS
+    return bool(address) and is_number and 0 < int(port) < 1 << 16
 
 
 def _ignore_incarnation(incarnation: int) -> None:
--- a/greengagedale/gateway/metrics.py
+++ b/greengagedale/gateway/metrics.py
@@ -66,6 +66,8 @@
         failures: Attempts that failed, by reason.
         merged_answers: Merged answers by route, and whole or partial.
         store_calls: Calls to the store by operation and result.
+        ignored_entries: Entries read from the store that hosts can't use, by
+            kind.
         warm_up_choices: What became of upstreams that warm up when requests
             were sent, by service: sent to, withheld or refused.
         limit_choices: Requests to upstreams that announce a limit, by service
@@ -112,6 +114,11 @@
         self.store_calls = Counter(
             "store_calls", "Calls to the store.", "operation", "result"
         )
+        self.ignored_entries = Counter(
+            "ignored_entries",
+            "Entries of the store that can't be used.",
+            "kind",
+        )
         self.warm_up_choices = Counter(
             "warm_up_choices",
             "Upstreams that warm up, sent to or not.",
--- a/greengagedale/gateway/peer_exchange.py
+++ b/greengagedale/gateway/peer_exchange.py
@@ -284,22 +284,8 @@
             log.exception("exchange failed", extra={"endpoint": endpoint})
 
     async def _exchange(self, endpoint: str) -> None:
-        own = self._own_state()
         sent_ms = self._clock.now_ms()
-        summary = StateSummary(
-            own,
-            self._fleet.heartbeats(),
-            self._fleet.digest(own),
-            self._registry.routes_version,
-            self._registry.version,
-            self._roster.host_list.revision,
-            self._quarantine.suspects(),
-            self._notices.leaving(),
-            evacuations_revision=self._evacuations.list.revision,
-            observations=self._capacities.observations(),
-            withdrawals=self._registry.recovery.withdrawals(),
-            limits=self._limits.observations(),
-        )
+        summary = self._summary()
         try:
             reply = await self._connections.post(
                 endpoint, _PATH, message_codec.encode(summary), TIMEOUT_MS
@@ -327,6 +313,23 @@
         self._merge(update)
         self._adopt_proof(update, sent_ms)
 
+    def _summary(self) -> StateSummary:
+        own = self._own_state()
+        return StateSummary(
+            own,
+            self._fleet.heartbeats(),
+            self._fleet.digest(own),
+            self._registry.routes_version,
+            self._registry.version,
+            self._roster.host_list.revision,
+            self._quarantine.suspects(),
+            self._notices.leaving(),
+            evacuations_revision=self._evacuations.list.revision,
+            observations=self._capacities.observations(),
+            withdrawals=self._registry.recovery.withdrawals(),
+            limits=self._limits.observations(),
+        )
+
     def _update_for(self, summary: StateSummary) -> StateUpdate:
         registry = self._registry
         table = registry.table
@@ -389,7 +392,7 @@
             )
         if update.upstreams is not None:
             has_changed |= self._registry.replace_if_newer(
-                update.upstreams, update.version
+                self._usable(update.upstreams), update.version
             )
         if update.evacuations is not None:
             has_changed |= self._evacuations.replace_if_newer(
@@ -400,3 +403,18 @@
         )
         if has_changed:
             self.request_round()
+
+    def _usable(
+        self, upstreams: list[upstream_entries.Upstream]
+    ) -> list[upstream_entries.Upstream]:
+        """Returns the upstreams without those that hosts can't use.
+
+        Hosts of an earlier version pass on all that they can encode.
+        """
+        known = self._registry.upstreams
+        return [
+            upstream
+            for upstream in upstreams
+            if known.get(upstream.name) == upstream
+            or upstream.problem() is None
+        ]
--- a/greengagedale/gateway/upstream_entries.py
+++ b/greengagedale/gateway/upstream_entries.py
@@ -1,7 +1,15 @@
 """Entries of upstreams in the platform's list."""
 
+import ipaddress
 from typing import NamedTuple
 
+MAX_TEXT_CHARS = 256
+MAX_SLOTS = 1_000_000
+# Largest number that all encodings of messages carry.
+MAX_COUNT = 2**63 - 1
+MAX_WARM_UP_MS = 1e12
+_MAX_PORT = 2**16 - 1
+
 # Name of an upstream and start time of the incarnation, as in `born_ms`.
 UpstreamIncarnation = tuple[str, int]
 
@@ -40,6 +48,39 @@
         """The key of this incarnation of the upstream."""
         return (self.name, self.born_ms)
 
+    def problem(self) -> str | None:
+        """Returns why hosts can't use or pass on this entry; None if they can.
+
+        Anyone may write entries. The name becomes part of requests, the address
+        is connected to, and the whole entry of messages to other hosts.
+        """
+        texts = (self.name, self.service, self.data_centre)
+        if not self.name.isascii() or not self.name.isprintable():
+            return f"expected a name of printable ASCII, got {self.name!r}"
+        if not self.name.strip() == self.name != "" or not self.service:
+            return "expected a name and a service"
+        if max(map(len, texts)) > MAX_TEXT_CHARS:
+            return f"expected at most {MAX_TEXT_CHARS} characters in each text"
+        try:
+            ipaddress.ip_address(self.address)
+        except ValueError as error:
+            return f"expected an IP address: {error}"
+        numbers = {
+            "port": (1, self.port, _MAX_PORT),
+            "slots": (1, self.slots, MAX_SLOTS),
+            "start time": (0, self.born_ms, MAX_COUNT),
+            "sequence": (0, self.sequence, MAX_COUNT),
+            "warm-up time": (0, self.warm_up_ms, MAX_WARM_UP_MS),
+        }
+        return next(
+            (
+                f"expected a {what} from {low} to {high}, got {number}"
+                for what, (low, number, high) in numbers.items()
+                if not low <= number <= high
+            ),
+            None,
+        )
+
     def supersedes(self, other: "Upstream") -> bool:
         """Returns whether this entry is as new as another of the same name."""
         return (self.born_ms, self.sequence) >= (other.born_ms, other.sequence)
--- a/greengagedale/platform/store.py
+++ b/greengagedale/platform/store.py
@@ -1,17 +1,21 @@
 """Client of the platform's store."""
 
 import asyncio
-from collections.abc import Collection
+from collections.abc import Callable, Collection
+import functools
 import logging
 from typing import Any, NamedTuple, Self
+import urllib.parse
 
 import msgspec
 
+from greengagedale import untrusted_json
 from greengagedale.gateway import evacuations as evacuations_lib
 from greengagedale.gateway import metrics as metrics_lib
 from greengagedale.gateway import roster
 from greengagedale.gateway import store_api
 from greengagedale.gateway import store_revision
+from greengagedale.gateway import upstream_entries
 from greengagedale.http1 import client
 from greengagedale.http1 import messages
 from greengagedale.platform import store_documents
@@ -59,22 +63,27 @@
     return _FEATURE_EVACUATIONS in features
 
 
-class _WatchEvent(msgspec.Struct):
-    # The whole object: its metadata, and the document in `spec`.
-    object: dict[str, Any]
-    deleted: bool = False
+class _StoredObject(NamedTuple):
+    # The document is not decoded yet, as any writer may have written it.
+    name: str
+    spec: bytes
 
 
-class _WatchReply(msgspec.Struct):
+class _WatchEvent(NamedTuple):
+    object: _StoredObject
+    is_deleted: bool
+
+
+class _WatchReply(NamedTuple):
     events: list[_WatchEvent]
-    storeRevision: int  # noqa: N815
+    store_revision: int
 
 
-class _ListReply(msgspec.Struct):
-    items: list[dict[str, Any]]
-    storeRevision: int  # noqa: N815
+class _ListReply(NamedTuple):
+    items: list[_StoredObject]
+    store_revision: int
     # Whether there are more items; the next page starts after the last name.
-    more: bool = False
+    has_more: bool = False
 
 
 class _Answer(NamedTuple):
@@ -123,10 +132,7 @@
         answer = await self._list(_KIND_UPSTREAMS, allow_stale)
         if isinstance(answer, store_api.Unavailable):
             return answer
-        decoded = (
-            store_documents.decode_upstream(_name_of(item), item.get("spec"))
-            for item in answer.body.items
-        )
+        decoded = map(self._decode_upstream, answer.body.items)
         upstreams = [upstream for upstream in decoded if upstream]
         return store_api.UpstreamsListed(upstreams, _revision_of(answer))
 
@@ -141,8 +147,17 @@
         answer = await self._watch(_KIND_UPSTREAMS, revision, wait_ms)
         if not isinstance(answer, _Answer):
             return answer
-        changes = [_decode_change(event) for event in answer.body.events]
-        return store_api.UpstreamsChanged(changes, _revision_of(answer))
+        changes = [
+            store_api.UpstreamChange(
+                event.object.name,
+                None
+                if event.is_deleted
+                else self._decode_upstream(event.object),
+            )
+            for event in answer.body.events
+        ]
+        named = [change for change in changes if change.name]
+        return store_api.UpstreamsChanged(named, _revision_of(answer))
 
     async def read_routes(
         self, allow_stale: bool = False
@@ -161,7 +176,7 @@
         if not isinstance(answer, _Answer):
             return answer
         events = answer.body.events
-        items = [event.object for event in events if not event.deleted]
+        items = [event.object for event in events if not event.is_deleted]
         return _decode_routes(items, _revision_of(answer))
 
     async def read_evacuations(
@@ -171,7 +186,7 @@
         answer = await self._list(_KIND_EVACUATIONS, allow_stale)
         if isinstance(answer, store_api.Unavailable):
             return answer
-        names = {_name_of(item) for item in answer.body.items} - {""}
+        names = {item.name for item in answer.body.items} - {""}
         return evacuations_lib.EvacuationList(
             _revision_of(answer), tuple(sorted(names))
         )
@@ -189,7 +204,7 @@
             return answer
         latest = dict.fromkeys(known.data_centres, True)
         latest |= {
-            _name_of(event.object): not event.deleted
+            event.object.name: not event.is_deleted
             for event in answer.body.events
         }
         names = (name for name, is_listed in latest.items() if is_listed)
@@ -201,13 +216,13 @@
         """Makes a cheap call to the store; returns None if it answers."""
         # The list is empty, since no object of this kind has a later name.
         path = _list_path(_KIND_CONFIGURATION, _CONFIGURATION_NAME, True)
-        result = await self._get("pulse", path, _ListReply, _PING_TIMEOUT_MS)
+        result = await self._get("pulse", path, _read_list, _PING_TIMEOUT_MS)
         return result if isinstance(result, store_api.Unavailable) else None
 
     async def read_roster(self) -> roster.HostList | store_api.Unavailable:
         """Reads the host list; returns `EMPTY_HOST_LIST` if there is none."""
         path = f"{_KIND_FLEET}/{_HOST_LIST_NAME}"
-        result = await self._get("read", path, store_documents.StoredHostList)
+        result = await self._get("read", path, _read_host_list)
         if result is None:
             return roster.EMPTY_HOST_LIST
         answer = self._require_current(result)
@@ -225,7 +240,7 @@
             "create" if is_new else "replace",
             b"POST" if is_new else b"PUT",
             _KIND_FLEET if is_new else f"{_KIND_FLEET}/{_HOST_LIST_NAME}",
-            store_documents.StoredHostList,
+            _read_host_list,
             body=store_documents.encode_host_list(
                 _HOST_LIST_NAME, host_list, epoch
             ),
@@ -254,7 +269,7 @@
         The revision is that of the first page, so that the next watch reports
         a change between two pages again.
         """
-        items: list[dict[str, Any]] = []
+        items: list[_StoredObject] = []
         first: _Answer | None = None
         after = ""
         while True:
@@ -265,10 +280,15 @@
             if page.epoch != first.epoch:
                 return store_api.Unavailable("the store changed its epoch")
             items += page.body.items
-            if not page.body.more or not page.body.items:
-                body = _ListReply(items, first.body.storeRevision)
+            if not page.body.has_more or not page.body.items:
+                body = _ListReply(items, first.body.store_revision)
                 return _Answer(body, first.epoch)
-            after = _name_of(page.body.items[-1])
+            names = [item.name for item in page.body.items if item.name]
+            if not names or names[-1] == after:
+                return store_api.Unavailable(
+                    f"no name to continue from in the page after {after!r}"
+                )
+            after = names[-1]
 
     async def _watch(
         self,
@@ -279,7 +299,7 @@
         result = await self._get(
             "watch",
             f"{kind}?watch={revision.revision}&waitMs={wait_ms}",
-            _WatchReply,
+            _read_events,
             wait_ms + _WATCH_GRACE_MS,
         )
         if isinstance(result, store_api.HistoryGone):
@@ -294,7 +314,7 @@
         self, kind: str, after: str, allow_stale: bool
     ) -> _Answer | store_api.Unavailable:
         path = _list_path(kind, after, allow_stale)
-        result = await self._get("list", path, _ListReply)
+        result = await self._get("list", path, _read_list)
         if allow_stale and isinstance(result, _Answer):
             return result
         return self._require_current(result)
@@ -318,17 +338,17 @@
         self,
         operation: str,
         path: str,
-        reply_type: type[Any],
+        read: Callable[[bytes], Any],
         timeout_ms: float | None = None,
     ) -> Any:
-        return await self._call(operation, b"GET", path, reply_type, timeout_ms)
+        return await self._call(operation, b"GET", path, read, timeout_ms)
 
     async def _call(
         self,
         operation: str,
         method: bytes,
         path: str,
-        reply_type: type[Any],
+        read: Callable[[bytes], Any],
         timeout_ms: float | None = None,
         body: bytes = b"",
     ) -> Any:
@@ -345,13 +365,13 @@
                 reply = await self._exchange(data)
         except OSError as error:
             reply = client.ExchangeFailure(repr(error), sent=True)
-        return self._decode_result(operation, reply, reply_type)
+        return self._decode_result(operation, reply, read)
 
     def _decode_result(
         self,
         operation: str,
         reply: messages.Reply | client.ExchangeFailure,
-        reply_type: type[Any],
+        read: Callable[[bytes], Any],
     ) -> Any:
         if isinstance(reply, client.ExchangeFailure):
             self._count_call(operation, "no_reply")
@@ -365,9 +385,7 @@
         if reply.status // 100 != _SUCCESS_CLASS:
             return store_api.Unavailable(f"status {reply.status}")
         try:
-            return _Answer(
-                msgspec.json.decode(reply.body, type=reply_type), epoch
-            )
+            return _Answer(read(reply.body), epoch)
         except msgspec.DecodeError as error:
             return store_api.Unavailable(
                 f"answer could not be decoded: {error}"
@@ -416,13 +434,21 @@
                 return connection
         return None
 
+    def _decode_upstream(
+        self, item: _StoredObject
+    ) -> upstream_entries.Upstream | None:
+        decoded = store_documents.read_upstream(item.name, item.spec)
+        if decoded is None:
+            self._metrics.ignored_entries.inc(_KIND_UPSTREAMS)
+        return decoded
+
     def _count_call(self, operation: str, result: str) -> None:
         self._metrics.store_calls.inc(operation, result)
 
 
 def _list_path(kind: str, after: str, allow_stale: bool) -> str:
     """Returns the path that lists the objects of a kind after a name."""
-    options = [f"after={after}"] if after else []
+    options = [f"after={urllib.parse.quote(after, safe='')}"] if after else []
     if allow_stale:
         # A stale read costs the store a tenth of other calls.
         options.append("allowStale=1")
@@ -430,30 +456,79 @@
 
 
 def _revision_of(answer: _Answer) -> store_revision.Revision:
-    return store_revision.Revision(answer.epoch, answer.body.storeRevision)
+    return store_revision.Revision(answer.epoch, answer.body.store_revision)
+
+
+def _read_list(data: bytes) -> _ListReply:
+    """Reads a page of a list.
+
+    Raises:
+        msgspec.DecodeError: It is not what the store answers.
+    """
+    reply = untrusted_json.members(data)
+    objects = map(_read_object, untrusted_json.elements(_of(reply, "items")))
+    return _ListReply(
+        [*objects],
+        untrusted_json.decode(_of(reply, "storeRevision"), int),
+        untrusted_json.decode(reply.get("more", b"false"), bool),
+    )
+
+
+def _read_events(data: bytes) -> _WatchReply:
+    """Reads the answer to a watch.
+
+    Raises:
+        msgspec.DecodeError: It is not what the store answers.
+    """
+    reply = untrusted_json.members(data)
+    events = map(
+        untrusted_json.members, untrusted_json.elements(_of(reply, "events"))
+    )
+    return _WatchReply(
+        [
+            _WatchEvent(
+                _read_object(_of(event, "object")),
+                untrusted_json.decode(event.get("deleted", b"false"), bool),
+            )
+            for event in events
+        ],
+        untrusted_json.decode(_of(reply, "storeRevision"), int),
+    )
+
+
+def _read_object(data: bytes) -> _StoredObject:
+    """Reads an object; its name is empty if it can't be read."""
+    try:
+        parts = untrusted_json.members(data)
+        name = untrusted_json.decode(
+            _of(untrusted_json.members(_of(parts, "meta")), "name"), str
+        )
+    except msgspec.DecodeError as error:
+        log.warning(
+            "object in the store has no readable name; ignoring it",
+            extra={"reason": str(error)},
+        )
+        return _StoredObject("", b"")
+    return _StoredObject(name, parts.get("spec", b"null"))
 
 
-def _name_of(item: dict[str, Any]) -> str:
-    meta = item.get("meta")
-    name = meta.get("name") if isinstance(meta, dict) else None
-    return name if isinstance(name, str) else ""
+def _of(values: dict[str, bytes], name: str) -> bytes:
+    value = values.get(name)
+    if value is None:
+        raise msgspec.DecodeError(f"expected a field {name!r}, got {[*values]}")
+    return value
 
 
-def _decode_change(event: _WatchEvent) -> store_api.UpstreamChange:
-    name = _name_of(event.object)
-    if event.deleted:
-        return store_api.UpstreamChange(name, None)
-    decoded = store_documents.decode_upstream(name, event.object.get("spec"))
-    return store_api.UpstreamChange(name, decoded)
+_read_host_list = functools.partial(
+    untrusted_json.decode, as_type=store_documents.StoredHostList
+)
 
 
 def _decode_routes(
-    items: list[dict[str, Any]], revision: store_revision.Revision
+    items: list[_StoredObject], revision: store_revision.Revision
 ) -> store_api.RoutesRead:
-    matching = [i for i in items if _name_of(i) == _CONFIGURATION_NAME]
+    matching = [each for each in items if each.name == _CONFIGURATION_NAME]
     routes = (
-        store_documents.decode_routes(matching[-1].get("spec"))
-        if matching
-        else None
+        store_documents.read_routes(matching[-1].spec) if matching else None
     )
     return store_api.RoutesRead(routes, revision)
--- a/greengagedale/platform/store_documents.py
+++ b/greengagedale/platform/store_documents.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from greengagedale import exceptions
+from greengagedale import untrusted_json
 from greengagedale.gateway import roster
 from greengagedale.gateway import route_config
 from greengagedale.gateway import store_revision
@@ -153,6 +154,19 @@
     return msgspec.json.encode({"meta": meta, "spec": spec})
 
 
+def read_routes(data: bytes) -> route_config.RouteConfiguration | None:
+    """Decodes an encoded configuration; see `decode_routes`."""
+    try:
+        document = untrusted_json.decode(data)
+    except msgspec.DecodeError as error:
+        log.error(
+            "configuration could not be decoded; ignoring it",
+            extra={"reason": str(error)},
+        )
+        return None
+    return decode_routes(document)
+
+
 def decode_routes(document: Any) -> route_config.RouteConfiguration | None:
     """Decodes a configuration; logs the error and returns None if invalid."""
     try:
@@ -205,23 +219,40 @@
     )
 
 
+def read_upstream(name: str, data: bytes) -> upstream_entries.Upstream | None:
+    """Decodes an upstream's encoded entry; see `decode_upstream`."""
+    try:
+        document = untrusted_json.decode(data)
+    except msgspec.DecodeError as error:
+        _log_ignored(name, str(error))
+        return None
+    return decode_upstream(name, document)
+
+
 def decode_upstream(
     name: str, document: Any
 ) -> upstream_entries.Upstream | None:
     """Decodes an upstream's entry; logs the error, returns None if invalid."""
     try:
-        decoded = msgspec.convert(document, _UpstreamEntry)
-        address, port = _parse_endpoint(decoded.address)
-        if decoded.state not in (_STATE_READY, _STATE_DRAINING):
-            raise ValueError(f"unknown state {decoded.state!r}")
-        if decoded.slots < 1 or not decoded.service:
-            raise ValueError("entry has no slots or no service")
-    except ValueError as error:
-        log.warning(
-            "upstream entry is invalid; ignoring it",
-            extra={"upstream": name, "reason": str(error)},
+        upstream = _convert_upstream(
+            name, msgspec.convert(document, _UpstreamEntry)
         )
+    except ValueError as error:
+        _log_ignored(name, str(error))
+        return None
+    problem = upstream.problem()
+    if problem is not None:
+        _log_ignored(name, problem)
         return None
+    return upstream
+
+
+def _convert_upstream(
+    name: str, decoded: _UpstreamEntry
+) -> upstream_entries.Upstream:
+    address, port = _parse_endpoint(decoded.address)
+    if decoded.state not in (_STATE_READY, _STATE_DRAINING):
+        raise ValueError(f"unknown state {decoded.state!r}")
     return upstream_entries.Upstream(
         name,
         decoded.service,
@@ -236,6 +267,13 @@
     )
 
 
+def _log_ignored(name: str, reason: str) -> None:
+    log.warning(
+        "upstream entry is invalid; ignoring it",
+        extra={"upstream": name, "reason": reason},
+    )
+
+
 def _convert_route(route: _Route) -> route_config.Route:
     shares = route.split or []
     if route.service is not None:
--- /dev/null
+++ b/greengagedale/untrusted_json.py
@@ -0,0 +1,105 @@
+"""Reads JSON documents in which other writers have put some of the values.
+
+A decoder gives up on a whole document at the first value that it refuses, such
+as an invalid escape, a number out of range or lists nested too deeply. The
+functions here separate the values of a document first, so that a value that
+can't be decoded costs no other one. Only strings and brackets have to be
+balanced for that.
+"""
+
+from collections.abc import Iterator
+import re
+from typing import Any
+
+import msgspec
+
+_STRING = rb'"(?:[^"\\]++|\\.)*+"'
+# What matters for the extent of a value; brackets may come in runs.
+_TOKEN = re.compile(_STRING + rb"|[\[{]+|[\]}]+|[,\"]", re.DOTALL)
+_MEMBER = re.compile(rb"\s*+(" + _STRING + rb")\s*+:\s*+(.*\S)\s*+", re.DOTALL)
+_PAIRS = {b"[": b"]", b"{": b"}"}
+
+
+def decode(data: bytes | msgspec.Raw, as_type: Any = Any) -> Any:
+    """Decodes a document.
+
+    Raises:
+        msgspec.DecodeError: The document is malformed, nested too deeply, or
+            not of the type.
+    """
+    try:
+        return msgspec.json.decode(data, type=as_type)
+    except RecursionError as error:
+        raise msgspec.DecodeError("the value is nested too deeply") from error
+
+
+def members(data: bytes) -> dict[str, bytes]:
+    """Returns the encoded values of an object by their names.
+
+    Values whose names can't be decoded are left out.
+
+    Raises:
+        msgspec.DecodeError: The document is no object, or its strings or
+            brackets are not balanced.
+    """
+    try:
+        found = decode(data, dict[str, msgspec.Raw])
+        return {name: bytes(value) for name, value in found.items()}
+    except msgspec.DecodeError:
+        matches = map(_MEMBER.fullmatch, _parts(data, b"{"))
+        return {
+            name: match[2]
+            for match in matches
+            if match is not None and (name := _decode_name(match[1]))
+        }
+
+
+def elements(data: bytes) -> list[bytes]:
+    """Returns the encoded values of an array.
+
+    Raises:
+        msgspec.DecodeError: The document is no array, or its strings or
+            brackets are not balanced.
+    """
+    try:
+        return [bytes(value) for value in decode(data, list[msgspec.Raw])]
+    except msgspec.DecodeError:
+        return [part.strip() for part in _parts(data, b"[")]
+
+
+def _decode_name(data: bytes) -> str:
+    """Returns a name, or an empty one if it can't be decoded."""
+    try:
+        return str(decode(data, str))
+    except msgspec.DecodeError:
+        return ""
+
+
+def _parts(data: bytes, opening: bytes) -> Iterator[bytes]:
+    """Yields what stands between the commas of one array or object."""
+    text = data.strip()
+    depth = 0
+    start = 1
+    if text[:1] != opening:
+        raise msgspec.DecodeError(f"expected {opening!r}, got {text[:1]!r}")
+    for match in _TOKEN.finditer(text):
+        token = match[0]
+        if token == b",":
+            if depth == 1:
+                yield text[start : match.start()]
+                start = match.end()
+        elif token == b'"':
+            raise msgspec.DecodeError("the document ends within a string")
+        elif token[:1] in (b"[", b"{"):
+            depth += len(token)
+        elif token[:1] in (b"]", b"}"):
+            if len(token) >= depth:
+                end = match.start() + depth - 1
+                break
+            depth -= len(token)
+    else:
+        raise msgspec.DecodeError("the document ends within a value")
+    if text[end:] != _PAIRS[opening]:
+        raise msgspec.DecodeError("data follows the end of the document")
+    if text[start:end].strip():
+        yield text[start:end]
--- a/standins/gateway_store.py
+++ b/standins/gateway_store.py
@@ -16,7 +16,7 @@
 from greengagedale.http1 import server
 
 _PREFIX = "/-/objects/"
-_PAGE_SIZE = 50
+PAGE_SIZE = 50
 _MS_PER_S = 1000.0
 _KIND_UPSTREAMS = "servers"
 
@@ -63,6 +63,8 @@
         mode: `up`, `busy` (every call gets status 503), `silent` (calls are
             never answered) or `gone` (watches get status 410).
         delay_ms: Delay before each answer.
+        raw_values: Bytes that take the place of string values in answers, by
+            these strings; for entries that other writers wrote.
         calls: Number of calls received.
         revision: Revision of the latest change.
         era: Era in the header of all answers; None omits the header.
@@ -73,6 +75,7 @@
     def __init__(self, clock: clocks.Clock | None = None) -> None:
         self.mode = "up"
         self.delay_ms = 0.0
+        self.raw_values: dict[str, bytes] = {}
         self.calls = 0
         self.revision = 1
         self.era: int | None = None
@@ -206,6 +209,9 @@
     async def handle(self, request: messages.Request) -> messages.Response:
         """Answers one call according to the current mode."""
         response = await self._answer(request)
+        for mark, value in self.raw_values.items():
+            body = response.body.replace(msgspec.json.encode(mark), value)
+            response = response._replace(body=body)
         if self.era is None:
             return response
         era = (b"Store-Era", str(self.era).encode())
@@ -254,8 +260,8 @@
         names = sorted(name for name in stored if name > after)
         return _json(
             {
-                "items": [stored[name] for name in names[:_PAGE_SIZE]],
-                "more": len(names) > _PAGE_SIZE,
+                "items": [stored[name] for name in names[:PAGE_SIZE]],
+                "more": len(names) > PAGE_SIZE,
                 "storeRevision": self.revision,
             }
         )
--- a/tests/gateway/test_peer_exchange.py
+++ b/tests/gateway/test_peer_exchange.py
@@ -3,9 +3,11 @@
 import asyncio
 import contextlib
 
+from gateway_scripts import at
 from gateway_scripts import exchange_of
 from gateway_scripts import freshness_of
 from gateway_scripts import host_state
+from gateway_scripts import upstream
 import pytest
 
 from greengagedale import clocks
@@ -67,3 +69,20 @@
         )
     asked = set(exchange._choose_peers()[:2])
     assert (asked == {"far:2", "other:2"}) == (bound_ms is not None)
+
+
+# Guards against an entry of another writer that a host of an earlier version
+# passes on.
+def test_unusable_upstream_of_a_peer_is_left_out(clock):
+    own, other = registry.Registry(clock), registry.Registry(clock)
+    exchange = exchange_of("m", clock, own)
+    peer = exchange_of("n", clock, other)
+    found = [
+        upstream("a"),
+        upstream("b", sequence=2**63),
+        upstream("c\r\nd: e"),
+    ]
+    other.replace_if_newer(found, registry.UpstreamsVersion(at(7), 0))
+    exchange._merge(peer._update_for(exchange._summary()))
+    assert [*own.upstreams] == ["a"]
+    assert own.version == other.version
--- /dev/null
+++ b/tests/test_untrusted_json.py
@@ -0,0 +1,96 @@
+"""Tests of reading documents with values of other writers."""
+
+from hypothesis import given
+from hypothesis import strategies
+import msgspec
+import pytest
+
+from greengagedale import untrusted_json
+
+DEEP = b"[" * 3000 + b"]" * 3000
+# Values that a decoder of whole documents refuses.
+ODD_VALUES = [
+    b'"\\ud800"',
+    b'"\\x"',
+    b'"\\u12"',
+    b'"\xff\xfe"',
+    b'"\x00"',
+    b'"a\nb"',
+    b"1e999",
+    b"007",
+    b"-Infinity",
+    b"nothing",
+    b"\xff\xfe",
+    b"9" * 5000,
+    b'{"a":' * 3000 + b"1" + b"}" * 3000,
+    DEEP,
+]
+documents = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers(-(2**63), 2**63 - 1)
+    | strategies.text(),
+    lambda inner: (
+        strategies.lists(inner)
+        | strategies.dictionaries(strategies.text(), inner)
+    ),
+)
+
+
+@given(strategies.lists(documents), strategies.booleans())
+def test_elements_are_those_of_the_decoder(values, is_odd):
+    odd = [b"[]]"[:2], DEEP] if is_odd else []
+    encoded = [*map(msgspec.json.encode, values), *odd]
+    document = b" [" + b" , ".join(encoded) + b"]\n"
+    assert untrusted_json.elements(document) == encoded
+
+
+@given(
+    strategies.dictionaries(strategies.text(min_size=1), documents),
+    strategies.booleans(),
+)
+def test_members_are_those_of_the_decoder(values, is_odd):
+    encoded = {
+        name: msgspec.json.encode(value) for name, value in values.items()
+    }
+    if is_odd:
+        encoded = {**encoded, "odd": DEEP}
+    document = b",".join(
+        msgspec.json.encode(name) + b" : " + value
+        for name, value in encoded.items()
+    )
+    assert untrusted_json.members(b"{" + document + b"}") == encoded
+
+
+@pytest.mark.parametrize("value", ODD_VALUES, ids=lambda value: value[:9])
+def test_odd_value_costs_no_other_one(value):
+    document = b'{"a":[1,' + value + b',{"b":2}],"odd":' + value + b',"c":"d"}'
+    members = untrusted_json.members(document)
+    assert members["c"] == b'"d"'
+    first, odd, last = untrusted_json.elements(members["a"])
+    assert (first, odd, last) == (b"1", value, b'{"b":2}')
+
+
+@pytest.mark.parametrize("value", [DEEP, b"[", b'"\\ud800"', b"", b"1e999"])
+def test_refused_value_raises_decode_error(value):
+    with pytest.raises(msgspec.DecodeError):
+        untrusted_json.decode(value)
+
+
+@pytest.mark.parametrize(
+    "document",
+    [b"", b"7", b"[", b'["]', b"[1}", b"[1] 2", b"[1]]", b'{"a":1', b"{}{}"],
+)
+def test_unbalanced_document_raises_decode_error(document):
+    for read in (untrusted_json.elements, untrusted_json.members):
+        with pytest.raises(msgspec.DecodeError):
+            read(document)
+
+
+@given(strategies.binary(max_size=40))
+def test_any_bytes_are_read_or_raise_decode_error(data):
+    for read in (untrusted_json.elements, untrusted_json.members):
+        try:
+            read(data)
+        except msgspec.DecodeError:
+            continue
