Expect nested lists from other programs too

What would be seen: a document nested too deeply from another program (an upstream's answer, the catalog's store, a caller's body, a claim) raised RecursionError where only msgspec.DecodeError is expected; the request got 500 or the task that reads failed.

Decoders of messages between hosts (msgpack) raise DecodeError for such data already (tried with nested arrays, invalid text and short input).

All JSON of other programs goes through one decoder that raises DecodeError for all that it can't read.

--- a/greengagedale/callers/http_client.py
+++ b/greengagedale/callers/http_client.py
@@ -7,6 +7,7 @@
 
 from greengagedale import http_bodies
 from greengagedale import outcomes
+from greengagedale import untrusted_json
 from greengagedale.callers import base
 from greengagedale.callers import wire
 from greengagedale.retry import key_retry
@@ -47,7 +48,7 @@
                 body = await http_bodies.read_body(
                     response, http_bodies.MAX_DOCUMENT_BODY_BYTES
                 )
-            return msgspec.json.decode(body, type=base.LocateReply)
+            return untrusted_json.decode(body, base.LocateReply)
         except (aiohttp.ClientError, OSError, msgspec.DecodeError):
             return None
 
@@ -86,9 +87,9 @@
     try:
         if status == _STATUS_OK:
             return key_retry.Answered(
-                outcomes.Ran(msgspec.json.decode(encoded))
+                outcomes.Ran(untrusted_json.decode(encoded))
             )
-        failure = msgspec.json.decode(encoded, type=wire.FailureReply)
+        failure = untrusted_json.decode(encoded, wire.FailureReply)
         reason = outcomes.Reason(failure["reason"])
     except (msgspec.DecodeError, ValueError):
         return _rejection_result(status, encoded)
@@ -102,7 +103,7 @@
     if status not in _CLIENT_ERRORS:
         return key_retry.ReplyLost()
     try:
-        error = msgspec.json.decode(encoded, type=wire.ErrorReply)
+        error = untrusted_json.decode(encoded, wire.ErrorReply)
     except msgspec.DecodeError:
         return key_retry.Rejected(f"status {status}")
     return key_retry.Rejected(error["message"])
--- a/greengagedale/catalog/catalogs.py
+++ b/greengagedale/catalog/catalogs.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from greengagedale import exceptions
+from greengagedale import untrusted_json
 from greengagedale.catalog import documents
 
 KIND_CATALOG = "catalog"
@@ -95,7 +96,7 @@
     EncodedConfiguration(msgspec.json.encode(_EMPTY_CATALOG), {}),
 )
 
-_decoder = msgspec.json.Decoder(CatalogObject)
+_decoder = untrusted_json.Decoder(CatalogObject)
 
 
 def decode_catalog(value: bytes) -> CatalogObject:
@@ -259,7 +260,7 @@
             "catalog", [exceptions.FieldError(name, "is missing")]
         )
     try:
-        return msgspec.json.decode(value)
+        return untrusted_json.decode(value)
     except msgspec.DecodeError as error:
         raise _decode_error(name, error) from error
 
--- a/greengagedale/catalog/services.py
+++ b/greengagedale/catalog/services.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from greengagedale import untrusted_json
 from greengagedale.query import ranges
 from greengagedale.query import snapshots
 from greengagedale.upstreams import base as upstreams_base
@@ -61,7 +62,7 @@
     maps: tuple[snapshots.PartitionMap, ...]
 
 
-_decoder = msgspec.json.Decoder(ServiceObject)
+_decoder = untrusted_json.Decoder(ServiceObject)
 
 
 def decode_service(name: str, version: int, value: bytes) -> Service:
--- a/greengagedale/commands/act.py
+++ b/greengagedale/commands/act.py
@@ -8,6 +8,7 @@
 from greengagedale import client as client_lib
 from greengagedale import exceptions
 from greengagedale import outcomes
+from greengagedale import untrusted_json
 from greengagedale.commands import host_api
 from greengagedale.commands import query
 
@@ -29,7 +30,7 @@
 ) -> None:
     """Run one booking or the like, at most once, and print the answer."""
     try:
-        decoded = msgspec.json.decode(body)
+        decoded = untrusted_json.decode(body)
     except msgspec.DecodeError as error:
         field_error = exceptions.FieldError("body", f"is not JSON: {error}")
         raise exceptions.InvalidInputError("request", [field_error]) from error
--- a/greengagedale/commands/check.py
+++ b/greengagedale/commands/check.py
@@ -10,6 +10,7 @@
 import typer
 
 from greengagedale import exceptions
+from greengagedale import untrusted_json
 from greengagedale.catalog import documents
 from greengagedale.commands import configuration_changes
 from greengagedale.commands import host_api
@@ -138,7 +139,7 @@
 
 def _read_routes(path: pathlib.Path) -> route_config.RouteConfiguration:
     try:
-        document: Any = msgspec.json.decode(path.read_bytes())
+        document: Any = untrusted_json.decode(path.read_bytes())
     except (OSError, msgspec.DecodeError) as error:
         field_error = exceptions.FieldError("(file)", str(error))
         raise exceptions.InvalidInputError(str(path), [field_error]) from error
--- a/greengagedale/commands/host_api.py
+++ b/greengagedale/commands/host_api.py
@@ -11,6 +11,7 @@
 from greengagedale import exceptions
 from greengagedale import http_bodies
 from greengagedale import loops
+from greengagedale import untrusted_json
 from greengagedale.config import option_types
 
 _TIMEOUT_S = 30.0
@@ -107,7 +108,7 @@
             content = await http_bodies.read_body(
                 response, http_bodies.MAX_DOCUMENT_BODY_BYTES
             )
-            decoded = msgspec.json.decode(content)
+            decoded = untrusted_json.decode(content)
             version = response.headers.get("ETag")
             return Reply(
                 response.status, decoded, version and version.strip('"')
--- a/greengagedale/gateway/upstream_entries.py
+++ b/greengagedale/gateway/upstream_entries.py
@@ -1,5 +1,6 @@
 """Entries of upstreams in the platform's list."""
 
+import functools
 import ipaddress
 from typing import NamedTuple
 
@@ -54,33 +55,37 @@
         Anyone may write entries. The name becomes part of requests, the address
         is connected to, and the whole entry of messages to other hosts.
         """
-        texts = (self.name, self.service, self.data_centre)
         if not self.name.isascii() or not self.name.isprintable():
             return f"expected a name of printable ASCII, got {self.name!r}"
         if not self.name.strip() == self.name != "" or not self.service:
             return "expected a name and a service"
-        if max(map(len, texts)) > MAX_TEXT_CHARS:
+        longest = max(len(self.name), len(self.service), len(self.data_centre))
+        if longest > MAX_TEXT_CHARS:
             return f"expected at most {MAX_TEXT_CHARS} characters in each text"
-        try:
-            ipaddress.ip_address(self.address)
-        except ValueError as error:
-            return f"expected an IP address: {error}"
-        numbers = {
-            "port": (1, self.port, _MAX_PORT),
-            "slots": (1, self.slots, MAX_SLOTS),
-            "start time": (0, self.born_ms, MAX_COUNT),
-            "sequence": (0, self.sequence, MAX_COUNT),
-            "warm-up time": (0, self.warm_up_ms, MAX_WARM_UP_MS),
-        }
-        return next(
-            (
-                f"expected a {what} from {low} to {high}, got {number}"
-                for what, (low, number, high) in numbers.items()
-                if not low <= number <= high
-            ),
-            None,
-        )
+        if not _is_ip_address(self.address):
+            return f"expected an IP address, got {self.address!r}"
+        if not 1 <= self.port <= _MAX_PORT:
+            return f"expected a port from 1 to {_MAX_PORT}, got {self.port}"
+        if not 1 <= self.slots <= MAX_SLOTS:
+            return f"expected 1 to {MAX_SLOTS} slots, got {self.slots}"
+        if not min(self.born_ms, self.sequence) >= 0:
+            return "expected a start time and a sequence of at least 0"
+        if max(self.born_ms, self.sequence) > MAX_COUNT:
+            return f"expected a start time and a sequence up to {MAX_COUNT}"
+        if not 0.0 <= self.warm_up_ms <= MAX_WARM_UP_MS:
+            return f"expected up to {MAX_WARM_UP_MS} ms of warm-up"
+        return None
 
     def supersedes(self, other: "Upstream") -> bool:
         """Returns whether this entry is as new as another of the same name."""
         return (self.born_ms, self.sequence) >= (other.born_ms, other.sequence)
+
+
+# Upstreams report often, and each time with the same address.
+@functools.lru_cache(maxsize=4096)
+def _is_ip_address(text: str) -> bool:
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return True
--- a/greengagedale/http_responses.py
+++ b/greengagedale/http_responses.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from greengagedale import exceptions
+from greengagedale import untrusted_json
 from greengagedale.callers import wire
 
 log = logging.getLogger(__name__)
@@ -55,7 +56,7 @@
         InvalidInputError: The body is not valid JSON of that type.
     """
     try:
-        return msgspec.json.decode(await request.read(), type=as_type)
+        return untrusted_json.decode(await request.read(), as_type)
     except msgspec.ValidationError as invalid:
         message, _, key = str(invalid).partition(" - at ")
         field_error = exceptions.FieldError(
--- a/greengagedale/idempotency/claims.py
+++ b/greengagedale/idempotency/claims.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from greengagedale import clocks
+from greengagedale import untrusted_json
 from greengagedale.idempotency import key_table
 from greengagedale.idempotency import tickets
 from greengagedale.store import base as store_base
@@ -164,7 +165,7 @@
 
 def _claim_result(value: bytes, own_claim: Claim) -> ClaimResult:
     try:
-        stored = msgspec.json.decode(value, type=Claim)
+        stored = untrusted_json.decode(value, Claim)
     except msgspec.DecodeError:
         return Unresolved()
     if stored.token == own_claim.token:
--- a/greengagedale/limits/quarantine_transports.py
+++ b/greengagedale/limits/quarantine_transports.py
@@ -15,6 +15,7 @@
 from greengagedale import clocks
 from greengagedale import metrics as metrics_lib
 from greengagedale import outcomes
+from greengagedale import untrusted_json
 from greengagedale.limits import quarantine
 from greengagedale.limits import slot_transport
 from greengagedale.membership import announcements
@@ -221,7 +222,7 @@
 
     def _on_announcement(self, item: announcements.Announcement) -> None:
         try:
-            body = msgspec.json.decode(item.body, type=_AnnouncementBody)
+            body = untrusted_json.decode(item.body, _AnnouncementBody)
         except msgspec.DecodeError:
             self._count("bad_news")
             return
--- a/greengagedale/platform/store.py
+++ b/greengagedale/platform/store.py
@@ -1,8 +1,7 @@
 """Client of the platform's store."""
 
 import asyncio
-from collections.abc import Callable, Collection
-import functools
+from collections.abc import Callable, Collection, Mapping
 import logging
 from typing import Any, NamedTuple, Self
 import urllib.parse
@@ -63,10 +62,16 @@
     return _FEATURE_EVACUATIONS in features
 
 
+_text_decoder = untrusted_json.Decoder(str)
+_number_decoder = untrusted_json.Decoder(int)
+_flag_decoder = untrusted_json.Decoder(bool)
+_host_list_decoder = untrusted_json.Decoder(store_documents.StoredHostList)
+
+
 class _StoredObject(NamedTuple):
     # The document is not decoded yet, as any writer may have written it.
     name: str
-    spec: bytes
+    spec: untrusted_json.Value
 
 
 class _WatchEvent(NamedTuple):
@@ -222,7 +227,7 @@
     async def read_roster(self) -> roster.HostList | store_api.Unavailable:
         """Reads the host list; returns `EMPTY_HOST_LIST` if there is none."""
         path = f"{_KIND_FLEET}/{_HOST_LIST_NAME}"
-        result = await self._get("read", path, _read_host_list)
+        result = await self._get("read", path, _host_list_decoder.decode)
         if result is None:
             return roster.EMPTY_HOST_LIST
         answer = self._require_current(result)
@@ -240,7 +245,7 @@
             "create" if is_new else "replace",
             b"POST" if is_new else b"PUT",
             _KIND_FLEET if is_new else f"{_KIND_FLEET}/{_HOST_LIST_NAME}",
-            _read_host_list,
+            _host_list_decoder.decode,
             body=store_documents.encode_host_list(
                 _HOST_LIST_NAME, host_list, epoch
             ),
@@ -469,8 +474,8 @@
     objects = map(_read_object, untrusted_json.elements(_of(reply, "items")))
     return _ListReply(
         [*objects],
-        untrusted_json.decode(_of(reply, "storeRevision"), int),
-        untrusted_json.decode(reply.get("more", b"false"), bool),
+        _number_decoder.decode(_of(reply, "storeRevision")),
+        _flag_decoder.decode(reply.get("more", b"false")),
     )
 
 
@@ -488,20 +493,20 @@
         [
             _WatchEvent(
                 _read_object(_of(event, "object")),
-                untrusted_json.decode(event.get("deleted", b"false"), bool),
+                _flag_decoder.decode(event.get("deleted", b"false")),
             )
             for event in events
         ],
-        untrusted_json.decode(_of(reply, "storeRevision"), int),
+        _number_decoder.decode(_of(reply, "storeRevision")),
     )
 
 
-def _read_object(data: bytes) -> _StoredObject:
+def _read_object(data: untrusted_json.Value) -> _StoredObject:
     """Reads an object; its name is empty if it can't be read."""
     try:
         parts = untrusted_json.members(data)
-        name = untrusted_json.decode(
-            _of(untrusted_json.members(_of(parts, "meta")), "name"), str
+        name = _text_decoder.decode(
+            _of(untrusted_json.members(_of(parts, "meta")), "name")
         )
     except msgspec.DecodeError as error:
         log.warning(
@@ -512,18 +517,15 @@
     return _StoredObject(name, parts.get("spec", b"null"))
 
 
-def _of(values: dict[str, bytes], name: str) -> bytes:
+def _of(
+    values: Mapping[str, untrusted_json.Value], name: str
+) -> untrusted_json.Value:
     value = values.get(name)
     if value is None:
         raise msgspec.DecodeError(f"expected a field {name!r}, got {[*values]}")
     return value
 
 
-_read_host_list = functools.partial(
-    untrusted_json.decode, as_type=store_documents.StoredHostList
-)
-
-
 def _decode_routes(
     items: list[_StoredObject], revision: store_revision.Revision
 ) -> store_api.RoutesRead:
--- a/greengagedale/platform/store_documents.py
+++ b/greengagedale/platform/store_documents.py
@@ -18,6 +18,7 @@
 _STATE_READY = "ready"
 _STATE_DRAINING = "draining"
 _TYPE_IDEMPOTENT = "idempotent"
+_document_decoder: untrusted_json.Decoder[Any] = untrusted_json.Decoder()
 
 
 class _Route(msgspec.Struct):
@@ -154,10 +155,12 @@
     return msgspec.json.encode({"meta": meta, "spec": spec})
 
 
-def read_routes(data: bytes) -> route_config.RouteConfiguration | None:
+def read_routes(
+    data: untrusted_json.Value,
+) -> route_config.RouteConfiguration | None:
     """Decodes an encoded configuration; see `decode_routes`."""
     try:
-        document = untrusted_json.decode(data)
+        document = _document_decoder.decode(data)
     except msgspec.DecodeError as error:
         log.error(
             "configuration could not be decoded; ignoring it",
@@ -219,10 +222,12 @@
     )
 
 
-def read_upstream(name: str, data: bytes) -> upstream_entries.Upstream | None:
+def read_upstream(
+    name: str, data: untrusted_json.Value
+) -> upstream_entries.Upstream | None:
     """Decodes an upstream's encoded entry; see `decode_upstream`."""
     try:
-        document = untrusted_json.decode(data)
+        document = _document_decoder.decode(data)
     except msgspec.DecodeError as error:
         _log_ignored(name, str(error))
         return None
--- a/greengagedale/store/wire.py
+++ b/greengagedale/store/wire.py
@@ -2,7 +2,7 @@
 
 from typing import TypedDict
 
-import msgspec
+from greengagedale import untrusted_json
 
 
 class ObjectReply(TypedDict):
@@ -54,8 +54,8 @@
 STATUS_BUSY = 429
 STATUS_TOO_LARGE = 413
 
-object_decoder = msgspec.json.Decoder(ObjectReply)
-write_decoder = msgspec.json.Decoder(WriteReply)
-names_decoder = msgspec.json.Decoder(NamesReply)
-watch_decoder = msgspec.json.Decoder(WatchReply)
-hosts_decoder = msgspec.json.Decoder(HostsReply)
+object_decoder = untrusted_json.Decoder(ObjectReply)
+write_decoder = untrusted_json.Decoder(WriteReply)
+names_decoder = untrusted_json.Decoder(NamesReply)
+watch_decoder = untrusted_json.Decoder(WatchReply)
+hosts_decoder = untrusted_json.Decoder(HostsReply)
--- a/greengagedale/untrusted_json.py
+++ b/greengagedale/untrusted_json.py
@@ -7,9 +7,9 @@
 balanced for that.
 """
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping, Sequence
 import re
-from typing import Any
+from typing import Any, Generic, TypeVar
 
 import msgspec
 
@@ -20,20 +20,41 @@
 _PAIRS = {b"[": b"]", b"{": b"}"}
 
 
-def decode(data: bytes | msgspec.Raw, as_type: Any = Any) -> Any:
-    """Decodes a document.
+_T = TypeVar("_T")
+# An encoded value.
+Value = bytes | msgspec.Raw
 
-    Raises:
-        msgspec.DecodeError: The document is malformed, nested too deeply, or
-            not of the type.
-    """
-    try:
-        return msgspec.json.decode(data, type=as_type)
-    except RecursionError as error:
-        raise msgspec.DecodeError("the value is nested too deeply") from error
+
+class Decoder(Generic[_T]):
+    """Decodes documents of one type."""
+
+    def __init__(self, as_type: type[_T] | Any = Any) -> None:
+        self._decoder: msgspec.json.Decoder[_T] = msgspec.json.Decoder(as_type)
+
+    def decode(self, data: Value) -> _T:
+        """Decodes a document.
+
+        Raises:
+            msgspec.DecodeError: The document is malformed, nested too deeply,
+                or not of the type.
+        """
+        try:
+            return self._decoder.decode(data)
+        except RecursionError as error:
+            raise msgspec.DecodeError("nested too deeply") from error
+
+
+_object_decoder = Decoder(dict[str, msgspec.Raw])
+_array_decoder = Decoder(list[msgspec.Raw])
+_text_decoder = Decoder(str)
+
+
+def decode(data: bytes, as_type: Any = Any) -> Any:
+    """Decodes one document; see `Decoder`."""
+    return Decoder(as_type).decode(data)
 
 
-def members(data: bytes) -> dict[str, bytes]:
+def members(data: Value) -> Mapping[str, Value]:
     """Returns the encoded values of an object by their names.
 
     Values whose names can't be decoded are left out.
@@ -43,8 +64,7 @@
             brackets are not balanced.
     """
     try:
-        found = decode(data, dict[str, msgspec.Raw])
-        return {name: bytes(value) for name, value in found.items()}
+        return _object_decoder.decode(data)
     except msgspec.DecodeError:
         matches = map(_MEMBER.fullmatch, _parts(data, b"{"))
         return {
@@ -54,7 +74,7 @@
         }
 
 
-def elements(data: bytes) -> list[bytes]:
+def elements(data: Value) -> Sequence[Value]:
     """Returns the encoded values of an array.
 
     Raises:
@@ -62,7 +82,7 @@
             brackets are not balanced.
     """
     try:
-        return [bytes(value) for value in decode(data, list[msgspec.Raw])]
+        return _array_decoder.decode(data)
     except msgspec.DecodeError:
         return [part.strip() for part in _parts(data, b"[")]
 
@@ -70,14 +90,14 @@
 def _decode_name(data: bytes) -> str:
     """Returns a name, or an empty one if it can't be decoded."""
     try:
-        return str(decode(data, str))
+        return _text_decoder.decode(data)
     except msgspec.DecodeError:
         return ""
 
 
-def _parts(data: bytes, opening: bytes) -> Iterator[bytes]:
+def _parts(data: Value, opening: bytes) -> Iterator[bytes]:
     """Yields what stands between the commas of one array or object."""
-    text = data.strip()
+    text = bytes(data).strip()
     depth = 0
     start = 1
     if text[:1] != opening:
--- a/greengagedale/upstreams/wire.py
+++ b/greengagedale/upstreams/wire.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from greengagedale import untrusted_json
 from greengagedale.query import hits
 
 
@@ -92,10 +93,10 @@
 STATUS_REFUSED = 503
 STATUS_NOT_HELD = 409
 
-search_reply_decoder = msgspec.json.Decoder(SearchReply)
-action_reply_decoder = msgspec.json.Decoder(ActionReply)
-echo_decoder = msgspec.json.Decoder(AttemptEcho)
-refusal_decoder = msgspec.json.Decoder(RefusalReply)
-health_decoder = msgspec.json.Decoder(HealthReply)
-hits_decoder = msgspec.json.Decoder(list[hits.Hit])
+search_reply_decoder = untrusted_json.Decoder(SearchReply)
+action_reply_decoder = untrusted_json.Decoder(ActionReply)
+echo_decoder = untrusted_json.Decoder(AttemptEcho)
+refusal_decoder = untrusted_json.Decoder(RefusalReply)
+health_decoder = untrusted_json.Decoder(HealthReply)
+hits_decoder = untrusted_json.Decoder(list[hits.Hit])
 encode = msgspec.json.encode
--- a/tests/test_untrusted_json.py
+++ b/tests/test_untrusted_json.py
@@ -5,7 +5,13 @@
 import msgspec
 import pytest
 
+from greengagedale import exceptions
+from greengagedale import http_responses
 from greengagedale import untrusted_json
+from greengagedale.catalog import catalogs
+from greengagedale.catalog import services
+from greengagedale.store import wire as store_wire
+from greengagedale.upstreams import wire as upstream_wire
 
 DEEP = b"[" * 3000 + b"]" * 3000
 # Values that a decoder of whole documents refuses.
@@ -42,7 +48,7 @@
     odd = [b"[]]"[:2], DEEP] if is_odd else []
     encoded = [*map(msgspec.json.encode, values), *odd]
     document = b" [" + b" , ".join(encoded) + b"]\n"
-    assert untrusted_json.elements(document) == encoded
+    assert [*map(bytes, untrusted_json.elements(document))] == encoded
 
 
 @given(
@@ -59,15 +65,16 @@
         msgspec.json.encode(name) + b" : " + value
         for name, value in encoded.items()
     )
-    assert untrusted_json.members(b"{" + document + b"}") == encoded
+    members = untrusted_json.members(b"{" + document + b"}")
+    assert {name: bytes(members[name]) for name in members} == encoded
 
 
 @pytest.mark.parametrize("value", ODD_VALUES, ids=lambda value: value[:9])
 def test_odd_value_costs_no_other_one(value):
     document = b'{"a":[1,' + value + b',{"b":2}],"odd":' + value + b',"c":"d"}'
     members = untrusted_json.members(document)
-    assert members["c"] == b'"d"'
-    first, odd, last = untrusted_json.elements(members["a"])
+    assert bytes(members["c"]) == b'"d"'
+    first, odd, last = map(bytes, untrusted_json.elements(members["a"]))
     assert (first, odd, last) == (b"1", value, b'{"b":2}')
 
 
@@ -94,3 +101,29 @@
             read(data)
         except msgspec.DecodeError:
             continue
+
+
+DECODERS = {
+    f"{module.__name__}.{name}": value
+    for module in (store_wire, upstream_wire, catalogs, services)
+    for name, value in vars(module).items()
+    if name.endswith("_decoder")
+}
+
+
+# Guards against an answer of another program that ends a task of this one, as
+# its nested lists raise another error than the expected one.
+@pytest.mark.parametrize("name", DECODERS)
+def test_nested_lists_from_other_programs_raise_decode_error(name):
+    document = b'{"unknown":' + DEEP + b"}"
+    with pytest.raises(msgspec.DecodeError):
+        DECODERS[name].decode(document)
+
+
+async def test_nested_lists_of_a_caller_are_refused():
+    class Request:
+        async def read(self):
+            return DEEP
+
+    with pytest.raises(exceptions.InvalidInputError):
+        await http_responses.read_json(Request(), dict)
