--- a/greengagedale/gateway/calls.py
+++ b/greengagedale/gateway/calls.py
@@ -8,6 +8,7 @@
 
 from greengagedale import outcomes
 from greengagedale.gateway import upstream_entries
+from greengagedale.http1 import client
 from greengagedale.http1 import messages
 
 
@@ -121,12 +122,17 @@
         deadline_ms: Time after which the answer is no longer useful, by the
             clock of the process.
         is_idempotent: Whether the request may run more than once.
+        earlier_connections: The connections that the call has been sent on,
+            shared by all its attempts at a service. Answers are matched by the
+            id of the request, and an upstream may send a copy of an answer late
+            on the same connection, so it is sent on each of them only once.
     """
 
     call: Call
     upstream: upstream_entries.Upstream
     deadline_ms: float
     is_idempotent: bool
+    earlier_connections: set[client.Connection]
 
 
 class UpstreamClient(abc.ABC):
--- a/greengagedale/gateway/connection_pools.py
+++ b/greengagedale/gateway/connection_pools.py
@@ -1,7 +1,7 @@
 """Pools of connections to upstreams, limited to this host's share."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Set
 import logging
 
 from greengagedale import clocks
@@ -61,13 +61,19 @@
         self._open_count = 0
         self._released: asyncio.Event = asyncio.Event()
 
-    async def acquire(self, max_idle_ms: float) -> client.Connection:
+    async def acquire(
+        self,
+        max_idle_ms: float,
+        excluded: Set[client.Connection] = frozenset(),
+    ) -> client.Connection:
         """Returns an idle connection, or opens one if none is idle.
 
         Waits for a connection while the maximum is open.
 
         Args:
             max_idle_ms: Maximum idle time of a connection to reuse.
+            excluded: Connections that are not returned. An idle one is closed
+                if no other can be opened otherwise.
 
         Raises:
             OSError: No connection could be opened in time.
@@ -76,9 +82,12 @@
         """
         while True:
             self._check_accepting()
-            connection = self._take_idle(max_idle_ms)
+            connection = self._take_idle(max_idle_ms, excluded)
             if connection is not None:
                 return connection
+            if self._idle and self._open_count >= self.max_connections:
+                self._idle.pop(0).close()
+                self._open_count -= 1
             if self._open_count < self.max_connections:
                 connection = await self._open()
                 try:
@@ -167,9 +176,13 @@
     def _record_connect(self, is_open: bool) -> None:
         self._reachability.record_connect(self._clock.now_ms(), is_open)
 
-    def _take_idle(self, max_idle_ms: float) -> client.Connection | None:
-        while self._idle:
-            connection = self._idle.pop()
+    def _take_idle(
+        self, max_idle_ms: float, excluded: Set[client.Connection]
+    ) -> client.Connection | None:
+        for connection in reversed([*self._idle]):
+            if connection in excluded:
+                continue
+            self._idle.remove(connection)
             if self._is_fresh(connection, max_idle_ms):
                 return connection
             connection.close()
--- a/greengagedale/gateway/sub_requests.py
+++ b/greengagedale/gateway/sub_requests.py
@@ -20,6 +20,7 @@
 from greengagedale.gateway import upstream_limits as limits_lib
 from greengagedale.gateway import upstream_notices as notices_lib
 from greengagedale.gateway import upstream_scores as scores_lib
+from greengagedale.http1 import client
 from greengagedale.retry import window_budget
 
 # After another attempt has answered, an attempt in flight gets this long to end
@@ -280,6 +281,7 @@
         self._steps = steps
         self._running: dict[_Task, upstream_entries.Upstream] = {}
         self._tried: set[str] = set()
+        self._earlier_connections: set[client.Connection] = set()
         self._attempt_failures: list[outcomes.AttemptFailure] = []
         self._answer: calls.Answer | None = None
         self._retry_after_ms = 0
@@ -486,6 +488,7 @@
             upstream,
             self._deadline_ms,
             self._route.is_idempotent,
+            self._earlier_connections,
         )
         score = context.scores.get(upstream)
         attempt_id = score.start_attempt(now_ms)
--- a/greengagedale/platform/upstream_client.py
+++ b/greengagedale/platform/upstream_client.py
@@ -62,7 +62,9 @@
         pool = self._pools.get(upstream, self._max_connections(upstream))
         max_age_ms = _ANY_AGE_MS if attempt.is_idempotent else _MAX_REUSE_AGE_MS
         try:
-            connection = await pool.acquire(max_age_ms)
+            connection = await pool.acquire(
+                max_age_ms, attempt.earlier_connections
+            )
         except pools_lib.UpstreamNotAcceptingError:
             return _unsent_failure(outcomes.Reason.DRAINING)
         except OSError:
@@ -81,6 +83,7 @@
         if isinstance(end_permit, outcomes.Reason):
             pool.release(connection)
             return _unsent_failure(end_permit)
+        attempt.earlier_connections.add(connection)
         is_first = connection.is_new
         sent_ms = self._clock.now_ms()
         try:
--- a/tests/gateway/test_mutations.py
+++ b/tests/gateway/test_mutations.py
@@ -275,7 +275,7 @@
         0.0,
     )
     call = calls.Call("r1", "h", "/a/x", message, 0.0, 300.0)
-    attempt = calls.Attempt(call, upstream("a"), 300.0, False)
+    attempt = calls.Attempt(call, upstream("a"), 300.0, False, set())
     return message, upstream_codec.encode_attempt(attempt, left_ms)
 
 
--- a/tests/gateway/test_runner.py
+++ b/tests/gateway/test_runner.py
@@ -128,6 +128,19 @@
     assert outcome.retry_after_ms > 0
 
 
+# Guards against sending a request again on a connection that carried it.
+async def test_all_attempts_of_a_call_know_where_it_was_sent(bench):
+    for name in "ab":
+        bench.add(name, script=[(0.0, refused())])
+    assert isinstance(
+        await bench.run(single(is_idempotent=False)), outcomes.Ran
+    )
+    attempts = bench.client.attempts
+    assert len(attempts) == 3
+    shared = attempts[0].earlier_connections
+    assert all(each.earlier_connections is shared for each in attempts)
+
+
 @virtual_time.in_virtual_time
 async def test_request_in_flight_at_the_deadline_is_unknown(bench):
     bench.add("a", script=[(SLOW_MS, None)])
--- a/tests/gateway_scripts.py
+++ b/tests/gateway_scripts.py
@@ -186,11 +186,13 @@
     def __init__(self):
         self.scripts = {}
         self.sent = []
+        self.attempts = []
         self.cancelled = []
 
     async def send(self, attempt):
         name = attempt.upstream.name
         self.sent.append(name)
+        self.attempts.append(attempt)
         script = self.scripts.get(name, [])
         delay_ms, result = script.pop(0) if script else (0.0, None)
         try:
--- a/tests/platform/test_announced_limits.py
+++ b/tests/platform/test_announced_limits.py
@@ -103,7 +103,7 @@
         call = calls.Call("r", "h", "/", message, now_ms, None)
         before = len(self.server.requests)
         result = await sender.send(
-            calls.Attempt(call, self.entry, now_ms + 500.0, True)
+            calls.Attempt(call, self.entry, now_ms + 500.0, True, set())
         )
         if isinstance(result, outcomes.AttemptFailure) and not result.written:
             return
--- a/tests/platform/test_codecs.py
+++ b/tests/platform/test_codecs.py
@@ -193,7 +193,7 @@
 
 
 def test_encoded_attempt_has_the_request_and_the_remaining_time(call):
-    attempt = calls.Attempt(call, upstream("i-1"), 9999.0, True)
+    attempt = calls.Attempt(call, upstream("i-1"), 9999.0, True, set())
     data = upstream_codec.encode_attempt(attempt, 250.9)
     assert data.startswith(b"GET /a/b?c HTTP/1.1\r\n")
     assert b"deadline-ms: 250\r\n" in data
@@ -220,6 +220,7 @@
             upstream("i-1"),
             9999.0,
             True,
+            set(),
         ),
         250.0,
     )
@@ -240,6 +241,7 @@
             upstream("i-1"),
             9999.0,
             True,
+            set(),
         ),
         250.0,
     )
--- a/tests/platform/test_foreign_entries.py
+++ b/tests/platform/test_foreign_entries.py
@@ -94,7 +94,7 @@
     message = messages.Request(b"GET", b"/", (), b"", 0.0)
     call = calls.Call("r", "h", "/", message, 0.0, None)
     for each in upstreams:
-        attempt = calls.Attempt(call, each, 100.0, True)
+        attempt = calls.Attempt(call, each, 100.0, True, set())
         encoded = upstream_codec.encode_attempt(attempt, 100.0)
         assert encoded.count(b"\r\n") == 4
 
--- a/tests/platform/test_upstream_client.py
+++ b/tests/platform/test_upstream_client.py
@@ -98,7 +98,13 @@
         clock,
     )
 
-    async def call(remaining_ms=500.0, port=None, identity=None, **fields):
+    async def call(
+        remaining_ms=500.0,
+        port=None,
+        identity=None,
+        earlier_connections=None,
+        **fields,
+    ):
         message = messages.Request(
             b"GET", b"/", ((b"request-id", b"r1"),), b"", clock.now_ms()
         )
@@ -107,7 +113,13 @@
         )
         entry = upstream("u", port=port or server.port, **fields)
         return await sender.send(
-            calls.Attempt(request, entry, clock.now_ms() + remaining_ms, False)
+            calls.Attempt(
+                request,
+                entry,
+                clock.now_ms() + remaining_ms,
+                False,
+                set() if earlier_connections is None else earlier_connections,
+            )
         )
 
     return call
@@ -257,6 +269,78 @@
     assert len(received) == 3
 
 
+REFUSED_WITH_ID = REFUSED.replace(b"\r\n", b"\r\nRequest-Id: r1\r\n", 1)
+DONE = (
+    b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Seal: u\r\n"
+    b"Content-Length: 4\r\n\r\ndone"
+)
+
+
+@pytest.fixture
+async def repeating_upstream():
+    """An upstream that sends a copy of each refusal before the next answer.
+
+    It refuses the first request on each of its first connections.
+    """
+    received = []
+    refusing = {"connections": 1}
+
+    async def serve(reader, writer):
+        connection = len({*received})
+        repeated = b""
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                received.append(connection)
+                writer.write(repeated)
+                is_refused = connection < refusing["connections"] and (
+                    received.count(connection) == 1
+                )
+                repeated = REFUSED_WITH_ID if is_refused else b""
+                writer.write(repeated or DONE)
+
+    listener = await asyncio.start_server(serve, "127.0.0.1", 0)
+    async with listener:
+        port = listener.sockets[0].getsockname()[1]
+        yield port, received, refusing
+
+
+# Guards against a request that runs twice, as a late second copy of its own
+# refusal passes for the answer when it is sent again.
+async def test_request_is_sent_again_on_another_connection(
+    send, repeating_upstream
+):
+    port, received, _ = repeating_upstream
+    earlier = set()
+    first = await send(port=port, earlier_connections=earlier)
+    again = await send(port=port, earlier_connections=earlier)
+    assert first.refused
+    assert again.body == b"done"
+    assert received == [0, 1]
+
+
+async def test_request_is_sent_again_although_all_connections_carried_it(
+    send, repeating_upstream
+):
+    port, received, refusing = repeating_upstream
+    refusing["connections"] = 2
+    earlier = set()
+    for _ in range(2):
+        assert (await send(port=port, earlier_connections=earlier)).refused
+    assert (await send(port=port, earlier_connections=earlier)).body == b"done"
+    assert received == [0, 1, 2]
+
+
+async def test_connection_of_a_refusal_serves_other_requests(
+    send, repeating_upstream
+):
+    port, received, refusing = repeating_upstream
+    refusing["connections"] = 0
+    for _ in range(3):
+        assert (await send(port=port)).body == b"done"
+    assert received == [0, 0, 0]
+
+
 WARMING_UP = outcomes.AttemptFailure(
     outcomes.Reason.WARMING_UP, written=False, refused=False
 )
