Ignore keep-alive times that are too long to be numbers

What callers would see: 500 for a request that ran, if its upstream announced Keep-Alive: timeout= with over 300 digits (OverflowError, shown in process on; not seen in the wild).

The value is read like all other numbers of upstreams, with bounded digits. A generated test puts any bytes into each header that is read; with that, no other header raised an error.

--- a/greengagedale/platform/upstream_client.py
+++ b/greengagedale/platform/upstream_client.py
@@ -14,9 +14,6 @@
 from greengagedale.http1 import messages
 from greengagedale.platform import upstream_codec
 
-_KEEP_ALIVE = b"keep-alive"
-_TIMEOUT_FIELD = b"timeout="
-_MS_PER_S = 1000.0
 # Maximum age of a reused connection for a request that must not run twice.
 # Such a request can't be retried if its connection turns out to be closed, so
 # only connections that were used very recently are reused for it.
@@ -130,15 +127,6 @@
 def _apply_keep_alive(
     connection: client.Connection, reply: messages.Reply
 ) -> None:
-    header = reply.header(_KEEP_ALIVE)
-    if header is None:
-        return
-    fields = (field.strip() for field in header.split(b","))
-    values = (
-        field.removeprefix(_TIMEOUT_FIELD)
-        for field in fields
-        if field.startswith(_TIMEOUT_FIELD)
-    )
-    value = next(values, b"")
-    if value.isdigit():
-        connection.keep_alive_ms = int(value) * _MS_PER_S
+    keep_alive_ms = upstream_codec.decode_keep_alive(reply)
+    if keep_alive_ms is not None:
+        connection.keep_alive_ms = keep_alive_ms
--- a/greengagedale/platform/upstream_codec.py
+++ b/greengagedale/platform/upstream_codec.py
@@ -29,6 +29,8 @@
 _WARM_UP = b"warmup-ms"
 # Requests per second that the upstream takes from all hosts together.
 _LIMIT = b"server-limit"
+_KEEP_ALIVE = b"keep-alive"
+_TIMEOUT_FIELD = b"timeout="
 _STATUS_UNAVAILABLE = 503
 _MS_PER_S = 1000.0
 _STATUS_MISDIRECTED = 421
@@ -132,6 +134,24 @@
     )
 
 
+def decode_keep_alive(reply: messages.Reply) -> float | None:
+    """Decodes how long an idle connection is kept open, in ms.
+
+    Returns:
+        None if the answer does not say so in whole seconds.
+    """
+    fields = (reply.header(_KEEP_ALIVE) or b"").split(b",")
+    values = (
+        field.strip().removeprefix(_TIMEOUT_FIELD)
+        for field in fields
+        if field.strip().startswith(_TIMEOUT_FIELD)
+    )
+    value = next(values, b"")
+    if not value.isdigit() or len(value) > _MAX_DIGITS:
+        return None
+    return int(value) * _MS_PER_S
+
+
 def _decode_limit(reply: messages.Reply) -> float | None:
     """Decodes the limit that an answer announces.
 
--- a/tests/platform/test_codecs.py
+++ b/tests/platform/test_codecs.py
@@ -1,16 +1,19 @@
 """Tests of the codecs for the platform's messages, also for invalid ones."""
 
 import math
+import random
 
 from gateway_scripts import upstream
 from hypothesis import given
 from hypothesis import strategies
 import pytest
 
+from greengagedale import clocks
 from greengagedale import outcomes
 from greengagedale.gateway import caller_handlers
 from greengagedale.gateway import calls
 from greengagedale.gateway import route_config
+from greengagedale.gateway import upstream_scores
 from greengagedale.http1 import messages
 from greengagedale.platform import caller_codec
 from greengagedale.platform import store_documents
@@ -515,3 +518,57 @@
 def test_limit_ends_only_with_an_answer_that_has_an_id(headers, limit_per_s):
     notice = upstream_codec.decode_notice(reply_with_headers(200, **headers))
     assert notice.limit_per_s == limit_per_s
+
+
+@pytest.mark.parametrize(
+    ("value", "expected_ms"),
+    [
+        (b"timeout=5", 5000.0),
+        (b"max=3, timeout=5", 5000.0),
+        (b"timeout=", None),
+        (b"timeout=-5", None),
+        (b"timeout=" + b"9" * 400, None),
+        (b"max=3", None),
+    ],
+)
+def test_keep_alive_time_is_decoded(value, expected_ms):
+    decoded = upstream_codec.decode_keep_alive(reply([(b"keep-alive", value)]))
+    assert decoded == expected_ms
+
+
+# Guards against a header of an upstream that ends the request with an error of
+# this host, although it ran.
+@given(
+    strategies.sampled_from(
+        [
+            b"keep-alive",
+            b"not-executed",
+            b"request-id",
+            b"retry-after",
+            b"server-leaving",
+            b"server-limit",
+            b"server-load",
+            b"server-seal",
+            b"warmup-ms",
+        ]
+    ),
+    strategies.binary(max_size=20)
+    | strategies.from_regex(rb"(timeout=)?[0-9]{300,400}", fullmatch=True)
+    | strategies.from_regex(rb"[0-9]{1,12}(,[0-9]{1,13}){2,3}", fullmatch=True)
+    | strategies.from_regex(rb"[0-9.e+-]{1,20}", fullmatch=True),
+    strategies.sampled_from([200, 421, 429, 500, 503]),
+)
+def test_any_header_of_an_upstream_is_read_or_ignored(name, value, status):
+    answer = reply([*SIGNED, (name, value)], status)
+    message = request([(b"host", b"a"), (b"request-id", b"r1")])
+    call = caller_codec.PlatformCallerCodec().decode_call(message)
+    upstream_codec.decode_notice(answer)
+    upstream_codec.decode_keep_alive(answer)
+    upstream_codec.may_match_request(call, answer)
+    decoded = upstream_codec.decode_answer(call, answer)
+    load = getattr(decoded, "load", None)
+    if load is not None:
+        score = upstream_scores.UpstreamScores(
+            "here", clocks.ManualClock(0.0), random.Random(1)
+        ).get(upstream("i"))
+        score.record_load(load, 0.0)
