--- a/greengagedale/gateway/caller_handlers.py
+++ b/greengagedale/gateway/caller_handlers.py
@@ -1,10 +1,12 @@
 """HTTP handlers for callers: routing, running, answering and logging."""
 
 import abc
+import asyncio
+from collections.abc import Awaitable
 import dataclasses
 import logging
 import random
-from typing import NamedTuple
+from typing import NamedTuple, TypeVar
 
 from greengagedale import clocks
 from greengagedale import logs
@@ -19,6 +21,7 @@
 from greengagedale.gateway import registry as registry_lib
 from greengagedale.gateway import route_config
 from greengagedale.gateway import runner as runner_lib
+from greengagedale.gateway import shutdown_schedule
 from greengagedale.gateway import sub_requests
 from greengagedale.http1 import messages
 from greengagedale.http1 import server
@@ -41,6 +44,9 @@
 # a second after the store is back, and callers should not return all at once.
 _UNPROVEN_RETRY_MS = 10
 _ALL_UNPROVEN_RETRY_MS = (100, 400)
+_MS_PER_S = 1000.0
+
+_T = TypeVar("_T")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -180,12 +186,27 @@
         self._request_log = request_log
         self.relay: Relay | None = None
         self.is_refusing = False
+        self._shutdown: shutdown_schedule.ShutdownSchedule | None = None
+        # Limits of the requests that run; a shutdown moves them.
+        self._answer_limits: set[asyncio.Timeout] = set()
 
     def limits(self) -> server.Limits:
         """Returns the limits of the active configuration."""
         table = self._registry.table
         return server.Limits() if table is None else table.configuration.limits
 
+    def begin_shutdown(
+        self, schedule: shutdown_schedule.ShutdownSchedule
+    ) -> None:
+        """Refuses what can't be answered in time; answers the rest in time.
+
+        Args:
+            schedule: Times of the shutdown.
+        """
+        self._shutdown = schedule
+        for limit in self._answer_limits:
+            limit.reschedule(self._answer_by_s())
+
     async def handle(self, request: messages.Request) -> messages.Response:
         """Answers a caller's request."""
         return await self._handle(request, None)
@@ -229,6 +250,12 @@
                 version=table.version,
             )
             return self._codec.encode_error(_STATUS_NOT_FOUND, "no such route")
+        if self._shutdown is not None and not self._shutdown.may_accept(
+            call, route, self._clock.now_ms()
+        ):
+            return self._refuse(
+                call, outcomes.Reason.STOPPING, _STOPPING_RETRY_MS
+            )
         if table.uses_keys:
             identified = self._identify(call, route, table.version)
             if isinstance(identified, messages.Response):
@@ -329,7 +356,16 @@
         steps: list[sub_requests.Step] = []
         outcome: outcomes.Outcome | None = None
         try:
-            outcome = await self._runner.run(call, route, steps)
+            outcome = await self._answer_in_time(
+                self._runner.run(
+                    call,
+                    route,
+                    steps,
+                    None
+                    if self._shutdown is None
+                    else self._shutdown.answer_by_ms,
+                )
+            )
         finally:
             self._record_outcome(call, route, version, origin, outcome, steps)
         if not isinstance(outcome, outcomes.Ran):
@@ -345,13 +381,38 @@
         if self.relay is None:
             return None
         workspace = self._authorizer.workspace_of(call)
-        forwarded = await self.relay.forward(
-            call, route, regions_lib.allowed_regions(route, workspace)
+        forwarded = await self._answer_in_time(
+            self.relay.forward(
+                call, route, regions_lib.allowed_regions(route, workspace)
+            )
         )
         if isinstance(forwarded, outcomes.Unknown):
             return self._codec.encode_failure(forwarded)
         return forwarded
 
+    async def _answer_in_time(
+        self, work: Awaitable[_T]
+    ) -> _T | outcomes.Unknown:
+        """Waits for a result; gives up when a shutdown needs the answer."""
+        try:
+            async with asyncio.timeout_at(self._answer_by_s()) as limit:
+                self._answer_limits.add(limit)
+                try:
+                    return await work
+                finally:
+                    self._answer_limits.discard(limit)
+        except TimeoutError:
+            if not limit.expired():
+                raise
+            return outcomes.Unknown(outcomes.Reason.STOPPING)
+
+    def _answer_by_s(self) -> float | None:
+        """Time of the event loop by which a shutdown needs answers."""
+        if self._shutdown is None:
+            return None
+        left_ms = self._shutdown.answer_by_ms - self._clock.now_ms()
+        return asyncio.get_running_loop().time() + left_ms / _MS_PER_S
+
     def _unproven_retry_ms(self) -> int:
         if any(host.heartbeat.is_proven for host in self._fleet.serving()):
             return _UNPROVEN_RETRY_MS
--- a/greengagedale/gateway/daemon.py
+++ b/greengagedale/gateway/daemon.py
@@ -38,6 +38,7 @@
 from greengagedale.gateway import roster as roster_lib
 from greengagedale.gateway import runner as runner_lib
 from greengagedale.gateway import shutdown
+from greengagedale.gateway import shutdown_schedule
 from greengagedale.gateway import store_reader as store_reader_lib
 from greengagedale.gateway import store_revision
 from greengagedale.gateway import sub_requests
@@ -342,11 +343,25 @@
         releasing = self._quotas and asyncio.ensure_future(
             self._quotas.release()
         )
+        now_ms = self._clock.now_ms()
+        schedule = shutdown_schedule.ShutdownSchedule.from_config(
+            grace_s, now_ms
+        )
         log.info(
-            "leaving", extra={"running": self._servers.edge.in_flight_requests}
+            "leaving",
+            extra={
+                "running": self._servers.edge.in_flight_requests,
+                "accepting_ms": round(schedule.accept_until_ms - now_ms),
+                "answered_in_ms": round(schedule.answer_by_ms - now_ms),
+                "exit_in_ms": round(schedule.exit_by_ms - now_ms),
+            },
         )
         await shutdown.drain(
-            self._servers.edge, self._edge, grace_s, self._tools.background
+            self._servers.edge,
+            self._edge,
+            schedule,
+            self._tools.background,
+            self._clock,
         )
         if releasing is not None:
             await releasing
--- a/greengagedale/gateway/shutdown.py
+++ b/greengagedale/gateway/shutdown.py
@@ -6,18 +6,16 @@
 import signal
 from typing import Any, Self
 
+from greengagedale import clocks
 from greengagedale.gateway import caller_handlers as edge_lib
+from greengagedale.gateway import shutdown_schedule
 from greengagedale.http1 import server
 
 log = logging.getLogger(__name__)
 
-# Share of the grace time in which new requests are still accepted, as callers
-# cache addresses for a while. Later requests are refused and go to other hosts.
-ACCEPTING_SHARE = 0.55
-# Share of the grace time after which the process exits by itself.
-EXIT_SHARE = 0.95
 # Time between checks whether any request still runs.
 _POLL_INTERVAL_S = 0.05
+_MS_PER_S = 1000.0
 
 
 class SignalHandlers:
@@ -44,29 +42,32 @@
 async def drain(
     listener: server.Server,
     edge: edge_lib.CallerHandler,
-    grace_s: float,
+    schedule: shutdown_schedule.ShutdownSchedule,
     background: set[asyncio.Task[Any]],
+    clock: clocks.Clock,
 ) -> None:
     """Serves for a while, then refuses new requests and waits for the rest.
 
     Args:
         listener: Server of callers' connections.
         edge: Handler of callers' requests.
-        grace_s: Time until the process is killed.
+        schedule: Times of the shutdown.
         background: Attempts that continue after their request has ended.
+        clock: Clock of the process.
     """
-    loop = asyncio.get_running_loop()
-    started_s = loop.time()
     listener.closing = True
-    await asyncio.sleep(ACCEPTING_SHARE * grace_s)
+    edge.begin_shutdown(schedule)
+    accepting_ms = schedule.accept_until_ms - clock.now_ms()
+    await asyncio.sleep(accepting_ms / _MS_PER_S)
     edge.is_refusing = True
     listener.stop_accepting()
-    end_s = started_s + EXIT_SHARE * grace_s
-    while loop.time() < end_s and (listener.in_flight_requests or background):
+    while clock.now_ms() < schedule.exit_by_ms and (
+        listener.unanswered_requests or background
+    ):
         await asyncio.sleep(_POLL_INTERVAL_S)
-    if listener.in_flight_requests:
+    if listener.unanswered_requests:
         log.warning(
             "ending with requests unanswered",
-            extra={"running": listener.in_flight_requests},
+            extra={"running": listener.unanswered_requests},
         )
     listener.close_idle()
--- a/greengagedale/http1/server.py
+++ b/greengagedale/http1/server.py
@@ -98,6 +98,14 @@
         """The number of requests in flight; pipelined ones count as one."""
         return sum(connection.is_busy for connection in self.connections)
 
+    @property
+    def unanswered_requests(self) -> int:
+        """The number of connections whose answer is not yet sent in full."""
+        return sum(
+            connection.is_busy or connection.has_unsent_data
+            for connection in self.connections
+        )
+
     def stop_accepting(self) -> None:
         """Closes the listener; open connections stay open."""
         if self._listener is not None:
@@ -147,6 +155,13 @@
         """Whether a request is being received or has no response yet."""
         return bool(self._task or self._pending or self._is_reading)
 
+    @property
+    def has_unsent_data(self) -> bool:
+        """Whether a part of a response waits for the client to read."""
+        return self._transport is not None and (
+            self._transport.get_write_buffer_size() > 0
+        )
+
     def close(self) -> None:
         """Closes the connection after sending buffered data."""
         if self._transport is not None:
--- a/tests/gateway/test_mutations.py
+++ b/tests/gateway/test_mutations.py
@@ -47,6 +47,7 @@
 from greengagedale.gateway import route_config
 from greengagedale.gateway import runner
 from greengagedale.gateway import shutdown
+from greengagedale.gateway import shutdown_schedule
 from greengagedale.gateway import store_api
 from greengagedale.gateway import store_reader
 from greengagedale.gateway import sub_requests
@@ -311,7 +312,7 @@
         self._until_s = time.monotonic() + busy_s
 
     @property
-    def in_flight_requests(self):
+    def unanswered_requests(self):
         return int(time.monotonic() < self._until_s)
 
     def stop_accepting(self):
@@ -324,9 +325,15 @@
 async def shutdown_waits_for_requests():
     """A stopping host waits for its last request within the grace time."""
     listener = BusyListener(busy_s=0.3)
-    edge = types.SimpleNamespace(is_refusing=False)
-    await shutdown.drain(listener, edge, 0.5, set())
-    return listener.in_flight_requests == 0
+    edge = types.SimpleNamespace(
+        is_refusing=False, begin_shutdown=lambda schedule: None
+    )
+    clock = clocks.MonotonicClock()
+    schedule = shutdown_schedule.ShutdownSchedule.from_config(
+        0.5, clock.now_ms()
+    )
+    await shutdown.drain(listener, edge, schedule, set(), clock)
+    return listener.unanswered_requests == 0
 
 
 async def new_hosts_learn_from_peers():
@@ -876,7 +883,7 @@
     ),
     "exit_without_waiting": (
         shutdown_waits_for_requests,
-        shutdown,
+        shutdown_schedule,
         "EXIT_SHARE",
         0.0,
     ),
--- a/tests/gateway_scripts.py
+++ b/tests/gateway_scripts.py
@@ -5,9 +5,11 @@
 import random
 
 from greengagedale import clocks
+from greengagedale import logs
 from greengagedale import outcomes
 from greengagedale.gateway import announced_limits
 from greengagedale.gateway import authorization
+from greengagedale.gateway import caller_handlers
 from greengagedale.gateway import calls
 from greengagedale.gateway import evacuations
 from greengagedale.gateway import extra_attempts
@@ -41,8 +43,10 @@
 from greengagedale.http1 import server
 from greengagedale.limits import quota_shares
 from greengagedale.limits import quota_windows
+from greengagedale.platform import caller_codec
 from greengagedale.platform import store as store_lib
 
+ADDRESS = "127.0.0.1"
 WINDOW_MS = 10_000.0
 REGION_MAP = regions.RegionMap({"here": "near", "there": "far"})
 QUOTA_TERMS = quota_shares.QuotaTerms(5000.0, 0.1, 20.0)
@@ -365,6 +369,22 @@
     return await bench.run(route, workspace=workspace)
 
 
+def caller_handler_of(bench, authorizer=None, hosts=None):
+    """Returns the handler of callers' requests over a runner."""
+    return caller_handlers.CallerHandler(
+        caller_codec.PlatformCallerCodec(),
+        bench.registry,
+        bench.runner,
+        authorizer or bench.context.authorizer,
+        hosts or fleet.Fleet("m", bench.clock),
+        None,
+        bench.clock,
+        random.Random(1),
+        bench.metrics,
+        logs.RequestLog(bench.clock),
+    )
+
+
 class OffsetClock(clocks.Clock):
     """A host's clock, which agrees with that of others in its rate only."""
 
--- a/tests/integration/test_gateway.py
+++ b/tests/integration/test_gateway.py
@@ -1,8 +1,10 @@
 """Gateway hosts as processes: the whole request path, with faults."""
 
 import asyncio
+import collections
 import json
 import os
+import random
 import signal
 
 import pytest
@@ -10,6 +12,7 @@
 from bench import overhead
 from greengagedale.http1 import client
 from standins import endless
+from standins import gateway_site
 from standins.gateway_site import RECORD_FORMAT
 from standins.gateway_site import SHARDS
 from standins.gateway_site import configuration
@@ -19,6 +22,8 @@
 IN_FORCE_S = 3.0
 # Target for 20 upstreams with endless answers.
 MOST_GROWTH_MIB = 16.0
+# Longer than the grace time of a stop.
+LONG_MS = 5000
 
 
 @pytest.fixture
@@ -215,6 +220,57 @@
     assert messages[-1] == "stopped"
 
 
+# Guards against requests that a host takes late in a planned stop, passes on
+# and cuts at its end, among them some that may run once.
+@pytest.mark.parametrize("seed", range(2))
+async def test_late_requests_of_a_stop_are_answered_or_refused(site, seed):
+    leaving = site.hosts[0]
+    rng = random.Random(seed)
+    slow = [
+        route("slow", "/slow/", service="s1", timeoutMs=LONG_MS),
+        route(
+            "once",
+            "/once/",
+            service="s1",
+            timeoutMs=LONG_MS,
+            type="non_idempotent",
+        ),
+    ]
+    site.store.put("config", "main", configuration(4, slow))
+    await asyncio.sleep(IN_FORCE_S)
+    for upstream in site.upstreams.values():
+        upstream.delay_ms = LONG_MS
+    kept = [await leaving.connect() for _ in range(12)]
+
+    async def send_late(number):
+        await asyncio.sleep(
+            rng.uniform(0.45, 0.6) * gateway_site.BOUNDS["graceS"]
+        )
+        path = "/once/x" if number % 2 else "/slow/x"
+        headers = {"request_id": f"late-{number}", "deadline_ms": LONG_MS}
+        if number < len(kept):
+            return await leaving.send_request(kept[number], path, **headers)
+        try:
+            return await leaving.get(path, **headers)
+        except OSError:
+            # The host has closed its listener; the caller goes to another one.
+            return None
+
+    leaving.signal(signal.SIGTERM)
+    replies = await asyncio.gather(*map(send_late, range(24)))
+    assert await leaving.wait_exit() == 0
+    cut = [each for each in replies if isinstance(each, client.ExchangeFailure)]
+    assert cut == []
+    runs = collections.Counter()
+    for upstream in site.upstreams.values():
+        runs.update(upstream.runs)
+    ran = {number for number in range(24) if runs[f"late-{number}"]}
+    statuses = {number: getattr(replies[number], "status", 0) for number in ran}
+    assert set(statuses.values()) <= {502, 504}
+    # Those that may run once can't be answered in time.
+    assert all(number % 2 == 0 for number in ran)
+
+
 async def test_sighup_reloads_settings_without_interruption(site):
     host = site.hosts[0]
     host.signal(signal.SIGHUP)
--- a/tests/platform/test_keys_on_the_wire.py
+++ b/tests/platform/test_keys_on_the_wire.py
@@ -1,11 +1,11 @@
 """No spelling of a request passes on a key or a workspace of its own choice."""
 
 import asyncio
-import random
 
 from gateway_scripts import REGION_MAP
 from gateway_scripts import Bench
 from gateway_scripts import at
+from gateway_scripts import caller_handler_of
 from gateway_scripts import freshness_of
 from gateway_scripts import host_state
 from gateway_scripts import single
@@ -13,7 +13,6 @@
 import pytest
 
 from greengagedale import clocks
-from greengagedale import logs
 from greengagedale.gateway import authorization
 from greengagedale.gateway import caller_handlers
 from greengagedale.gateway import fleet as fleet_lib
@@ -66,18 +65,7 @@
             at(1),
         )
         self.metrics = bench.metrics
-        handler = caller_handlers.CallerHandler(
-            caller_codec.PlatformCallerCodec(),
-            bench.registry,
-            bench.runner,
-            authorizer,
-            self.fleet,
-            None,
-            bench.clock,
-            random.Random(1),
-            bench.metrics,
-            logs.RequestLog(bench.clock),
-        )
+        handler = caller_handler_of(bench, authorizer, self.fleet)
         self._server = server.Server(handler, bench.clock)
 
     async def start(self):
