Refuse addresses whose scope holds unprintable characters

An IPv6 scope may hold any character, such as a zero, at which connecting raises ValueError. Found by reading the check again; one more case of the table.

--- a/greengagedale/gateway/upstream_entries.py
+++ b/greengagedale/gateway/upstream_entries.py
@@ -84,6 +84,9 @@
 # Upstreams report often, and each time with the same address.
 @functools.lru_cache(maxsize=4096)
 def _is_ip_address(text: str) -> bool:
+    if not text.isascii() or not text.isprintable():
+        # The scope of an IPv6 address may hold any character.
+        return False
     try:
         ipaddress.ip_address(text)
     except ValueError:
--- a/tests/platform/test_foreign_entries.py
+++ b/tests/platform/test_foreign_entries.py
@@ -183,6 +183,7 @@
         {"slots": 2**40},
         {"warm_up_ms": float("nan")},
         {"address": "nowhere.example"},
+        {"address": "fe80::1%\0"},
         {"data_centre": "x" * 300},
     ],
 )
