Soak gateway hosts with entries of other writers and slow services

Two more faults, each with a generator of its own so that seeds keep their other faults: another writer puts entries that decoders refuse beside the others, and all upstreams of a service are slower than a stopping host lives.

--- a/proofs/gateway_soak.py
+++ b/proofs/gateway_soak.py
@@ -28,6 +28,7 @@
 from standins import faultproxy
 from standins import gateway_site
 from standins import gateway_store
+from standins import odd_json
 
 HOSTS = 3
 REPLICAS = 3
@@ -56,6 +57,11 @@
 _LIMIT_DURATION_S = (5.0, 9.0)
 _LIMIT_INTERVAL_S = (0.5, 2.0)
 _DRILL_INTERVAL_S = (0.5, 3.0)
+_FOREIGN_INTERVAL_S = (0.1, 0.6)
+_FOREIGN_FIELDS = ("zone", "address", "sequence", "warmupLeftMs", "slots")
+# Longer than a stopping host lives on.
+_SLOW_MS = 4000.0
+_SLOW_INTERVAL_S = (0.5, 2.0)
 _CONFIGURATION_INTERVAL_S = 1.5
 
 _LINK_FAULTS: dict[str, faultproxy.Fault] = {
@@ -107,6 +113,8 @@
         seed: int,
         limits: budgets.BudgetLimits = BUDGET_LIMITS,
         has_drills: bool = False,
+        has_foreign_entries: bool = False,
+        has_slow_services: bool = False,
     ) -> None:
         self.violations: list[str] = []
         self.counts: collections.Counter[str] = collections.Counter()
@@ -123,6 +131,10 @@
             tuple[str, announced_limits.Announcement]
         ] = []
         self._has_drills = has_drills
+        self._has_foreign_entries = has_foreign_entries
+        self._has_slow_services = has_slow_services
+        self._foreign_rng = random.Random(f"{seed} foreign entries")
+        self._slow_rng = random.Random(f"{seed} slow services")
         self._clock = clocks.MonotonicClock()
         self._sent: list[SentRequest] = []
         self._ids = itertools.count(1)
@@ -156,6 +168,14 @@
             fault_tasks.append(
                 asyncio.create_task(self._inject_drills(duration_s))
             )
+        if self._has_foreign_entries:
+            fault_tasks.append(
+                asyncio.create_task(self._write_foreign_entries(duration_s))
+            )
+        if self._has_slow_services:
+            fault_tasks.append(
+                asyncio.create_task(self._slow_services(duration_s))
+            )
         await asyncio.gather(*fault_tasks)
         await self._check_recovery()
         for task in background:
@@ -419,6 +439,50 @@
             self._record_disturbance()
             self._active_targets.discard("store")
 
+    async def _write_foreign_entries(self, duration_s: float) -> None:
+        """Lets another writer put unreadable entries beside the others."""
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + duration_s
+        rng, store = self._foreign_rng, self._site.store
+        for number in itertools.count():
+            if loop.time() >= deadline_s:
+                return
+            self.counts["fault foreign entry"] += 1
+            mark = f"<foreign-{number}>"
+            store.raw_values[mark] = rng.choice(odd_json.ODD_VALUES)
+            upstream = rng.choice([*self._site.upstreams.values()])
+            entry = upstream.next_store_entry(gateway_site.ADDRESS, "ready")
+            entry[rng.choice(_FOREIGN_FIELDS)] = mark
+            # Some names come before those of upstreams, some after.
+            name = f"{rng.choice('az')}-foreign-{number}"
+            store.put("servers", name, entry)
+            await asyncio.sleep(rng.uniform(*_FOREIGN_INTERVAL_S))
+            if rng.random() < 0.5:
+                store.delete("servers", name)
+
+    async def _slow_services(self, duration_s: float) -> None:
+        """Makes all upstreams of a service slow, also while hosts stop."""
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + duration_s
+        rng = self._slow_rng
+        while loop.time() < deadline_s:
+            service = rng.choice(
+                (*gateway_site.SHARDS, gateway_site.ACTION_SERVICE)
+            )
+            slowed = [
+                upstream
+                for name, upstream in sorted(self._site.upstreams.items())
+                if upstream.service == service and self._try_claim(name)
+            ]
+            self.counts["fault slow service"] += 1
+            for upstream in slowed:
+                upstream.delay_ms = _SLOW_MS
+            await asyncio.sleep(rng.uniform(*_FAULT_DURATION_S))
+            for upstream in slowed:
+                upstream.delay_ms = 0.0
+                self._active_targets.discard(upstream.name)
+            await asyncio.sleep(rng.uniform(*_SLOW_INTERVAL_S))
+
     async def _announce_limits(self, duration_s: float) -> None:
         """Lets one upstream after the other announce a limit."""
         loop = asyncio.get_running_loop()
@@ -642,6 +706,8 @@
     folder: pathlib.Path,
     limits: budgets.BudgetLimits = BUDGET_LIMITS,
     has_drills: bool = False,
+    has_foreign_entries: bool = False,
+    has_slow_services: bool = False,
 ) -> Soak:
     """Runs one seed on a new site."""
     bounds = {
@@ -653,7 +719,14 @@
     async with gateway_site.running_site(
         folder, HOSTS, REPLICAS, bounds, era=1 if has_drills else None
     ) as site:
-        soak = Soak(site, seed, limits, has_drills)
+        soak = Soak(
+            site,
+            seed,
+            limits,
+            has_drills,
+            has_foreign_entries,
+            has_slow_services,
+        )
         await soak.run(duration_s)
         return soak
 
@@ -670,6 +743,12 @@
     drills: Annotated[
         bool, typer.Option(help="Let the store come back older.")
     ] = False,
+    foreign: Annotated[
+        bool, typer.Option(help="Let another writer write entries.")
+    ] = False,
+    slow: Annotated[
+        bool, typer.Option(help="Make all upstreams of a service slow.")
+    ] = False,
     keep: Annotated[
         pathlib.Path | None, typer.Option(help="Directory for logs.")
     ] = None,
@@ -683,7 +762,9 @@
             if keep is not None:
                 folder = keep / str(number)
                 folder.mkdir(parents=True, exist_ok=True)
-            soak = loops.run(run_seed(number, run_s, folder, limits, drills))
+            soak = loops.run(
+                run_seed(number, run_s, folder, limits, drills, foreign, slow)
+            )
         return seed_runs.SeedResult(
             soak.violations,
             soak.counts,
--- a/tests/platform/test_foreign_entries.py
+++ b/tests/platform/test_foreign_entries.py
@@ -8,7 +8,6 @@
 from hypothesis import strategies
 import msgspec
 import pytest
-from test_untrusted_json import ODD_VALUES
 
 from greengagedale.gateway import calls
 from greengagedale.gateway import message_codec
@@ -20,6 +19,7 @@
 from greengagedale.platform import upstream_codec
 from standins import gateway_site
 from standins import gateway_store
+from standins import odd_json
 
 ENTRY = {
     "service": "s",
@@ -48,7 +48,7 @@
     b'"ready\\r\\nx: y"',
     b'"' + b"a" * 70_000 + b'"',
 ]
-VALUES = [*ODD_VALUES, *NUMBERS, *TEXTS]
+VALUES = [*odd_json.ODD_VALUES, *NUMBERS, *TEXTS]
 values = strategies.sampled_from(VALUES) | strategies.binary(max_size=30).map(
     lambda data: b'"' + data.replace(b'"', b"").replace(b"\\", b"") + b'"'
 )
@@ -151,7 +151,9 @@
 
 
 # The same bound holds for the other kinds of objects.
-@pytest.mark.parametrize("value", ODD_VALUES, ids=lambda value: value[:9])
+@pytest.mark.parametrize(
+    "value", odd_json.ODD_VALUES, ids=lambda value: value[:9]
+)
 async def test_odd_objects_of_other_kinds_hide_nothing(value):
     async with running_store() as (users, client):
         users.raw_values[MARK] = value
--- a/tests/proofs/test_gateway_soak.py
+++ b/tests/proofs/test_gateway_soak.py
@@ -54,6 +54,21 @@
     assert any(name.startswith("fault drill") for name in soak.counts)
 
 
+# Entries of other writers, and services that are slow while hosts stop.
+@pytest.mark.parametrize("seed", [1, 2])
+async def test_foreign_entries_and_slow_services_break_no_rule(tmp_path, seed):
+    soak = await gateway_soak.run_seed(
+        seed,
+        RUN_DURATION_S,
+        tmp_path,
+        has_foreign_entries=True,
+        has_slow_services=True,
+    )
+    assert soak.violations == []
+    assert soak.counts["fault foreign entry"] > 0
+    assert soak.counts["fault slow service"] > 0
+
+
 class _Upstream:
     def __init__(self, body=b"x" * 16):
         self.body = body
--- a/tests/test_untrusted_json.py
+++ b/tests/test_untrusted_json.py
@@ -12,25 +12,8 @@
 from greengagedale.catalog import services
 from greengagedale.store import wire as store_wire
 from greengagedale.upstreams import wire as upstream_wire
+from standins import odd_json
 
-DEEP = b"[" * 3000 + b"]" * 3000
-# Values that a decoder of whole documents refuses.
-ODD_VALUES = [
-    b'"\\ud800"',
-    b'"\\x"',
-    b'"\\u12"',
-    b'"\xff\xfe"',
-    b'"\x00"',
-    b'"a\nb"',
-    b"1e999",
-    b"007",
-    b"-Infinity",
-    b"nothing",
-    b"\xff\xfe",
-    b"9" * 5000,
-    b'{"a":' * 3000 + b"1" + b"}" * 3000,
-    DEEP,
-]
 documents = strategies.recursive(
     strategies.none()
     | strategies.booleans()
@@ -45,7 +28,7 @@
 
 @given(strategies.lists(documents), strategies.booleans())
 def test_elements_are_those_of_the_decoder(values, is_odd):
-    odd = [b"[]]"[:2], DEEP] if is_odd else []
+    odd = [odd_json.NESTED] if is_odd else []
     encoded = [*map(msgspec.json.encode, values), *odd]
     document = b" [" + b" , ".join(encoded) + b"]\n"
     assert [*map(bytes, untrusted_json.elements(document))] == encoded
@@ -60,7 +43,7 @@
         name: msgspec.json.encode(value) for name, value in values.items()
     }
     if is_odd:
-        encoded = {**encoded, "odd": DEEP}
+        encoded = {**encoded, "odd": odd_json.NESTED}
     document = b",".join(
         msgspec.json.encode(name) + b" : " + value
         for name, value in encoded.items()
@@ -69,7 +52,9 @@
     assert {name: bytes(members[name]) for name in members} == encoded
 
 
-@pytest.mark.parametrize("value", ODD_VALUES, ids=lambda value: value[:9])
+@pytest.mark.parametrize(
+    "value", odd_json.ODD_VALUES, ids=lambda value: value[:9]
+)
 def test_odd_value_costs_no_other_one(value):
     document = b'{"a":[1,' + value + b',{"b":2}],"odd":' + value + b',"c":"d"}'
     members = untrusted_json.members(document)
@@ -78,7 +63,9 @@
     assert (first, odd, last) == (b"1", value, b'{"b":2}')
 
 
-@pytest.mark.parametrize("value", [DEEP, b"[", b'"\\ud800"', b"", b"1e999"])
+@pytest.mark.parametrize(
+    "value", [odd_json.NESTED, b"[", b'"\\ud800"', b"", b"1e999"]
+)
 def test_refused_value_raises_decode_error(value):
     with pytest.raises(msgspec.DecodeError):
         untrusted_json.decode(value)
@@ -115,7 +102,7 @@
 # its nested lists raise another error than the expected one.
 @pytest.mark.parametrize("name", DECODERS)
 def test_nested_lists_from_other_programs_raise_decode_error(name):
-    document = b'{"unknown":' + DEEP + b"}"
+    document = b'{"unknown":' + odd_json.NESTED + b"}"
     with pytest.raises(msgspec.DecodeError):
         DECODERS[name].decode(document)
 
@@ -123,7 +110,7 @@
 async def test_nested_lists_of_a_caller_are_refused():
     class Request:
         async def read(self):
-            return DEEP
+            return odd_json.NESTED
 
     with pytest.raises(exceptions.InvalidInputError):
         await http_responses.read_json(Request(), dict)
