Keep a fixed time for ending the interpreter in a planned stop

Cause: the exit was due at 0.95 of the grace, which leaves 0.15 s of 3 s. Ending the interpreter takes a time that does not depend on the grace. It now gets 0.3 s, as it had at a grace of 6 s; all times at 6 s stay as they were.

--- a/greengagedale/gateway/shutdown_schedule.py
+++ b/greengagedale/gateway/shutdown_schedule.py
@@ -17,10 +17,12 @@
 # Share of the grace time in which new requests are accepted at all, as callers
 # cache addresses for a while. Later requests are refused and go to other hosts.
 ACCEPTING_SHARE = 0.55
-# Share of the grace time after which all accepted requests are answered.
-ANSWERED_SHARE = 0.92
-# Share of the grace time after which the process exits by itself.
-EXIT_SHARE = 0.95
+# Share of the grace time between the last answer that is due and the exit.
+ANSWERED_MARGIN_SHARE = 0.03
+# Ending the interpreter takes up to this long on a busy machine.
+EXIT_MARGIN_MS = 300.0
+# Share of a short grace time that is kept for it.
+MAX_EXIT_MARGIN_SHARE = 0.2
 _MS_PER_S = 1000.0
 
 
@@ -46,10 +48,13 @@
             now_ms: Current time.
         """
         grace_ms = grace_s * _MS_PER_S
+        exit_by_ms = grace_ms - min(
+            EXIT_MARGIN_MS, MAX_EXIT_MARGIN_SHARE * grace_ms
+        )
         return cls(
             now_ms + ACCEPTING_SHARE * grace_ms,
-            now_ms + ANSWERED_SHARE * grace_ms,
-            now_ms + EXIT_SHARE * grace_ms,
+            now_ms + exit_by_ms - ANSWERED_MARGIN_SHARE * grace_ms,
+            now_ms + exit_by_ms,
         )
 
     def may_accept(
--- a/tests/gateway/test_mutations.py
+++ b/tests/gateway/test_mutations.py
@@ -688,6 +688,11 @@
     _add_lease(self, slot, lender, grant, now_ms, now_ms)
 
 
+def exit_at_once(grace_s, now_ms):
+    del grace_s
+    return shutdown_schedule.ShutdownSchedule(now_ms, now_ms, now_ms)
+
+
 MUTATIONS = {
     "ignore_precedence": (
         lower_ranks_give_way,
@@ -883,9 +888,9 @@
     ),
     "exit_without_waiting": (
         shutdown_waits_for_requests,
-        shutdown_schedule,
-        "EXIT_SHARE",
-        0.0,
+        shutdown_schedule.ShutdownSchedule,
+        "from_config",
+        exit_at_once,
     ),
     "ignore_peer_updates": (
         new_hosts_learn_from_peers,
