--- a/tests/gateway/test_mutations.py
+++ b/tests/gateway/test_mutations.py
@@ -12,6 +12,7 @@
 from gateway_scripts import RevocationWorld
 from gateway_scripts import answer
 from gateway_scripts import at
+from gateway_scripts import caller_handler_of
 from gateway_scripts import exchange_of
 from gateway_scripts import fanout
 from gateway_scripts import host_state
@@ -21,13 +22,17 @@
 from gateway_scripts import unreachable
 from gateway_scripts import upstream
 import httptools
+import msgspec
 import pytest
 
 from greengagedale import clocks
 from greengagedale import outcomes
+from greengagedale import untrusted_json
 from greengagedale.gateway import announced_limits
 from greengagedale.gateway import authorization
+from greengagedale.gateway import caller_handlers
 from greengagedale.gateway import calls
+from greengagedale.gateway import connection_pools
 from greengagedale.gateway import evacuations
 from greengagedale.gateway import extra_attempts
 from greengagedale.gateway import fleet
@@ -51,6 +56,7 @@
 from greengagedale.gateway import store_api
 from greengagedale.gateway import store_reader
 from greengagedale.gateway import sub_requests
+from greengagedale.gateway import upstream_entries
 from greengagedale.gateway import upstream_notices
 from greengagedale.gateway import upstream_scores
 from greengagedale.gateway import warm_up
@@ -336,6 +342,86 @@
     return listener.unanswered_requests == 0
 
 
+async def stopping_hosts_refuse_what_they_cannot_answer():
+    """A request that may run once fits into the shutdown, or is refused."""
+    schedule = shutdown_schedule.ShutdownSchedule.from_config(6.0, 0.0)
+    route = single(is_idempotent=False, timeout_ms=5000.0)
+    call = Bench(clock=clocks.ManualClock(3000.0)).call(left_ms=5000.0)
+    return not schedule.may_accept(call, route, 3000.0)
+
+
+async def stopping_hosts_answer_what_runs():
+    """A request that still runs when answers are due has an answer."""
+    bench = Bench()
+    bench.add("a", script=[(5000.0, None)])
+    bench.registry.apply_list(store_api.UpstreamsListed([upstream("a")], at(1)))
+    bench.registry.apply_routes(
+        route_config.RouteConfiguration(1, (single(),), (), server.Limits()),
+        at(1),
+    )
+    handler = caller_handler_of(bench)
+    headers = ((b"host", b"host"), (b"request-id", b"r"))
+    message = messages.Request(
+        b"GET", b"/a/x", headers, b"", bench.clock.now_ms()
+    )
+    running = asyncio.create_task(handler.handle(message))
+    await asyncio.sleep(0.01)
+    handler.begin_shutdown(
+        shutdown_schedule.ShutdownSchedule.from_config(
+            0.1, bench.clock.now_ms()
+        )
+    )
+    done, _ = await asyncio.wait([running], timeout=0.3)
+    running.cancel()
+    return bool(done)
+
+
+class IdleConnection:
+    """A stub connection that is idle and usable."""
+
+    is_usable = True
+    keep_alive_ms = None
+    last_used_ms = 0.0
+
+    def close(self):
+        pass
+
+
+async def requests_are_sent_once_on_each_connection():
+    """A connection that carried a request is not used for it again."""
+    clock = clocks.ManualClock(0.0)
+    host_metrics = metrics.Metrics()
+    pools = connection_pools.ConnectionPools(
+        upstream_notices.UpstreamNotices(clock),
+        evacuations.Evacuations(host_metrics),
+        client.ReplyLimits(),
+        clock,
+    )
+
+    async def connect(address, port, timeout_s, limits):
+        return IdleConnection()
+
+    pools.connect = connect
+    pool = pools.get(upstream("a"), 1)
+    first = await pool.acquire(1000.0)
+    pool.release(first)
+    return await pool.acquire(1000.0, {first}) is not first
+
+
+async def unreadable_values_cost_no_other_ones():
+    """A value that can't be decoded costs just itself."""
+    try:
+        members = untrusted_json.members(b'{"a":"\\ud800","b":1}')
+    except msgspec.DecodeError:
+        return False
+    return bytes(members["b"]) == b"1"
+
+
+async def entries_can_be_passed_on():
+    """An entry that can't be encoded for other hosts is not used."""
+    return upstream("a", sequence=2**64).problem() is not None
+
+
 async def new_hosts_learn_from_peers():
     """A host without data gets all of it from one exchange."""
     clock = clocks.MonotonicClock()
@@ -688,12 +774,50 @@
     _add_lease(self, slot, lender, grant, now_ms, now_ms)
 
 
+def take_idle_although_excluded(self, max_idle_ms, excluded):
+    return self._idle.pop() if self._idle else None
+
+
+def decode_as_a_whole(data, opening):
+    raise msgspec.DecodeError("malformed")
+
+
 def exit_at_once(grace_s, now_ms):
     del grace_s
     return shutdown_schedule.ShutdownSchedule(now_ms, now_ms, now_ms)
 
 
 MUTATIONS = {
+    "accept_until_the_exit": (
+        stopping_hosts_refuse_what_they_cannot_answer,
+        shutdown_schedule.ShutdownSchedule,
+        "may_accept",
+        always(True),
+    ),
+    "cut_what_runs_at_the_exit": (
+        stopping_hosts_answer_what_runs,
+        caller_handlers.CallerHandler,
+        "begin_shutdown",
+        always(None),
+    ),
+    "send_again_on_the_same_connection": (
+        requests_are_sent_once_on_each_connection,
+        connection_pools.ConnectionPool,
+        "_take_idle",
+        take_idle_although_excluded,
+    ),
+    "decode_lists_as_a_whole": (
+        unreadable_values_cost_no_other_ones,
+        untrusted_json,
+        "_parts",
+        decode_as_a_whole,
+    ),
+    "use_any_entry": (
+        entries_can_be_passed_on,
+        upstream_entries.Upstream,
+        "problem",
+        always(None),
+    ),
     "ignore_precedence": (
         lower_ranks_give_way,
         precedence.Precedence,
