Cancel what runs on a virtual loop when it closes

When such tasks are collected depends on what else is allocated.

The loop cancels its tasks when it closes. test_closed_loop_leaves_no_pending_task failed before with the same line.

--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -36,6 +36,17 @@
     def time(self):
         return self._skipping.skipped_s
 
+    def close(self):
+        """Cancels what still runs, so that no later test logs its end."""
+        tasks = asyncio.all_tasks(self)
+        for task in tasks:
+            task.cancel()
+        if tasks:
+            self.run_until_complete(
+                asyncio.gather(*tasks, return_exceptions=True)
+            )
+        super().close()
+
 
 class LoopClock(clocks.Clock):
     """The time of an event loop.
