Shorten the route of a request in a stop instead of passing a time along

Four functions of the runner passed on the time by which answers are due, to take the minimum with the route's timeout in the last. The schedule now returns the route with a timeout that ends then, and the runner is as it was before.

Behaviour: deadlines are the same. The step `stopping` is written for every request that is accepted in a stop, as OPERATIONS.md says, and not only where the stop ends sooner than the caller. A local time that was a duration is renamed.

--- a/greengagedale/gateway/caller_handlers.py
+++ b/greengagedale/gateway/caller_handlers.py
@@ -355,16 +355,13 @@
     ) -> messages.Response:
         steps: list[sub_requests.Step] = []
         outcome: outcomes.Outcome | None = None
+        if self._shutdown is not None:
+            route = self._shutdown.shortened(call, route)
+            left = f"{route.timeout_ms:.0f} ms left"
+            steps.append(sub_requests.Step(0.0, "stopping", "", "", left))
         try:
             outcome = await self._answer_in_time(
-                self._runner.run(
-                    call,
-                    route,
-                    steps,
-                    None
-                    if self._shutdown is None
-                    else self._shutdown.answer_by_ms,
-                )
+                self._runner.run(call, route, steps)
             )
         finally:
             self._record_outcome(call, route, version, origin, outcome, steps)
--- a/greengagedale/gateway/runner.py
+++ b/greengagedale/gateway/runner.py
@@ -129,26 +129,18 @@
         call: calls.Call,
         route: route_config.Route,
         steps: list[sub_requests.Step],
-        answer_by_ms: float | None = None,
     ) -> outcomes.Outcome:
         """Runs a call and returns its outcome.
 
         Cancelling it cancels the attempts in flight, except one of a request
         that must run at most once.
-
-        Args:
-            call: The call.
-            route: Its route.
-            steps: List that each step is appended to.
-            answer_by_ms: Time by which this host needs the outcome, if that
-                may be sooner than the caller.
         """
         standing = self._context.standing_of(call, route)
         if standing is None:
-            return await self._run_in_regions(call, route, steps, answer_by_ms)
+            return await self._run_in_regions(call, route, steps)
         precedence = self._context.precedence
         precedence.record_arrival(standing, self._context.clock.now_ms())
-        outcome = await self._run_in_regions(call, route, steps, answer_by_ms)
+        outcome = await self._run_in_regions(call, route, steps)
         precedence.record_end(
             standing,
             isinstance(outcome, outcomes.Ran),
@@ -161,18 +153,15 @@
         call: calls.Call,
         route: route_config.Route,
         steps: list[sub_requests.Step],
-        answer_by_ms: float | None,
     ) -> outcomes.Outcome:
         allowed = regions_lib.allowed_regions(
             route, self._context.authorizer.workspace_of(call)
         )
         if allowed is None:
-            return await self._run(call, route, steps, answer_by_ms)
+            return await self._run(call, route, steps)
         names = ", ".join(sorted(allowed))
         steps.append(_arrival_step("regions", names or "none in common"))
-        return await self._within(allowed)._run(
-            call, route, steps, answer_by_ms
-        )
+        return await self._within(allowed)._run(call, route, steps)
 
     def _within(self, allowed: frozenset[str]) -> "Runner":
         runner = self._regional.get(allowed)
@@ -187,7 +176,6 @@
         call: calls.Call,
         route: route_config.Route,
         steps: list[sub_requests.Step],
-        answer_by_ms: float | None,
     ) -> outcomes.Outcome:
         evacuated = self._context.evacuations.list.data_centres
         if evacuated:
@@ -195,10 +183,6 @@
         deadline_ms = call.received_ms + route.timeout_ms
         if call.deadline_ms is not None:
             deadline_ms = min(deadline_ms, call.deadline_ms)
-        if answer_by_ms is not None and answer_by_ms < deadline_ms:
-            left_ms = answer_by_ms - call.received_ms
-            steps.append(_arrival_step("stopping", f"{left_ms:.0f} ms left"))
-            deadline_ms = answer_by_ms
         deadline_ms -= DEADLINE_MARGIN_MS
         now_ms = self._context.clock.now_ms()
         if deadline_ms <= now_ms:
--- a/greengagedale/gateway/shutdown_schedule.py
+++ b/greengagedale/gateway/shutdown_schedule.py
@@ -48,13 +48,13 @@
             now_ms: Current time.
         """
         grace_ms = grace_s * _MS_PER_S
-        exit_by_ms = grace_ms - min(
+        exit_after_ms = grace_ms - min(
             EXIT_MARGIN_MS, MAX_EXIT_MARGIN_SHARE * grace_ms
         )
         return cls(
             now_ms + ACCEPTING_SHARE * grace_ms,
-            now_ms + exit_by_ms - ANSWERED_MARGIN_SHARE * grace_ms,
-            now_ms + exit_by_ms,
+            now_ms + exit_after_ms - ANSWERED_MARGIN_SHARE * grace_ms,
+            now_ms + exit_after_ms,
         )
 
     def may_accept(
@@ -77,3 +77,15 @@
                 needed_until_ms, now_ms + route.target_latency_ms
             )
         return needed_until_ms <= self.answer_by_ms
+
+    def shortened(
+        self, call: calls.Call, route: route_config.Route
+    ) -> route_config.Route:
+        """Returns a route whose timeout ends when answers are due.
+
+        Args:
+            call: The accepted request.
+            route: Its route.
+        """
+        left_ms = self.answer_by_ms - call.received_ms
+        return route._replace(timeout_ms=min(route.timeout_ms, left_ms))
