--- a/greengagedale/gateway/connection_pools.py
+++ b/greengagedale/gateway/connection_pools.py
@@ -86,8 +86,7 @@
             if connection is not None:
                 return connection
             if self._idle and self._open_count >= self.max_connections:
-                self._idle.pop(0).close()
-                self._open_count -= 1
+                self._close(self._idle.pop(0))
             if self._open_count < self.max_connections:
                 connection = await self._open()
                 try:
@@ -120,8 +119,7 @@
             connection.last_used_ms = self._clock.now_ms()
             self._idle.append(connection)
         else:
-            connection.close()
-            self._open_count -= 1
+            self._close(connection)
         self._released.set()
 
     def wake_waiters(self) -> None:
@@ -135,8 +133,7 @@
             if self._is_fresh(connection, float("inf")):
                 fresh.append(connection)
             else:
-                connection.close()
-                self._open_count -= 1
+                self._close(connection)
         self._idle = fresh
         self._released.set()
 
@@ -144,8 +141,11 @@
         """Closes all idle connections."""
         idle, self._idle = self._idle, []
         for connection in idle:
-            connection.close()
-            self._open_count -= 1
+            self._close(connection)
+
+    def _close(self, connection: client.Connection) -> None:
+        connection.close()
+        self._open_count -= 1
 
     def _check_accepting(self) -> None:
         if not self._notices.accepts_work(
@@ -185,8 +185,7 @@
             self._idle.remove(connection)
             if self._is_fresh(connection, max_idle_ms):
                 return connection
-            connection.close()
-            self._open_count -= 1
+            self._close(connection)
         return None
 
     def _is_fresh(
