Check ports once, log unreadable configurations in one place

The range of an upstream's port was checked where its address is split and in Upstream.problem; the same message about configurations stood twice; and a decoder was built for each document of a type that is decoded often. No entry is accepted or refused that was not before; an entry with a port out of range has another reason in its log line.

--- a/greengagedale/platform/store.py
+++ b/greengagedale/platform/store.py
@@ -471,10 +471,12 @@
         msgspec.DecodeError: It is not what the store answers.
     """
     reply = untrusted_json.members(data)
-    objects = map(_read_object, untrusted_json.elements(_of(reply, "items")))
+    objects = map(
+        _read_object, untrusted_json.elements(_require(reply, "items"))
+    )
     return _ListReply(
         [*objects],
-        _number_decoder.decode(_of(reply, "storeRevision")),
+        _number_decoder.decode(_require(reply, "storeRevision")),
         _flag_decoder.decode(reply.get("more", b"false")),
     )
 
@@ -487,17 +489,18 @@
     """
     reply = untrusted_json.members(data)
     events = map(
-        untrusted_json.members, untrusted_json.elements(_of(reply, "events"))
+        untrusted_json.members,
+        untrusted_json.elements(_require(reply, "events")),
     )
     return _WatchReply(
         [
             _WatchEvent(
-                _read_object(_of(event, "object")),
+                _read_object(_require(event, "object")),
                 _flag_decoder.decode(event.get("deleted", b"false")),
             )
             for event in events
         ],
-        _number_decoder.decode(_of(reply, "storeRevision")),
+        _number_decoder.decode(_require(reply, "storeRevision")),
     )
 
 
@@ -506,7 +509,7 @@
     try:
         parts = untrusted_json.members(data)
         name = _text_decoder.decode(
-            _of(untrusted_json.members(_of(parts, "meta")), "name")
+            _require(untrusted_json.members(_require(parts, "meta")), "name")
         )
     except msgspec.DecodeError as error:
         log.warning(
@@ -517,7 +520,7 @@
     return _StoredObject(name, parts.get("spec", b"null"))
 
 
-def _of(
+def _require(
     values: Mapping[str, untrusted_json.Value], name: str
 ) -> untrusted_json.Value:
     value = values.get(name)
--- a/greengagedale/platform/store_documents.py
+++ b/greengagedale/platform/store_documents.py
@@ -162,10 +162,7 @@
     try:
         document = _document_decoder.decode(data)
     except msgspec.DecodeError as error:
-        log.error(
-            "configuration could not be decoded; ignoring it",
-            extra={"reason": str(error)},
-        )
+        _log_ignored_routes(str(error))
         return None
     return decode_routes(document)
 
@@ -175,10 +172,7 @@
     try:
         return parse_routes(document)
     except exceptions.InvalidInputError as error:
-        log.error(
-            "configuration could not be decoded; ignoring it",
-            extra={"reason": str(error)},
-        )
+        _log_ignored_routes(str(error))
         return None
 
 
@@ -272,6 +266,13 @@
     )
 
 
+def _log_ignored_routes(reason: str) -> None:
+    log.error(
+        "configuration could not be decoded; ignoring it",
+        extra={"reason": reason},
+    )
+
+
 def _log_ignored(name: str, reason: str) -> None:
     log.warning(
         "upstream entry is invalid; ignoring it",
@@ -321,6 +322,6 @@
 
 def _parse_endpoint(text: str) -> tuple[str, int]:
     address, _, port = text.rpartition(":")
-    if not address or not port.isdigit() or not 0 < int(port) < 1 << 16:
+    if not address or not port.isdigit():
         raise ValueError(f"expected ADDRESS:PORT, got {text!r}")
     return address, int(port)
--- a/greengagedale/untrusted_json.py
+++ b/greengagedale/untrusted_json.py
@@ -8,6 +8,7 @@
 """
 
 from collections.abc import Iterator, Mapping, Sequence
+import functools
 import re
 from typing import Any, Generic, TypeVar
 
@@ -51,7 +52,12 @@
 
 def decode(data: bytes, as_type: Any = Any) -> Any:
     """Decodes one document; see `Decoder`."""
-    return Decoder(as_type).decode(data)
+    return _decoder_of(as_type).decode(data)
+
+
+@functools.cache
+def _decoder_of(as_type: Any) -> Decoder[Any]:
+    return Decoder(as_type)
 
 
 def members(data: Value) -> Mapping[str, Value]:
