Count headers and trailers while they are parsed

Callers saw: a host that ran out of memory, or hung. 60 clients that send headers without end took a gateway host to 184 to 230 MiB (bound: 64 MiB), with trailers to 143 to 1,190 MiB, and it answered nothing for 39 to 59 s, on any of its five ports.

Cause: headers were counted when they were complete or after a whole read of up to 256 KiB had been parsed. A header of four bytes takes about 30 times as much. A trailer over the limit refused the request once for each further trailer of that read, with a timer, a log line and a response each. A refused connection kept its headers until it was closed, and its parser, which refers back to it, until a garbage collection.

Fix: each header is counted when it is parsed; an exception stops the parser there, and a refused connection frees what it has received.

--- a/greengagedale/http1/server.py
+++ b/greengagedale/http1/server.py
@@ -135,10 +135,26 @@
         self._sweeper = loop.call_later(SWEEP_INTERVAL_S, self._sweep)
 
 
+class _RefusedError(Exception):
+    """Raised by callbacks of the parser, which then stops at once.
+
+    Attributes:
+        status: Status of the refusal.
+        reason: Why the request is refused, for people.
+    """
+
+    def __init__(self, status: int, reason: str) -> None:
+        super().__init__(reason)
+        self.status = status
+        self.reason = reason
+
+
 class _Connection(asyncio.Protocol):
     def __init__(self, server: Server) -> None:
         self._server = server
-        self._parser = httptools.HttpRequestParser(self)
+        self._parser: httptools.HttpRequestParser | None = (
+            httptools.HttpRequestParser(self)
+        )
         self._transport: asyncio.Transport | None = None
         self._pending: collections.deque[messages.Request] = collections.deque()
         self._task: asyncio.Task[None] | None = None
@@ -192,6 +208,7 @@
         del exc
         self._server.connections.discard(self)
         self._pending.clear()
+        self._discard_request()
         if self._task is not None:
             self._task.cancel()
 
@@ -201,7 +218,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parses received data."""
-        if self._is_refused:
+        if self._is_refused or self._parser is None:
             return
         if not self._is_reading:
             self._limits = self._server.handler.limits()
@@ -213,7 +230,10 @@
             self._is_refused = True
             self._close_after = True
         except httptools.HttpParserError as error:
-            if not self._is_refused:
+            cause = error.__context__
+            if isinstance(cause, _RefusedError):
+                self._refuse(cause.status, cause.reason)
+            else:
                 self._refuse(_BAD_REQUEST, f"malformed request: {error}")
         if len(self._pending) > MAX_PIPELINED_REQUESTS:
             self.close()
@@ -239,42 +259,41 @@
         """Adds a header or trailer."""
         self._headers.append((name.lower(), value))
         self._header_bytes += len(name) + len(value) + 4
-        is_trailer = not self._in_headers
-        if is_trailer and self._header_bytes > self._limits.max_header_bytes:
-            self._refuse(_HEADERS_TOO_LARGE, "the trailers are too large")
+        # A single read may hold far more than the limit, and each header takes
+        # a multiple of its size, so each one is checked.
+        if self._header_bytes + len(self._target) > (
+            self._limits.max_header_bytes
+        ):
+            part = "headers" if self._in_headers else "trailers"
+            raise _RefusedError(_HEADERS_TOO_LARGE, f"the {part} are too large")
 
     def on_headers_complete(self) -> None:
         """Checks the headers against the limits."""
+        if len(self._target) > self._limits.max_header_bytes:
+            raise _RefusedError(
+                _HEADERS_TOO_LARGE, "the request target is too large"
+            )
         self._in_headers = False
         self._last_progress_ms = self._server.clock.now_ms()
-        if self._header_bytes + len(self._target) > (
-            self._limits.max_header_bytes
-        ):
-            self._refuse(_HEADERS_TOO_LARGE, "the headers are too large")
-            return
         headers = tuple(self._headers)
         length = messages.first_value(headers, b"content-length")
         if length is not None and int(length) > self._limits.max_body_bytes:
-            self._refuse(_BODY_TOO_LARGE, "the body is too large")
-            return
+            raise _RefusedError(_BODY_TOO_LARGE, "the body is too large")
         expect = messages.first_value(headers, b"expect")
         if expect is not None and expect.lower() == b"100-continue":
             self._write(_CONTINUE)
 
     def on_body(self, body: bytes) -> None:
         """Appends a part of the body."""
-        if self._is_refused:
-            return
+        if len(self._body) + len(body) > self._limits.max_body_bytes:
+            raise _RefusedError(_BODY_TOO_LARGE, "the body is too large")
         self._body += body
         self._last_progress_ms = self._server.clock.now_ms()
-        if len(self._body) > self._limits.max_body_bytes:
-            self._refuse(_BODY_TOO_LARGE, "the body is too large")
 
     def on_message_complete(self) -> None:
         """Queues the request; requests are handled in the order received."""
+        assert self._parser is not None
         self._is_reading = False
-        if self._is_refused:
-            return
         request = messages.Request(
             self._parser.get_method(),
             bytes(self._target),
@@ -334,9 +353,16 @@
             self._close_after = True
         self._start_next()
 
+    def _discard_request(self) -> None:
+        """Frees what has been received of a request that is not completed."""
+        self._reset_request()
+        # The parser refers to this connection.
+        self._parser = None
+
     def _refuse(self, status: int, reason: str) -> None:
         self._is_refused = True
         self._is_reading = False
+        self._discard_request()
         log.info(
             "malformed request", extra={"status": status, "reason": reason}
         )
--- a/standins/gateway_site.py
+++ b/standins/gateway_site.py
@@ -70,7 +70,7 @@
             if isinstance(current, list):
                 current = current[int(key)]
             else:
-                current = current.get(key)
+                current = (current or {}).get(key)
             if current is None:
                 return None
         return current
@@ -122,6 +122,7 @@
         bounds: Mapping[str, float] = BOUNDS,
         contracts: Sequence[str] = (),
         zones: Mapping[str, str] = ZONES,
+        machine: Mapping[str, float] | None = None,
     ) -> None:
         self.name = name
         self.ports = ports
@@ -152,6 +153,7 @@
             "bounds": bounds,
             "contracts": list(contracts),
             "zones": zones,
+            "limits": machine,
         }
         text = render(TEMPLATE.read_text(encoding="utf-8"), fields)
         # Hosts of a test share an address, so the template's fixed metrics
@@ -177,6 +179,11 @@
         assert self._process is not None
         return self._process.pid
 
+    @property
+    def is_running(self) -> bool:
+        """Whether the process has been started and has not ended."""
+        return self._process is not None and self._process.returncode is None
+
     def signal(self, signal_number: int) -> None:
         """Sends a signal to the process."""
         assert self._process is not None
@@ -189,7 +196,7 @@
 
     async def stop(self) -> None:
         """Kills the process if it is running."""
-        if self._process is not None and self._process.returncode is None:
+        if self._process is not None and self.is_running:
             self._process.kill()
             await self._process.wait()
 
@@ -339,6 +346,7 @@
         bounds: Mapping[str, float] = BOUNDS,
         contracts: Sequence[str] = (),
         era: int | None = None,
+        machine: Mapping[str, float] | None = None,
     ) -> None:
         self.store = gateway_store.GatewayStore()
         self.store.era = era
@@ -359,6 +367,7 @@
                 host_ports,
                 bounds,
                 contracts,
+                machine=machine,
             )
             for i, host_ports in enumerate(ports)
         ]
@@ -428,9 +437,21 @@
     bounds: Mapping[str, float] = BOUNDS,
     contracts: Sequence[str] = (),
     era: int | None = None,
+    machine: Mapping[str, float] | None = None,
 ) -> AsyncIterator[Site]:
-    """Runs a site for the duration of the context."""
-    site = Site(folder, hosts, bounds, contracts, era)
+    """Runs a site for the duration of the context.
+
+    Args:
+        folder: Folder for settings and logs.
+        hosts: Number of gateway hosts.
+        replicas: Number of upstreams of each shard.
+        bounds: Figures of the rules, as the platform gives them to hosts.
+        contracts: Names of the platform's features in force.
+        era: Epoch of the store, or None if it has none.
+        machine: Size of the hosts' machines, as the platform gives it to
+            hosts; None if it gives none.
+    """
+    site = Site(folder, hosts, bounds, contracts, era, machine)
     try:
         await site.start(replicas)
         yield site
--- /dev/null
+++ b/tests/crowds/test_gateway_crowds.py
@@ -0,0 +1,61 @@
+"""Gateway hosts beside crowds of clients that don't keep to the limits.
+
+Whatever a crowd sends, on any port, the process lives, stays within the memory
+and descriptors of its machine, and then answers an ordinary search while the
+crowd still holds its connections.
+"""
+
+import contextlib
+
+import client_behaviours as behaviours
+import pytest
+
+from standins import crowds
+from standins.gateway_site import ADDRESS
+from standins.gateway_site import running_site
+
+# The hosts' machine. A host without callers takes about half of its memory.
+MACHINE = {"memoryMb": 64, "maxFds": 400}
+OPEN_ENDED = behaviours.endless_requests(b"/get/x")
+PORTS = ("http", "directory", "ready", "metrics", "control")
+LARGE_ANSWER_BYTES = 500 * 1024
+
+
+@pytest.fixture
+async def site(tmp_path):
+    async with running_site(tmp_path, hosts=1, machine=MACHINE) as running:
+        yield running
+
+
+@contextlib.asynccontextmanager
+async def unharmed(site, behaviour, count=behaviours.CLIENTS, port="http"):
+    """Lets a crowd act on a port, and checks the host while it is held."""
+    host = site.hosts[0]
+    async with crowds.holding_crowd(
+        ADDRESS, host.ports[port], behaviour, count
+    ):
+        await behaviours.until(lambda: is_answering(host))
+        yield
+        assert host.is_running
+        peak_mib = crowds.peak_memory_mib(host.pid)
+        assert peak_mib <= MACHINE["memoryMb"]
+        assert crowds.open_descriptors(host.pid) <= MACHINE["maxFds"]
+
+
+async def is_answering(host):
+    """Returns whether an ordinary search is answered in full."""
+    reply = await host.search("ordinary", 5000)
+    return getattr(reply, "status", 0) == 200
+
+
+@pytest.mark.parametrize("name", OPEN_ENDED)
+async def test_endless_request(site, name):
+    async with unharmed(site, OPEN_ENDED[name]):
+        pass
+
+
+@pytest.mark.parametrize("port", PORTS[1:])
+@pytest.mark.parametrize("name", ["fields", "trailers"])
+async def test_endless_request_on_other_ports(site, name, port):
+    async with unharmed(site, OPEN_ENDED[name], port=port):
+        pass
