Refuse clients that send empty lines without end

Callers saw: a host whose processor is used up by clients that send nothing but line ends; no limit ended them, as they never begin a request.

Cause: empty lines before a request belong to no request, so neither the limits of its size nor the timeout of its headers applied, and the idle timeout is long.

Fix: bytes that begin no request count towards the limit of headers; over it the client gets 400 and its connection ends. One or two empty lines are common, a client inside the limits comes nowhere near.

Evidence: test_endless_empty_lines_are_cut_off failed before (all 60 connections still open after 60 s), as did the test of the server alone.

--- a/greengagedale/http1/server.py
+++ b/greengagedale/http1/server.py
@@ -40,8 +40,8 @@
 
     Attributes:
         max_header_bytes: Maximum total size of the request line, headers and
-            trailers. Chunk framing may take twice this size plus the size of
-            the body.
+            trailers, and of empty lines before a request. Chunk framing may
+            take twice this size plus the size of the body.
         max_body_bytes: Maximum size of the body without its framing.
         header_timeout_ms: Maximum time from the first byte to the end of the
             headers, and maximum pause while the body is sent.
@@ -164,6 +164,7 @@
         self._last_progress_ms = server.clock.now_ms()
         self._is_reading = False
         self._in_headers = False
+        self._blank_bytes = 0
         self._reset_request()
 
     @property
@@ -222,6 +223,7 @@
             return
         if not self._is_reading:
             self._limits = self._server.handler.limits()
+            self._blank_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -237,9 +239,13 @@
                 self._refuse(_BAD_REQUEST, f"malformed request: {error}")
         if len(self._pending) > MAX_PIPELINED_REQUESTS:
             self.close()
-        if self._is_reading and not self._is_refused:
+        if self._is_refused:
+            return
+        if self._is_reading:
             self._received_bytes += len(data)
             self._check_size()
+        elif self._blank_bytes > self._limits.max_header_bytes:
+            self._refuse(_BAD_REQUEST, "expected a request, got empty lines")
 
     # Called by the parser.
 
@@ -248,6 +254,7 @@
         self._reset_request()
         self._is_reading = True
         self._in_headers = True
+        self._blank_bytes = 0
         self._last_progress_ms = self._server.clock.now_ms()
         self._received_ms = self._last_progress_ms
 
--- a/tests/crowds/test_gateway_crowds.py
+++ b/tests/crowds/test_gateway_crowds.py
@@ -59,3 +59,18 @@
 async def test_endless_request_on_other_ports(site, name, port):
     async with unharmed(site, OPEN_ENDED[name], port=port):
         pass
+
+
+# A client that only sends empty lines uses the processor for nothing, so a
+# host must end its connection.
+async def test_endless_empty_lines_are_cut_off(site):
+    host = site.hosts[0]
+    before = crowds.open_descriptors(host.pid)
+    async with unharmed(site, OPEN_ENDED["empty lines"]):
+        await behaviours.until(
+            lambda: has_at_most_descriptors(host, before + 20)
+        )
+
+
+async def has_at_most_descriptors(host, count):
+    return crowds.open_descriptors(host.pid) <= count
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -11,6 +11,8 @@
 from greengagedale.http1 import messages
 from greengagedale.http1 import server
 
+# More than the kernel takes of a response that its client does not read.
+LARGE_BYTES = 32 * 1024 * 1024
 GET = b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n"
 
 
@@ -37,6 +39,10 @@
                 raise
         if request.target == b"/fail":
             raise RuntimeError("a fault of the handler")
+        if request.target == b"/slow":
+            await asyncio.sleep(2 * server.LINGER_TIMEOUT_S)
+        if request.target == b"/large":
+            return messages.Response(200, (), b"a" * LARGE_BYTES)
         return messages.Response(200, (), request.body)
 
 
@@ -226,3 +232,18 @@
     assert sent_bytes < 10_000_000
     assert echo.requests == []
     writer.close()
+
+
+LARGE_GET = GET.replace(b"/x", b"/large")
+SLOW_GET = GET.replace(b"/x", b"/slow")
+
+
+async def test_endless_empty_lines_before_a_request_are_refused(echo):
+    reply = await send_raw(echo, b"\r\n" * 1000)
+    assert reply.startswith(b"HTTP/1.1 400")
+    assert echo.requests == []
+
+
+async def test_few_empty_lines_before_a_request_are_ignored(echo):
+    reply = await send_raw(echo, b"\r\n" * 100 + with_connection_close(GET))
+    assert reply.startswith(b"HTTP/1.1 200")
