Start a request only when the responses before it are read

Callers saw: a host that ran out of memory through clients that send whole requests in a row and read no response. 40 clients with responses of 500 KiB took it to 157 MiB (bound: 64 MiB), 60 with bodies of 100 KB to 111 MiB.

Cause: nothing held back a connection whose client does not read. Each response went to its send buffer, which has no bound, and further requests were read and kept meanwhile.

Fix: the next request starts when the event loop says that the send buffer has been emptied; while a request waits, nothing more is read, so that further ones stay in the socket. A client that reads nothing for 60 s is cut off. The time is an attribute of the server and no field of `Limits`, as hosts send `Limits` to each other and older ones could not read a further field.

Evidence: test_large_answers_that_are_not_read and test_requests_with_bodies_in_a_row failed before, as did two tests of the server alone.

--- a/greengagedale/http1/server.py
+++ b/greengagedale/http1/server.py
@@ -15,6 +15,8 @@
 
 # Maximum number of pipelined requests on one connection; more close it.
 MAX_PIPELINED_REQUESTS = 16
+# Maximum time for which a client may read nothing of a response.
+SEND_TIMEOUT_MS = 60_000.0
 # Interval at which the timeouts of connections are checked.
 SWEEP_INTERVAL_S = 0.25
 # After refusing a request that was not read completely, received data is
@@ -38,6 +40,9 @@
 class Limits(NamedTuple):
     """Size limits of requests, and timeouts of connections.
 
+    Hosts send them to each other, so a further field would keep hosts of other
+    versions from reading a configuration.
+
     Attributes:
         max_header_bytes: Maximum total size of the request line, headers and
             trailers, and of empty lines before a request. Chunk framing may
@@ -71,12 +76,15 @@
 
     Attributes:
         closing: Whether connections are closed after each response.
+        send_timeout_ms: Maximum time for which a client may read nothing of a
+            response.
     """
 
     def __init__(self, handler: Handler, clock: clocks.Clock) -> None:
         self.handler = handler
         self.clock = clock
         self.closing = False
+        self.send_timeout_ms = SEND_TIMEOUT_MS
         self.connections: set[_Connection] = set()
         self._listener: asyncio.Server | None = None
         self._sweeper: asyncio.TimerHandle | None = None
@@ -165,6 +173,9 @@
         self._is_reading = False
         self._in_headers = False
         self._blank_bytes = 0
+        self._is_write_paused = False
+        self._unsent_bytes = 0
+        self._send_progress_ms = 0.0
         self._reset_request()
 
     @property
@@ -186,6 +197,9 @@
 
     def enforce_timeouts(self, limits: Limits, now_ms: float) -> None:
         """Closes the connection if its client is too slow or idle too long."""
+        if self._is_send_stalled(now_ms):
+            self._abort("the client does not read the response")
+            return
         if self._task or self._is_refused:
             return
         elapsed_ms = now_ms - self._last_progress_ms
@@ -208,6 +222,7 @@
         """Cancels the requests of the disconnected client."""
         del exc
         self._server.connections.discard(self)
+        self._is_write_paused = False
         self._pending.clear()
         self._discard_request()
         if self._task is not None:
@@ -217,6 +232,16 @@
         """Treats the end of the input as a disconnect of the client."""
         return False
 
+    def pause_writing(self) -> None:
+        """Starts no further request until the client reads responses."""
+        self._is_write_paused = True
+
+    def resume_writing(self) -> None:
+        """Starts the next request."""
+        self._is_write_paused = False
+        if self._task is None and self._pending:
+            self._start_next()
+
     def data_received(self, data: bytes) -> None:
         """Parses received data."""
         if self._is_refused or self._parser is None:
@@ -239,6 +264,9 @@
                 self._refuse(_BAD_REQUEST, f"malformed request: {error}")
         if len(self._pending) > MAX_PIPELINED_REQUESTS:
             self.close()
+        if self._pending and self._transport is not None:
+            # Further requests wait in the socket, not in memory.
+            self._transport.pause_reading()
         if self._is_refused:
             return
         if self._is_reading:
@@ -311,7 +339,7 @@
         keep_alive = self._parser.should_keep_alive()
         self._pending.append(request)
         self._close_after = not keep_alive
-        if self._task is None:
+        if self._task is None and not self._is_write_paused:
             self._start_next()
 
     def _reset_request(self) -> None:
@@ -331,14 +359,29 @@
         if self._received_bytes > max_bytes:
             self._refuse(_HEADERS_TOO_LARGE, "the headers are too large")
 
+    def _is_send_stalled(self, now_ms: float) -> bool:
+        assert self._transport is not None
+        unsent_bytes = self._transport.get_write_buffer_size()
+        if unsent_bytes != self._unsent_bytes:
+            self._unsent_bytes = unsent_bytes
+            self._send_progress_ms = now_ms
+        return bool(unsent_bytes) and (
+            now_ms - self._send_progress_ms > self._server.send_timeout_ms
+        )
+
     def _start_next(self) -> None:
+        """Starts the next request, once the client reads the responses."""
+        self._task = None
         if not self._pending:
-            self._task = None
             self._last_progress_ms = self._server.clock.now_ms()
             if self._close_after:
                 self.close()
             return
+        if self._is_write_paused:
+            return
         request = self._pending.popleft()
+        if not self._pending and self._transport is not None:
+            self._transport.resume_reading()
         loop = asyncio.get_running_loop()
         self._task = loop.create_task(self._answer(request))
 
@@ -384,6 +427,12 @@
         if self._transport is not None and self._transport.can_write_eof():
             asyncio.get_running_loop().call_later(LINGER_TIMEOUT_S, self.close)
 
+    def _abort(self, reason: str) -> None:
+        """Closes the connection at once, without sending the rest."""
+        log.info("connection aborted", extra={"reason": reason})
+        if self._transport is not None:
+            self._transport.abort()
+
     def _write(self, data: bytes) -> None:
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(data)
--- a/tests/crowds/test_gateway_crowds.py
+++ b/tests/crowds/test_gateway_crowds.py
@@ -74,3 +74,22 @@
 
 async def has_at_most_descriptors(host, count):
     return crowds.open_descriptors(host.pid) <= count
+
+
+async def test_requests_with_bodies_in_a_row(site):
+    requests = behaviours.requests_in_a_row(b"/get/x", 12, b"b" * 100_000)
+    async with unharmed(site, requests):
+        pass
+
+
+async def test_large_answers_that_are_not_read(site):
+    upstreams = [
+        each for each in site.upstreams.values() if each.service == "s1"
+    ]
+    for upstream in upstreams:
+        upstream.body = b"a" * LARGE_ANSWER_BYTES
+    requests = behaviours.requests_in_a_row(b"/get/x", 12)
+    async with unharmed(site, requests, 40):
+        await behaviours.until_steady(
+            lambda: sum(len(each.requests) for each in upstreams)
+        )
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -247,3 +247,42 @@
 async def test_few_empty_lines_before_a_request_are_ignored(echo):
     reply = await send_raw(echo, b"\r\n" * 100 + with_connection_close(GET))
     assert reply.startswith(b"HTTP/1.1 200")
+
+
+async def test_request_waits_until_the_responses_before_it_are_read(echo):
+    reader, writer = await asyncio.open_connection("127.0.0.1", echo.port)
+    writer.write(LARGE_GET * 3 + with_connection_close(GET))
+    await asyncio.sleep(0.3)
+    assert len(echo.requests) == 1
+    assert echo.server.unanswered_requests == 1
+    async with asyncio.timeout(20.0):
+        reply = await reader.read()
+    assert reply.count(b"HTTP/1.1 200") == 4
+    assert len(reply) > 3 * LARGE_BYTES
+    writer.close()
+
+
+async def test_client_that_does_not_read_is_cut_off(echo):
+    echo.server.send_timeout_ms = 100.0
+    _, writer = await asyncio.open_connection("127.0.0.1", echo.port)
+    writer.write(LARGE_GET)
+    await asyncio.sleep(0.1)
+    assert len(echo.server.connections) == 1
+    async with asyncio.timeout(5.0):
+        while echo.server.connections:
+            await asyncio.sleep(0.05)
+    writer.close()
+
+
+async def test_client_that_reads_slowly_gets_the_whole_response(echo):
+    echo.server.send_timeout_ms = 600.0
+    reader, writer = await asyncio.open_connection(
+        "127.0.0.1", echo.port, limit=1024 * 1024
+    )
+    writer.write(with_connection_close(LARGE_GET))
+    received_bytes = 0
+    while data := await reader.read(4 * 1024 * 1024):
+        received_bytes += len(data)
+        await asyncio.sleep(0.02)
+    assert received_bytes > LARGE_BYTES
+    writer.close()
