Keep no answer on connections that are idle

Seen with test_large_answers_that_are_not_read: 69 MiB (bound: 64 MiB) with responses of 500 KiB, though none of them waited to be sent.

Cause: a connection to an upstream kept the body of its last reply until its next request. With connections to many upstreams that is as much as all of them sent last.

Fix: a reply is taken out of the connection when it is complete.

--- a/greengagedale/http1/client.py
+++ b/greengagedale/http1/client.py
@@ -324,7 +324,8 @@
             bytes(self._body),
             not self._until_eof,
         )
-        self._in_body = False
+        # An idle connection holds no reply.
+        self._reset_reply()
         if self._accept(reply):
             self._accepted_reply = reply
         else:
@@ -333,7 +334,6 @@
             self._must_close = True
             self._skipped_replies += 1
             self._received_bytes = 0
-            self._reset_reply()
 
     def _deliver_reply(self) -> None:
         """Returns the accepted reply after all received data is parsed."""
