Bound what all connections of a host hold together

Callers saw: a host that ran out of memory or of descriptors through clients that each stay inside the limits. 60 bodies without their last byte took it to 94 MiB (bound: 64 MiB), 150 heads of many fields to 80 MiB; 450 idle connections left none for others: no request was answered for 60 s, on any port.

Cause: limits held for each request only.

Fix: `http1/connection_budget.py` keeps account of what each connection waits for and holds, and says which one ends when the bounds are exceeded: clients that read nothing, then the largest unfinished request, which gets 503 and has not run; for descriptors, what has waited longest. A connection whose request runs never ends. Each port has its own share.

Evidence: four tests of tests/crowds/test_gateway_crowds.py failed before, the last of them on all five ports.

--- a/greengagedale/config/gateway.py
+++ b/greengagedale/config/gateway.py
@@ -19,6 +19,8 @@
 _MAX_EXTRA_REQUESTS = 1_000_000.0
 _MAX_BYTES = 1024.0 * 1024.0 * 1024.0
 _MAX_CORES = 1024.0
+_MAX_MEMORY_MIB = 1024.0 * 1024.0
+_MAX_DESCRIPTORS = 1024.0 * 1024.0
 _REQUIRED = object()
 
 
@@ -136,6 +138,8 @@
         data_centre_regions: Names of all data centres, each with its region.
         cpu_cores: Computing power of its core, in reference cores.
         cpu_share: Share of that core that it may use.
+        memory_mib: Memory of the process, in MiB.
+        max_descriptors: Maximum number of open descriptors of the process.
     """
 
     name: str
@@ -143,6 +147,8 @@
     data_centre_regions: tuple[tuple[str, str], ...]
     cpu_cores: float
     cpu_share: float
+    memory_mib: float
+    max_descriptors: float
 
     @property
     def power_cores(self) -> float:
@@ -150,6 +156,17 @@
         return self.cpu_cores * self.cpu_share
 
 
+class ConnectionsSettings(NamedTuple):
+    """Connections of callers, peers and the platform to the host.
+
+    Attributes:
+        memory_share: Share of the host's memory that requests and responses
+            may use that are being received, run or sent.
+    """
+
+    memory_share: float
+
+
 class GatewaySection(NamedTuple):
     """Endpoints on which the host listens.
 
@@ -300,6 +317,8 @@
             "data_centre_regions": Pairs(()),
             "cpu_cores": Number(0.001, _MAX_CORES, 1.0),
             "cpu_share": Number(0.001, 1.0, 1.0),
+            "memory_mib": Number(1.0, _MAX_MEMORY_MIB, 1024.0),
+            "max_descriptors": Number(1.0, _MAX_DESCRIPTORS, 4096.0),
         },
     ),
     "gateway": (
@@ -314,6 +333,10 @@
             "min_relative_power": Number(0.0, 1.0, 0.0),
         },
     ),
+    "connections": (
+        ConnectionsSettings,
+        {"memory_share": Number(0.01, 0.9, 0.25)},
+    ),
     "platform": (
         StoreSettings,
         {
@@ -370,6 +393,7 @@
 
     host: HostSettings
     gateway: GatewaySection
+    connections: ConnectionsSettings
     platform: StoreSettings
     upstreams: UpstreamsSettings
     peers: PeersSettings
--- a/greengagedale/gateway/caller_handlers.py
+++ b/greengagedale/gateway/caller_handlers.py
@@ -39,6 +39,9 @@
 # Retry-After of a host that is shutting down: callers can go to another host
 # at once.
 _STOPPING_RETRY_MS = 10
+# Range of Retry-After of a host that has no room for a request: other hosts may
+# have room, and callers should not return all at once.
+_NO_ROOM_RETRY_MS = (50, 250)
 # Retry-After of a host that can't prove that its configuration is recent, if
 # another host can, and its range if no host can: hosts have a proof about half
 # a second after the store is back, and callers should not return all at once.
@@ -195,6 +198,16 @@
         table = self._registry.table
         return server.Limits() if table is None else table.configuration.limits
 
+    def overload_response(self) -> messages.Response:
+        """Returns the response to a request for which there is no room."""
+        self._metrics.refusals.inc("edge", "no_room")
+        return self._codec.encode_failure(
+            outcomes.NotRun(
+                outcomes.Reason.OVERLOADED,
+                self._rng.randint(*_NO_ROOM_RETRY_MS),
+            )
+        )
+
     def begin_shutdown(
         self, schedule: shutdown_schedule.ShutdownSchedule
     ) -> None:
--- a/greengagedale/gateway/daemon.py
+++ b/greengagedale/gateway/daemon.py
@@ -11,6 +11,7 @@
 from typing import NamedTuple, Self
 
 from greengagedale import clocks
+from greengagedale import descriptors
 from greengagedale import exceptions
 from greengagedale import logs
 from greengagedale.config import gateway as config
@@ -52,6 +53,7 @@
 from greengagedale.gateway import upstream_watch as upstream_watch_lib
 from greengagedale.gateway import warm_up as warm_up_lib
 from greengagedale.http1 import client
+from greengagedale.http1 import connection_budget
 from greengagedale.http1 import messages
 from greengagedale.http1 import server
 from greengagedale.limits import quota_shares
@@ -68,6 +70,13 @@
 # is a reserve for hosts that start before others have closed theirs.
 CONNECTIONS_SHARE = 0.85
 EXIT_FAILURE = 1
+# Shares of the memory and connections of the process that each endpoint may
+# use, so that clients of one endpoint keep nobody from another.
+_CALLERS_SHARE = 0.6
+_PEERS_SHARE = 0.2
+_LOCATE_SHARE = 0.1
+_READY_SHARE = 0.05
+_METRICS_SHARE = 0.05
 _MAINTENANCE_INTERVAL_S = 0.5
 _BUDGET_TICK_INTERVAL_S = 0.1
 _PROOF_CHECK_INTERVAL_S = 0.1
@@ -463,21 +472,32 @@
             self._settings.gateway.locate_ttl_s * _MS_PER_S,
             self._settings.gateway.min_relative_power,
         )
-        handlers: list[server.Handler] = [
-            relay_lib.RelayHandler(
-                self._edge,
-                self._relay_policy,
-                self._quotas or self._exchange,
-                self._tools.background,
-                self._metrics,
-            ),
-            locator,
-            locator,
-            _MetricsHandler(self._metrics),
+        host = self._settings.host
+        bounds = connection_budget.Bounds.from_config(
+            host.memory_mib * self._settings.connections.memory_share,
+            descriptors.limit(int(host.max_descriptors)),
+        )
+        peers = relay_lib.RelayHandler(
+            self._edge,
+            self._relay_policy,
+            self._quotas or self._exchange,
+            self._tools.background,
+            self._metrics,
+        )
+        others: list[tuple[server.Handler, float]] = [
+            (peers, _PEERS_SHARE),
+            (locator, _LOCATE_SHARE),
+            (locator, _READY_SHARE),
+            (_MetricsHandler(self._metrics), _METRICS_SHARE),
         ]
         return _Servers(
-            server.Server(self._edge, self._clock),
-            [server.Server(handler, self._clock) for handler in handlers],
+            server.Server(
+                self._edge, self._clock, bounds.share(_CALLERS_SHARE)
+            ),
+            [
+                server.Server(handler, self._clock, bounds.share(share))
+                for handler, share in others
+            ],
         )
 
     def _make_election(self) -> election_lib.ReaderElection:
--- a/greengagedale/http1/server.py
+++ b/greengagedale/http1/server.py
@@ -9,6 +9,7 @@
 import httptools
 
 from greengagedale import clocks
+from greengagedale.http1 import connection_budget
 from greengagedale.http1 import messages
 
 log = logging.getLogger(__name__)
@@ -29,12 +30,21 @@
 # queue delays clients by seconds.
 LISTEN_BACKLOG = 1024
 
+# Estimated memory of a header beside its bytes, and the smallest number of
+# bytes that a header takes in a request.
+_HEADER_OVERHEAD_BYTES = 160
+_MIN_HEADER_BYTES = 4
+# The body of a request that runs is held as received, as sent on, and in the
+# buffer of the connection that it is sent on.
+_BODY_COPIES = 3
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _BAD_REQUEST = 400
 _TIMEOUT = 408
 _BODY_TOO_LARGE = 413
 _HEADERS_TOO_LARGE = 431
 _INTERNAL_ERROR = 500
+_UNAVAILABLE = 503
+_OVERLOAD_RETRY_S = b"1"
 
 
 class Limits(NamedTuple):
@@ -58,6 +68,17 @@
     header_timeout_ms: float = 10_000.0
     idle_timeout_ms: float = 60_000.0
 
+    @property
+    def max_request_memory_bytes(self) -> int:
+        """Memory that the largest request takes while it runs."""
+        return (
+            _request_memory_bytes(
+                self.max_header_bytes,
+                self.max_header_bytes // _MIN_HEADER_BYTES,
+            )
+            + _BODY_COPIES * self.max_body_bytes
+        )
+
 
 class Handler(abc.ABC):
     """Interface of request handlers."""
@@ -70,6 +91,15 @@
         """Returns the current limits."""
         return Limits()
 
+    def overload_response(self) -> messages.Response:
+        """Returns the response to a request for which there is no room.
+
+        The request has not been handled and will not be.
+        """
+        return messages.Response(
+            _UNAVAILABLE, ((b"Retry-After", _OVERLOAD_RETRY_S),)
+        )
+
 
 class Server:
     """HTTP server that listens on one address.
@@ -78,13 +108,24 @@
         closing: Whether connections are closed after each response.
         send_timeout_ms: Maximum time for which a client may read nothing of a
             response.
+        budget: Bounds what all connections hold together.
     """
 
-    def __init__(self, handler: Handler, clock: clocks.Clock) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        clock: clocks.Clock,
+        bounds: connection_budget.Bounds | None = None,
+    ) -> None:
         self.handler = handler
         self.clock = clock
         self.closing = False
         self.send_timeout_ms = SEND_TIMEOUT_MS
+        self.budget: connection_budget.ConnectionBudget[_Connection] = (
+            connection_budget.ConnectionBudget(
+                bounds or connection_budget.Bounds(), clock
+            )
+        )
         self.connections: set[_Connection] = set()
         self._listener: asyncio.Server | None = None
         self._sweeper: asyncio.TimerHandle | None = None
@@ -134,11 +175,22 @@
         for connection in list(self.connections):
             connection.close()
 
+    def make_room(self) -> None:
+        """Ends connections until what all hold is within the bounds."""
+        while self.budget.is_exceeded:
+            connection = self.budget.next_to_end(
+                self.handler.limits().max_request_memory_bytes
+            )
+            if connection is None:
+                return
+            connection.end_for_others()
+
     def _sweep(self) -> None:
         limits = self.handler.limits()
         now_ms = self.clock.now_ms()
         for connection in list(self.connections):
             connection.enforce_timeouts(limits, now_ms)
+        self.make_room()
         loop = asyncio.get_running_loop()
         self._sweeper = loop.call_later(SWEEP_INTERVAL_S, self._sweep)
 
@@ -176,6 +228,7 @@
         self._is_write_paused = False
         self._unsent_bytes = 0
         self._send_progress_ms = 0.0
+        self._running_bytes = 0
         self._reset_request()
 
     @property
@@ -217,11 +270,14 @@
         # `asyncio.Transport`.
         self._transport = cast(asyncio.Transport, transport)
         self._server.connections.add(self)
+        self._server.budget.enter(self, connection_budget.Phase.IDLE)
+        self._server.make_room()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancels the requests of the disconnected client."""
         del exc
         self._server.connections.discard(self)
+        self._server.budget.leave(self)
         self._is_write_paused = False
         self._pending.clear()
         self._discard_request()
@@ -241,9 +297,30 @@
         self._is_write_paused = False
         if self._task is None and self._pending:
             self._start_next()
+        self._update_account()
 
     def data_received(self, data: bytes) -> None:
         """Parses received data."""
+        self._parse(data)
+        self._update_account()
+        self._server.make_room()
+
+    def end_for_others(self) -> None:
+        """Frees what the connection holds; called when there is no room."""
+        phase = self._server.budget.phase_of(self)
+        if phase is not connection_budget.Phase.RECEIVING:
+            self._abort(f"{phase.value} while there is no room")
+            return
+        has_too_many = self._server.budget.has_too_many
+        self._refuse_with(
+            self._server.handler.overload_response(), "no room for the request"
+        )
+        if has_too_many:
+            # Its descriptor is needed now.
+            self._server.budget.leave(self)
+            self.close()
+
+    def _parse(self, data: bytes) -> None:
         if self._is_refused or self._parser is None:
             return
         if not self._is_reading:
@@ -336,12 +413,49 @@
             bytes(self._body),
             self._received_ms,
         )
+        self._reset_request()
         keep_alive = self._parser.should_keep_alive()
         self._pending.append(request)
         self._close_after = not keep_alive
         if self._task is None and not self._is_write_paused:
             self._start_next()
 
+    def _update_account(self) -> None:
+        """Tells the budget what the connection waits for and what it holds."""
+        if self not in self._server.budget:
+            return
+        phase = self._phase()
+        if phase is not self._server.budget.phase_of(self):
+            self._server.budget.enter(self, phase)
+        self._server.budget.hold(self, self._held_bytes())
+
+    def _phase(self) -> connection_budget.Phase:
+        if self._task is not None:
+            return connection_budget.Phase.RUNNING
+        if self._is_refused:
+            return connection_budget.Phase.REFUSED
+        if self._is_write_paused or self.has_unsent_data:
+            return connection_budget.Phase.SENDING
+        if self._is_reading:
+            return connection_budget.Phase.RECEIVING
+        return connection_budget.Phase.IDLE
+
+    def _held_bytes(self) -> int:
+        assert self._transport is not None
+        return (
+            _request_memory_bytes(
+                max(self._received_bytes, self._header_bytes)
+                if self._in_headers
+                else self._header_bytes,
+                len(self._headers),
+            )
+            + len(self._target)
+            + len(self._body)
+            + self._running_bytes
+            + sum(map(_memory_of, self._pending))
+            + self._transport.get_write_buffer_size()
+        )
+
     def _reset_request(self) -> None:
         self._target = bytearray()
         self._headers: list[tuple[bytes, bytes]] = []
@@ -365,6 +479,7 @@
         if unsent_bytes != self._unsent_bytes:
             self._unsent_bytes = unsent_bytes
             self._send_progress_ms = now_ms
+            self._record_send_progress()
         return bool(unsent_bytes) and (
             now_ms - self._send_progress_ms > self._server.send_timeout_ms
         )
@@ -380,6 +495,7 @@
         if self._is_write_paused:
             return
         request = self._pending.popleft()
+        self._running_bytes = _memory_of(request)
         if not self._pending and self._transport is not None:
             self._transport.resume_reading()
         loop = asyncio.get_running_loop()
@@ -387,7 +503,7 @@
 
     async def _answer(self, request: messages.Request) -> None:
         try:
-            response = await self._server.handler.handle(request)
+            response = await self._response_to(request)
         except Exception:
             # A bug in this program; the outcome of the request is unknown.
             log.exception("request handler failed")
@@ -398,10 +514,32 @@
         self._write(
             messages.encode_response(response, request.method == b"HEAD")
         )
+        self._running_bytes = 0
         if response.close:
             self._pending.clear()
             self._close_after = True
         self._start_next()
+        self._update_account()
+
+    async def _response_to(
+        self, request: messages.Request
+    ) -> messages.Response:
+        handler = self._server.handler
+        self._update_account()
+        if not self._server.budget.may_run(
+            self, handler.limits().max_request_memory_bytes
+        ):
+            self._log_refusal(_UNAVAILABLE, "no room to run the request")
+            return handler.overload_response()
+        return await handler.handle(request)
+
+    def _record_send_progress(self) -> None:
+        self._update_account()
+        budget = self._server.budget
+        if self in budget and (
+            budget.phase_of(self) is connection_budget.Phase.SENDING
+        ):
+            budget.enter(self, connection_budget.Phase.SENDING)
 
     def _discard_request(self) -> None:
         """Frees what has been received of a request that is not completed."""
@@ -410,29 +548,53 @@
         self._parser = None
 
     def _refuse(self, status: int, reason: str) -> None:
+        self._refuse_with(
+            messages.Response(
+                status, ((b"Content-Type", b"text/plain"),), reason.encode()
+            ),
+            reason,
+        )
+
+    def _refuse_with(self, response: messages.Response, reason: str) -> None:
+        """Refuses a request that is not received completely, and its client."""
         self._is_refused = True
         self._is_reading = False
         self._discard_request()
-        log.info(
-            "malformed request", extra={"status": status, "reason": reason}
-        )
-        response = messages.Response(
-            status,
-            ((b"Content-Type", b"text/plain"),),
-            reason.encode(),
-            close=True,
-        )
+        self._log_refusal(response.status, reason)
         if self._task is None:
-            self._write(messages.encode_response(response))
+            self._write(messages.encode_response(response._replace(close=True)))
+        self._update_account()
         if self._transport is not None and self._transport.can_write_eof():
             asyncio.get_running_loop().call_later(LINGER_TIMEOUT_S, self.close)
 
+    def _log_refusal(self, status: int, reason: str) -> None:
+        log.info(
+            "malformed request", extra={"status": status, "reason": reason}
+        )
+
     def _abort(self, reason: str) -> None:
         """Closes the connection at once, without sending the rest."""
         log.info("connection aborted", extra={"reason": reason})
+        self._server.budget.leave(self)
         if self._transport is not None:
             self._transport.abort()
 
     def _write(self, data: bytes) -> None:
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(data)
+
+
+def _request_memory_bytes(header_bytes: int, header_count: int) -> int:
+    return header_bytes + _HEADER_OVERHEAD_BYTES * header_count
+
+
+def _memory_of(request: messages.Request) -> int:
+    """Returns the memory that a request takes while it runs."""
+    header_bytes = sum(
+        len(name) + len(value) for name, value in request.headers
+    )
+    return (
+        _request_memory_bytes(header_bytes, len(request.headers))
+        + len(request.target)
+        + _BODY_COPIES * len(request.body)
+    )
--- a/tests/crowds/test_gateway_crowds.py
+++ b/tests/crowds/test_gateway_crowds.py
@@ -76,6 +76,16 @@
     return crowds.open_descriptors(host.pid) <= count
 
 
+async def test_bodies_without_their_last_byte(site):
+    async with unharmed(site, behaviours.held_body(b"/get/x")):
+        pass
+
+
+async def test_heads_of_many_fields_without_their_end(site):
+    async with unharmed(site, behaviours.held_head(b"/get/x"), 150):
+        pass
+
+
 async def test_requests_with_bodies_in_a_row(site):
     requests = behaviours.requests_in_a_row(b"/get/x", 12, b"b" * 100_000)
     async with unharmed(site, requests):
@@ -93,3 +103,15 @@
         await behaviours.until_steady(
             lambda: sum(len(each.requests) for each in upstreams)
         )
+
+
+@pytest.mark.parametrize("port", PORTS)
+async def test_more_connections_than_descriptors(site, port):
+    host = site.hosts[0]
+    await host.stop()
+    with behaviours.descriptor_limit(MACHINE["maxFds"]):
+        await host.start()
+    await host.wait_ready()
+    silent = crowds.Behaviour(b"")
+    async with unharmed(site, silent, MACHINE["maxFds"] + 50, port):
+        pass
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -8,6 +8,7 @@
 import pytest
 
 from greengagedale import clocks
+from greengagedale.http1 import connection_budget
 from greengagedale.http1 import messages
 from greengagedale.http1 import server
 
@@ -286,3 +287,22 @@
         await asyncio.sleep(0.02)
     assert received_bytes > LARGE_BYTES
     writer.close()
+
+
+@pytest.mark.parametrize("count", [3, 60])
+async def test_connections_above_the_bound_replace_the_oldest(count):
+    handler = Echo()
+    bounds = connection_budget.Bounds(max_connections=3)
+    listener = server.Server(handler, clocks.MonotonicClock(), bounds)
+    await listener.start("127.0.0.1", 0)
+    handler.port = listener._listener.sockets[0].getsockname()[1]
+    opened = [
+        await asyncio.open_connection("127.0.0.1", handler.port)
+        for _ in range(count)
+    ]
+    reply = await send_raw(handler, with_connection_close(GET))
+    assert reply.startswith(b"HTTP/1.1 200")
+    assert len(listener.connections) <= 3
+    for _, writer in opened:
+        writer.close()
+    listener.close()
