Let clients that send without pause read in turns

Cause: the event loop read up to 256 KiB at once, and up to 32 times in a row, of each connection before it turned to the next.

A connection that has read that much without completing a request waits for its turn (`http1/read_turns.py`): one reads at a time, and the next turn comes after as much time as the reading took, so that all of them use half of the processor at most. Requests smaller than that never wait.

Evidence: tests of the server with a transport that tells whether it reads; they failed before, where reading never stops. No test compares times.

--- a/greengagedale/http1/server.py
+++ b/greengagedale/http1/server.py
@@ -11,6 +11,7 @@
 from greengagedale import clocks
 from greengagedale.http1 import connection_budget
 from greengagedale.http1 import messages
+from greengagedale.http1 import read_turns
 
 log = logging.getLogger(__name__)
 
@@ -24,8 +25,9 @@
 # discarded for this time: closing a socket with unread data sends a reset,
 # which could discard the response.
 LINGER_TIMEOUT_S = 0.5
-# Maximum number of bytes that the event loop reads at once.
-_READ_BYTES = 256 * 1024
+# Size of the framing of chunks that is allowed beside that which is as large
+# as the body, and as the headers.
+_FRAMING_BYTES = 256 * 1024
 # Length of the kernel's queue of connections that are not accepted yet; a full
 # queue delays clients by seconds.
 LISTEN_BACKLOG = 1024
@@ -109,6 +111,8 @@
         send_timeout_ms: Maximum time for which a client may read nothing of a
             response.
         budget: Bounds what all connections hold together.
+        read_buffer: Buffer that the connections read into, one at a time.
+        turns: Shares the event loop among connections; set by `start`.
     """
 
     def __init__(
@@ -116,7 +120,17 @@
         handler: Handler,
         clock: clocks.Clock,
         bounds: connection_budget.Bounds | None = None,
+        turns: "read_turns.ReadTurns[_Connection] | None" = None,
     ) -> None:
+        """Initializes the server.
+
+        Args:
+            handler: Handles requests.
+            clock: Clock of the process.
+            bounds: Bounds of all connections together.
+            turns: Shares the event loop, also with other servers of the
+                process; by default among the connections of this one.
+        """
         self.handler = handler
         self.clock = clock
         self.closing = False
@@ -127,6 +141,8 @@
             )
         )
         self.connections: set[_Connection] = set()
+        self.read_buffer = memoryview(bytearray(read_turns.TURN_BYTES))
+        self.turns = turns
         self._listener: asyncio.Server | None = None
         self._sweeper: asyncio.TimerHandle | None = None
 
@@ -137,6 +153,9 @@
             OSError: The server can't listen on the address.
         """
         loop = asyncio.get_running_loop()
+        self.turns = self.turns or read_turns.ReadTurns(
+            loop.call_later, _Connection.read_on
+        )
         self._listener = await loop.create_server(
             lambda: _Connection(self), address, port, backlog=LISTEN_BACKLOG
         )
@@ -209,7 +228,7 @@
         self.reason = reason
 
 
-class _Connection(asyncio.Protocol):
+class _Connection(asyncio.BufferedProtocol):
     def __init__(self, server: Server) -> None:
         self._server = server
         self._parser: httptools.HttpRequestParser | None = (
@@ -229,6 +248,8 @@
         self._unsent_bytes = 0
         self._send_progress_ms = 0.0
         self._running_bytes = 0
+        self._bytes_in_turn = 0
+        self._waits_for_turn = False
         self._reset_request()
 
     @property
@@ -278,6 +299,7 @@
         del exc
         self._server.connections.discard(self)
         self._server.budget.leave(self)
+        self._turns.leave(self)
         self._is_write_paused = False
         self._pending.clear()
         self._discard_request()
@@ -299,12 +321,29 @@
             self._start_next()
         self._update_account()
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Returns the buffer to read into."""
+        del sizehint
+        return self._server.read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Parses received data."""
-        self._parse(data)
+        started_ms = self._server.clock.now_ms()
+        self._bytes_in_turn += nbytes
+        self._parse(self._server.read_buffer[:nbytes])
+        if self._bytes_in_turn >= read_turns.TURN_BYTES:
+            self._waits_for_turn = True
+            self._turns.wait(self, self._server.clock.now_ms() - started_ms)
+        self._update_reading()
         self._update_account()
         self._server.make_room()
 
+    def read_on(self) -> None:
+        """Reads on; called when it is the connection's turn."""
+        self._bytes_in_turn = 0
+        self._waits_for_turn = False
+        self._update_reading()
+
     def end_for_others(self) -> None:
         """Frees what the connection holds; called when there is no room."""
         phase = self._server.budget.phase_of(self)
@@ -320,7 +359,22 @@
             self._server.budget.leave(self)
             self.close()
 
-    def _parse(self, data: bytes) -> None:
+    @property
+    def _turns(self) -> "read_turns.ReadTurns[_Connection]":
+        assert self._server.turns is not None
+        return self._server.turns
+
+    def _update_reading(self) -> None:
+        """Stops or continues to read; further data waits in the socket."""
+        assert self._transport is not None
+        if self._transport.is_closing():
+            return
+        if self._pending or self._waits_for_turn:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
+
+    def _parse(self, data: memoryview) -> None:
         if self._is_refused or self._parser is None:
             return
         if not self._is_reading:
@@ -341,9 +395,6 @@
                 self._refuse(_BAD_REQUEST, f"malformed request: {error}")
         if len(self._pending) > MAX_PIPELINED_REQUESTS:
             self.close()
-        if self._pending and self._transport is not None:
-            # Further requests wait in the socket, not in memory.
-            self._transport.pause_reading()
         if self._is_refused:
             return
         if self._is_reading:
@@ -406,6 +457,7 @@
         """Queues the request; requests are handled in the order received."""
         assert self._parser is not None
         self._is_reading = False
+        self._bytes_in_turn = 0
         request = messages.Request(
             self._parser.get_method(),
             bytes(self._target),
@@ -468,8 +520,7 @@
         """Limits all received bytes outside the body, framing included."""
         max_bytes = 2 * self._limits.max_header_bytes
         if not self._in_headers:
-            # The first read may also contain the end of another request.
-            max_bytes += 2 * len(self._body) + _READ_BYTES
+            max_bytes += 2 * len(self._body) + _FRAMING_BYTES
         if self._received_bytes > max_bytes:
             self._refuse(_HEADERS_TOO_LARGE, "the headers are too large")
 
@@ -496,8 +547,7 @@
             return
         request = self._pending.popleft()
         self._running_bytes = _memory_of(request)
-        if not self._pending and self._transport is not None:
-            self._transport.resume_reading()
+        self._update_reading()
         loop = asyncio.get_running_loop()
         self._task = loop.create_task(self._answer(request))
 
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -10,6 +10,7 @@
 from greengagedale import clocks
 from greengagedale.http1 import connection_budget
 from greengagedale.http1 import messages
+from greengagedale.http1 import read_turns
 from greengagedale.http1 import server
 
 # More than the kernel takes of a response that its client does not read.
@@ -289,6 +290,92 @@
     writer.close()
 
 
+async def test_body_in_chunks_of_one_byte_is_accepted(echo):
+    echo.current_limits = server.Limits(
+        max_header_bytes=1000, max_body_bytes=20_000
+    )
+    data = with_connection_close(CHUNKED) + b"1\r\nx\r\n" * 20_000
+    reply = await send_raw(echo, data + b"0\r\n\r\n", 5.0)
+    assert reply.startswith(b"HTTP/1.1 200")
+    assert reply.endswith(b"x" * 20_000)
+
+
+class FakeTransport:
+    """A transport that records whether the connection reads."""
+
+    def __init__(self):
+        self.is_reading = True
+        self.written = b""
+
+    def pause_reading(self):
+        self.is_reading = False
+
+    def resume_reading(self):
+        self.is_reading = True
+
+    def write(self, data):
+        self.written += data
+
+    def get_write_buffer_size(self):
+        return 0
+
+    def get_extra_info(self, name):
+        del name
+
+    def is_closing(self):
+        return False
+
+    def close(self):
+        pass
+
+
+def receive(connection, data):
+    """Passes data to a connection, as much as it reads at once."""
+    buffer = connection.get_buffer(-1)
+    length = min(len(buffer), len(data))
+    buffer[:length] = data[:length]
+    connection.buffer_updated(length)
+    return length
+
+
+# Answers the load of clients that send faster than the process can parse.
+@pytest.mark.parametrize(
+    "data",
+    [
+        CHUNKED + b"1\r\nx\r\n" * 20_000,
+        b"POST /x HTTP/1.1\r\nContent-Length: 1000000\r\n\r\n" + b"x" * 100_000,
+        b"nonsense\r\n\r\n" + b"x" * 100_000,
+    ],
+)
+async def test_client_that_sends_without_pause_reads_in_turns(echo, data):
+    echo.current_limits = server.Limits()
+    connection = server._Connection(echo.server)
+    transport = FakeTransport()
+    connection.connection_made(transport)
+    received_bytes = 0
+    while transport.is_reading:
+        received_bytes += receive(connection, data[received_bytes:])
+    assert received_bytes <= 2 * read_turns.TURN_BYTES
+    async with asyncio.timeout(1.0):
+        while not transport.is_reading:
+            await asyncio.sleep(0)
+    connection.connection_lost(None)
+
+
+async def test_requests_smaller_than_a_turn_never_wait(echo):
+    connection = server._Connection(echo.server)
+    transport = FakeTransport()
+    connection.connection_made(transport)
+    for _ in range(2000):
+        receive(connection, GET)
+        assert len(echo.server.turns) == 0
+        async with asyncio.timeout(1.0):
+            while connection.is_busy:
+                await asyncio.sleep(0)
+    assert transport.is_reading
+    connection.connection_lost(None)
+
+
 @pytest.mark.parametrize("count", [3, 60])
 async def test_connections_above_the_bound_replace_the_oldest(count):
     handler = Echo()
