Answer requests before one that is refused on the same connection

Callers saw: a request that runs loses its connection 0.5 s after its client has sent something malformed behind it, and no refusal; of more than 16 requests in a row all were cut off, the one that ran as well. Found while looking for refusals that don't reach their client.

Cause: a refusal was written only if nothing ran, and the connection closed after the same time either way; too many requests closed it at once.

Fix: a refusal follows the responses to the requests before it. The request behind the 16 that may wait gets 503 and has not run.

Evidence: both tests failed before (no response; 0 of 17).

--- a/greengagedale/http1/server.py
+++ b/greengagedale/http1/server.py
@@ -15,7 +15,8 @@
 
 log = logging.getLogger(__name__)
 
-# Maximum number of pipelined requests on one connection; more close it.
+# Maximum number of pipelined requests on one connection; those before it are
+# answered, and the next one is refused.
 MAX_PIPELINED_REQUESTS = 16
 # Maximum time for which a client may read nothing of a response.
 SEND_TIMEOUT_MS = 60_000.0
@@ -239,6 +240,9 @@
         self._task: asyncio.Task[None] | None = None
         self._limits = server.handler.limits()
         self._is_refused = False
+        # What is sent after the responses to earlier requests, to a client
+        # whose further requests are not read.
+        self._refusal: bytes | None = None
         self._close_after = False
         self._last_progress_ms = server.clock.now_ms()
         self._is_reading = False
@@ -393,8 +397,6 @@
                 self._refuse(cause.status, cause.reason)
             else:
                 self._refuse(_BAD_REQUEST, f"malformed request: {error}")
-        if len(self._pending) > MAX_PIPELINED_REQUESTS:
-            self.close()
         if self._is_refused:
             return
         if self._is_reading:
@@ -458,6 +460,8 @@
         assert self._parser is not None
         self._is_reading = False
         self._bytes_in_turn = 0
+        if len(self._pending) >= MAX_PIPELINED_REQUESTS:
+            raise _RefusedError(_UNAVAILABLE, "too many pipelined requests")
         request = messages.Request(
             self._parser.get_method(),
             bytes(self._target),
@@ -540,7 +544,9 @@
         self._task = None
         if not self._pending:
             self._last_progress_ms = self._server.clock.now_ms()
-            if self._close_after:
+            if self._refusal is not None:
+                self._send_refusal()
+            elif self._close_after:
                 self.close()
             return
         if self._is_write_paused:
@@ -611,11 +617,16 @@
         self._is_reading = False
         self._discard_request()
         self._log_refusal(response.status, reason)
-        if self._task is None:
-            self._write(messages.encode_response(response._replace(close=True)))
+        self._refusal = messages.encode_response(response._replace(close=True))
+        if self._task is None and not self._pending:
+            self._send_refusal()
         self._update_account()
-        if self._transport is not None and self._transport.can_write_eof():
-            asyncio.get_running_loop().call_later(LINGER_TIMEOUT_S, self.close)
+
+    def _send_refusal(self) -> None:
+        """Sends a refusal, and discards what its client still sends."""
+        refusal, self._refusal = self._refusal, None
+        self._write(refusal or b"")
+        asyncio.get_running_loop().call_later(LINGER_TIMEOUT_S, self.close)
 
     def _log_refusal(self, status: int, reason: str) -> None:
         log.info(
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -290,6 +290,23 @@
     writer.close()
 
 
+async def test_refusal_follows_the_response_to_the_request_before_it(echo):
+    reply = await send_raw(echo, SLOW_GET + b"nonsense\r\n\r\n", 5.0)
+    assert reply.startswith(b"HTTP/1.1 200")
+    assert reply.count(b"HTTP/1.1") == 2
+    assert b"HTTP/1.1 400" in reply
+    assert echo.cancelled == 0
+
+
+async def test_requests_before_too_many_in_a_row_are_answered(echo):
+    reply = await send_raw(echo, GET * 40, 5.0)
+    accepted = server.MAX_PIPELINED_REQUESTS + 1
+    assert reply.count(b"HTTP/1.1 200") == accepted
+    assert reply.count(b"HTTP/1.1 503") == 1
+    assert b"Retry-After" in reply
+    assert len(echo.requests) == accepted
+
+
 async def test_body_in_chunks_of_one_byte_is_accepted(echo):
     echo.current_limits = server.Limits(
         max_header_bytes=1000, max_body_bytes=20_000
