Limit log lines of refused clients; wait for refusals in a planned stop

Callers and operators saw: a log line for each refused client, without its address, so that a crowd writes as much as it likes and other lines are dropped. In a planned stop the process could end while a refusal was under way, with unread bytes, which resets the connection.

Fix: `request not received` and `connection aborted` name the client and how full its port is; 20 lines a second are written, others counted.

--- a/greengagedale/http1/server.py
+++ b/greengagedale/http1/server.py
@@ -9,6 +9,7 @@
 import httptools
 
 from greengagedale import clocks
+from greengagedale import logs
 from greengagedale.http1 import connection_budget
 from greengagedale.http1 import messages
 from greengagedale.http1 import read_turns
@@ -29,6 +30,9 @@
 # Size of the framing of chunks that is allowed beside that which is as large
 # as the body, and as the headers.
 _FRAMING_BYTES = 256 * 1024
+# Maximum number of log lines per second about connections that are refused or
+# aborted; others are counted.
+REFUSAL_LINES_PER_S = 20
 # Length of the kernel's queue of connections that are not accepted yet; a full
 # queue delays clients by seconds.
 LISTEN_BACKLOG = 1024
@@ -94,6 +98,17 @@
         """Returns the current limits."""
         return Limits()
 
+    def refusal_response(self, status: int, reason: str) -> messages.Response:
+        """Returns the response to a request that is not received completely.
+
+        Args:
+            status: Status of the response.
+            reason: Why the request is refused, for people.
+        """
+        return messages.Response(
+            status, ((b"Content-Type", b"text/plain"),), reason.encode()
+        )
+
     def overload_response(self) -> messages.Response:
         """Returns the response to a request for which there is no room.
 
@@ -112,6 +127,7 @@
         send_timeout_ms: Maximum time for which a client may read nothing of a
             response.
         budget: Bounds what all connections hold together.
+        refusal_log: Log of refused and aborted connections.
         read_buffer: Buffer that the connections read into, one at a time.
         turns: Shares the event loop among connections; set by `start`.
     """
@@ -142,6 +158,7 @@
             )
         )
         self.connections: set[_Connection] = set()
+        self.refusal_log = logs.RequestLog(clock, REFUSAL_LINES_PER_S)
         self.read_buffer = memoryview(bytearray(read_turns.TURN_BYTES))
         self.turns = turns
         self._listener: asyncio.Server | None = None
@@ -154,9 +171,7 @@
             OSError: The server can't listen on the address.
         """
         loop = asyncio.get_running_loop()
-        self.turns = self.turns or read_turns.ReadTurns(
-            loop.call_later, _Connection.read_on
-        )
+        self.turns = self.turns or new_turns()
         self._listener = await loop.create_server(
             lambda: _Connection(self), address, port, backlog=LISTEN_BACKLOG
         )
@@ -169,9 +184,11 @@
 
     @property
     def unanswered_requests(self) -> int:
-        """The number of connections whose answer is not yet sent in full."""
+        """The number of connections whose client may miss an answer."""
         return sum(
-            connection.is_busy or connection.has_unsent_data
+            connection.is_busy
+            or connection.has_unsent_data
+            or connection.is_lingering
             for connection in self.connections
         )
 
@@ -184,7 +201,7 @@
     def close_idle(self) -> None:
         """Closes connections that have no request in flight."""
         for connection in list(self.connections):
-            if not connection.is_busy:
+            if not connection.is_busy and not connection.is_lingering:
                 connection.close()
 
     def close(self) -> None:
@@ -215,6 +232,12 @@
         self._sweeper = loop.call_later(SWEEP_INTERVAL_S, self._sweep)
 
 
+def new_turns() -> "read_turns.ReadTurns[_Connection]":
+    """Returns turns of servers that run on the running event loop."""
+    loop = asyncio.get_running_loop()
+    return read_turns.ReadTurns(loop.call_later, _Connection.read_on)
+
+
 class _RefusedError(Exception):
     """Raised by callbacks of the parser, which then stops at once.
 
@@ -229,7 +252,21 @@
         self.reason = reason
 
 
+class _NoRoomError(_RefusedError):
+    """Raised if a request is refused for lack of room."""
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(_UNAVAILABLE, reason)
+
+
 class _Connection(asyncio.BufferedProtocol):
+    """A connection of a client.
+
+    Attributes:
+        is_lingering: Whether a refusal has been sent and the connection is kept
+            open for a while, so that its client gets it.
+    """
+
     def __init__(self, server: Server) -> None:
         self._server = server
         self._parser: httptools.HttpRequestParser | None = (
@@ -243,6 +280,7 @@
         # What is sent after the responses to earlier requests, to a client
         # whose further requests are not read.
         self._refusal: bytes | None = None
+        self.is_lingering = False
         self._close_after = False
         self._last_progress_ms = server.clock.now_ms()
         self._is_reading = False
@@ -270,6 +308,7 @@
 
     def close(self) -> None:
         """Closes the connection after sending buffered data."""
+        self.is_lingering = False
         if self._transport is not None:
             self._transport.close()
 
@@ -393,7 +432,11 @@
             self._close_after = True
         except httptools.HttpParserError as error:
             cause = error.__context__
-            if isinstance(cause, _RefusedError):
+            if isinstance(cause, _NoRoomError):
+                self._refuse_with(
+                    self._server.handler.overload_response(), cause.reason
+                )
+            elif isinstance(cause, _RefusedError):
                 self._refuse(cause.status, cause.reason)
             else:
                 self._refuse(_BAD_REQUEST, f"malformed request: {error}")
@@ -461,7 +504,7 @@
         self._is_reading = False
         self._bytes_in_turn = 0
         if len(self._pending) >= MAX_PIPELINED_REQUESTS:
-            raise _RefusedError(_UNAVAILABLE, "too many pipelined requests")
+            raise _NoRoomError("too many pipelined requests")
         request = messages.Request(
             self._parser.get_method(),
             bytes(self._target),
@@ -488,10 +531,10 @@
     def _phase(self) -> connection_budget.Phase:
         if self._task is not None:
             return connection_budget.Phase.RUNNING
-        if self._is_refused:
-            return connection_budget.Phase.REFUSED
         if self._is_write_paused or self.has_unsent_data:
             return connection_budget.Phase.SENDING
+        if self._is_refused:
+            return connection_budget.Phase.REFUSED
         if self._is_reading:
             return connection_budget.Phase.RECEIVING
         return connection_budget.Phase.IDLE
@@ -576,6 +619,7 @@
             self._close_after = True
         self._start_next()
         self._update_account()
+        self._server.make_room()
 
     async def _response_to(
         self, request: messages.Request
@@ -605,10 +649,7 @@
 
     def _refuse(self, status: int, reason: str) -> None:
         self._refuse_with(
-            messages.Response(
-                status, ((b"Content-Type", b"text/plain"),), reason.encode()
-            ),
-            reason,
+            self._server.handler.refusal_response(status, reason), reason
         )
 
     def _refuse_with(self, response: messages.Response, reason: str) -> None:
@@ -626,16 +667,28 @@
         """Sends a refusal, and discards what its client still sends."""
         refusal, self._refusal = self._refusal, None
         self._write(refusal or b"")
+        self.is_lingering = True
         asyncio.get_running_loop().call_later(LINGER_TIMEOUT_S, self.close)
 
     def _log_refusal(self, status: int, reason: str) -> None:
-        log.info(
-            "malformed request", extra={"status": status, "reason": reason}
+        self._log("request not received", reason, status=status)
+
+    def _log(self, message: str, reason: str, **fields: int) -> None:
+        assert self._transport is not None
+        budget = self._server.budget
+        client = self._transport.get_extra_info("peername")
+        self._server.refusal_log.write(
+            message,
+            reason=reason,
+            client=":".join(map(str, client[:2])) if client else "unknown",
+            connections=len(budget),
+            held_bytes=budget.held_bytes,
+            **fields,
         )
 
     def _abort(self, reason: str) -> None:
         """Closes the connection at once, without sending the rest."""
-        log.info("connection aborted", extra={"reason": reason})
+        self._log("connection aborted", reason)
         self._server.budget.leave(self)
         if self._transport is not None:
             self._transport.abort()
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -307,6 +307,19 @@
     assert len(echo.requests) == accepted
 
 
+async def test_refusal_that_is_just_sent_counts_as_unanswered(echo):
+    reader, writer = await asyncio.open_connection("127.0.0.1", echo.port)
+    writer.write(b"nonsense\r\n\r\n")
+    await reader.readuntil(b"\r\n\r\n")
+    assert echo.server.unanswered_requests == 1
+    echo.server.close_idle()
+    assert echo.server.unanswered_requests == 1
+    async with asyncio.timeout(5.0):
+        while echo.server.unanswered_requests:
+            await asyncio.sleep(0.05)
+    writer.close()
+
+
 async def test_body_in_chunks_of_one_byte_is_accepted(echo):
     echo.current_limits = server.Limits(
         max_header_bytes=1000, max_body_bytes=20_000
@@ -393,6 +406,18 @@
     connection.connection_lost(None)
 
 
+async def test_log_of_refusals_is_limited(echo, caplog):
+    caplog.set_level("INFO")
+    for _ in range(10 * server.REFUSAL_LINES_PER_S):
+        reply = await send_raw(echo, b"nonsense\r\n\r\n", 0.01)
+        assert reply.startswith((b"HTTP/1.1 400", b"(open)"))
+    lines = [
+        each for each in caplog.records if "not received" in each.getMessage()
+    ]
+    seconds = {int(each.created) for each in lines}
+    assert len(lines) <= server.REFUSAL_LINES_PER_S * (len(seconds) + 1)
+
+
 @pytest.mark.parametrize("count", [3, 60])
 async def test_connections_above_the_bound_replace_the_oldest(count):
     handler = Echo()
