Don't blame upstreams for a lack of descriptors

Callers would see: a host without descriptors takes all its upstreams for unreachable, avoids them, and takes itself for cut off.

Cause: EMFILE, ENFILE, ENOBUFS and ENOMEM are OSErrors like any other failure to connect.

Fix: such a failure is told apart. The request has not run (`host_exhausted`), the upstream's score and the host's view of its own reach stay as they are.

--- a/greengagedale/gateway/connection_pools.py
+++ b/greengagedale/gateway/connection_pools.py
@@ -5,6 +5,7 @@
 import logging
 
 from greengagedale import clocks
+from greengagedale import descriptors
 from greengagedale.gateway import evacuations as evacuations_lib
 from greengagedale.gateway import reachability as reachability_lib
 from greengagedale.gateway import upstream_entries
@@ -167,7 +168,9 @@
         except BaseException as error:
             self._open_count -= 1
             self._released.set()
-            if isinstance(error, OSError):
+            if isinstance(error, OSError) and not descriptors.is_shortage(
+                error
+            ):
                 self._record_connect(is_open=False)
             raise
         self._record_connect(is_open=True)
--- a/greengagedale/outcomes.py
+++ b/greengagedale/outcomes.py
@@ -22,6 +22,7 @@
     EVACUATED = "evacuated"
     EXPIRED_KEY = "expired_key"
     FOREIGN_KEY = "foreign_key"
+    HOST_EXHAUSTED = "host_exhausted"
     INTERNAL = "internal"
     ISSUER_GONE = "issuer_gone"
     ISSUER_UNREACHABLE = "issuer_unreachable"
--- a/greengagedale/platform/upstream_client.py
+++ b/greengagedale/platform/upstream_client.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 
 from greengagedale import clocks
+from greengagedale import descriptors
+from greengagedale import logs
 from greengagedale import outcomes
 from greengagedale.gateway import authorization
 from greengagedale.gateway import calls
@@ -19,6 +21,7 @@
 # only connections that were used very recently are reused for it.
 _MAX_REUSE_AGE_MS = 1000.0
 _ANY_AGE_MS = float("inf")
+_SHORTAGE_LINES_PER_S = 5
 
 
 class PlatformUpstreamClient(calls.UpstreamClient):
@@ -50,6 +53,7 @@
         self._max_connections = max_connections
         self._authorizer = authorizer
         self._clock = clock
+        self._shortage_log = logs.RequestLog(clock, _SHORTAGE_LINES_PER_S)
 
     async def send(
         self, attempt: calls.Attempt
@@ -64,7 +68,10 @@
             )
         except pools_lib.UpstreamNotAcceptingError:
             return _unsent_failure(outcomes.Reason.DRAINING)
-        except OSError:
+        except OSError as error:
+            if descriptors.is_shortage(error):
+                self._log_shortage(error)
+                return _unsent_failure(outcomes.Reason.HOST_EXHAUSTED)
             self._limits.observe_unreachable(upstream)
             return _unsent_failure(outcomes.Reason.CONNECT_FAILED)
         # Connecting may have taken long, or the process may have stalled.
@@ -107,6 +114,13 @@
             )
         return upstream_codec.decode_answer(attempt.call, reply)
 
+    def _log_shortage(self, error: OSError) -> None:
+        self._shortage_log.write(
+            "no connection could be opened for lack of descriptors or memory; "
+            "the upstream is not blamed",
+            reason=repr(error),
+        )
+
     def _accept(
         self, attempt: calls.Attempt, reply: messages.Reply, sent_ms: float
     ) -> bool:
--- a/tests/platform/test_upstream_client.py
+++ b/tests/platform/test_upstream_client.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import errno
+from unittest import mock
 
 from gateway_scripts import freshness_of
 from gateway_scripts import upstream
@@ -15,11 +17,13 @@
 from greengagedale.gateway import connection_pools
 from greengagedale.gateway import evacuations
 from greengagedale.gateway import metrics
+from greengagedale.gateway import reachability
 from greengagedale.gateway import registry as registry_lib
 from greengagedale.gateway import roster
 from greengagedale.gateway import store_revision
 from greengagedale.gateway import upstream_limits
 from greengagedale.gateway import upstream_notices as notices_lib
+from greengagedale.gateway import upstream_scores
 from greengagedale.gateway import warm_up
 from greengagedale.http1 import client
 from greengagedale.http1 import messages
@@ -81,11 +85,20 @@
 
 
 @pytest.fixture
-def send(clock, notices, evacuated, limit, server, authorizer):
+def pools(clock, notices, evacuated):
+    return connection_pools.ConnectionPools(
+        notices,
+        evacuated,
+        client.ReplyLimits(),
+        clock,
+        mock.Mock(spec=reachability.Reachability),
+    )
+
+
+@pytest.fixture
+def send(clock, notices, pools, limit, server, authorizer):
     sender = upstream_client.PlatformUpstreamClient(
-        connection_pools.ConnectionPools(
-            notices, evacuated, client.ReplyLimits(), clock
-        ),
+        pools,
         notices,
         upstream_limits.UpstreamLimits(
             limit,
@@ -170,6 +183,21 @@
     assert not result.written
 
 
+# A host without descriptors would take all upstreams for unreachable.
+async def test_lack_of_descriptors_is_not_the_fault_of_the_upstream(
+    send, pools
+):
+    async def fail(*arguments):
+        raise OSError(errno.EMFILE, "too many open files")
+
+    pools.connect = fail
+    result = await send()
+    assert result.reason is outcomes.Reason.HOST_EXHAUSTED
+    assert not result.written
+    assert not upstream_scores.is_upstream_failure(result)
+    pools._reachability.record_connect.assert_not_called()
+
+
 async def test_lost_reply_is_reported_as_written(send, server):
     server.mode = "lost"
     result = await send()
