Serve callers and operators of hosts with a catalog with our own server

Callers saw: a host that ran out of memory through 60 clients with a field name, a field value, a target, fields or trailers without end (136 to 185 MiB; bound: 128 MiB), and one that answers nothing for 60 s while 450 connections are open on the operators' port.

Cause: aiohttp's server reads 64 KiB or more before it looks at a limit, has none for trailers and none for all connections together.

Paths, statuses, bodies and error texts are as before, as are requests whose client disconnects: they run to their end. A test passed a stand-in of aiohttp's request; it passes ours now and checks the same.

--- a/greengagedale/callers/http_server.py
+++ b/greengagedale/callers/http_server.py
@@ -1,12 +1,12 @@
-"""HTTP server for callers, based on aiohttp."""
-
-from aiohttp import web
+"""HTTP server for callers."""
 
 from greengagedale import exceptions
 from greengagedale import http_responses
+from greengagedale import http_routing
 from greengagedale import outcomes
 from greengagedale.callers import base
 from greengagedale.callers import wire
+from greengagedale.http1 import messages
 
 _MAX_KEY_LENGTH = 200
 _CONFLICT_STATUS = 409
@@ -15,40 +15,38 @@
 
 def application(
     service: base.CallerService, max_body_bytes: int
-) -> web.Application:
+) -> http_routing.Application:
     """Creates the application that serves callers."""
     handlers = _Handlers(service)
-    app = web.Application(
-        middlewares=[http_responses.error_middleware],
-        client_max_size=max_body_bytes,
-    )
-    app.add_routes(
+    return http_routing.Application(
         [
-            web.get("/v1/locate", handlers.locate),
-            web.post("/v1/workspaces/{workspace}/search", handlers.search),
-            web.post("/v1/workspaces/{workspace}/act", handlers.act),
-            web.get("/v1/explain/{request_id}", handlers.explain),
-            web.get("/healthz", handlers.healthz),
-            web.get("/readyz", handlers.readyz),
-            web.get("/metrics", handlers.metrics),
-        ]
+            http_routing.get("/v1/locate", handlers.locate),
+            http_routing.post(
+                "/v1/workspaces/{workspace}/search", handlers.search
+            ),
+            http_routing.post("/v1/workspaces/{workspace}/act", handlers.act),
+            http_routing.get("/v1/explain/{request_id}", handlers.explain),
+            http_routing.get("/healthz", handlers.healthz),
+            http_routing.get("/readyz", handlers.readyz),
+            http_routing.get("/metrics", handlers.metrics),
+        ],
+        max_body_bytes,
     )
-    return app
 
 
 class _Handlers:
     def __init__(self, service: base.CallerService) -> None:
         self._service = service
 
-    async def locate(self, request: web.Request) -> web.Response:
+    async def locate(self, request: http_routing.Request) -> messages.Response:
         """Returns the hosts to use."""
         data_centre = request.query.get("data_centre")
         return http_responses.json_response(self._service.locate(data_centre))
 
-    async def search(self, request: web.Request) -> web.Response:
+    async def search(self, request: http_routing.Request) -> messages.Response:
         """Runs a search."""
-        body = await http_responses.read_json(request, wire.SearchBody)
-        workspace = request.match_info["workspace"]
+        body = http_responses.read_json(request.message, wire.SearchBody)
+        workspace = request.parameters["workspace"]
         if not self._service.has_workspace(workspace):
             return _unknown_workspace_response(workspace)
         limit = _checked_positive("limit", body.get("limit"))
@@ -63,10 +61,10 @@
             )
         return _failure_response(reply, reply.outcome)
 
-    async def act(self, request: web.Request) -> web.Response:
+    async def act(self, request: http_routing.Request) -> messages.Response:
         """Runs a request that must not run twice."""
-        body = await http_responses.read_json(request, wire.ActionBody)
-        workspace = request.match_info["workspace"]
+        body = http_responses.read_json(request.message, wire.ActionBody)
+        workspace = request.parameters["workspace"]
         if not self._service.has_workspace(workspace):
             return _unknown_workspace_response(workspace)
         _check_key(body["key"])
@@ -91,9 +89,9 @@
             )
         return _failure_response(reply, reply.outcome)
 
-    async def explain(self, request: web.Request) -> web.Response:
+    async def explain(self, request: http_routing.Request) -> messages.Response:
         """Returns the record of a request."""
-        request_id = request.match_info["request_id"]
+        request_id = request.parameters["request_id"]
         record = await self._service.explain_from_any_host(request_id)
         if record is None:
             return http_responses.error_response(
@@ -104,29 +102,27 @@
             )
         return http_responses.json_response(record)
 
-    async def healthz(self, request: web.Request) -> web.Response:
+    async def healthz(self, request: http_routing.Request) -> messages.Response:
         """Confirms that the process runs."""
         del request
         return http_responses.json_response({"status": "ok"})
 
-    async def readyz(self, request: web.Request) -> web.Response:
+    async def readyz(self, request: http_routing.Request) -> messages.Response:
         """Returns whether the host can serve."""
         del request
         if self._service.is_ready():
             return http_responses.json_response({"status": "ready"})
         return http_responses.json_response({"status": "not_ready"}, status=503)
 
-    async def metrics(self, request: web.Request) -> web.Response:
+    async def metrics(self, request: http_routing.Request) -> messages.Response:
         """Returns all metrics in the Prometheus text format."""
         del request
-        return web.Response(
-            body=self._service.metrics(), content_type="text/plain"
-        )
+        return http_responses.text_response(self._service.metrics())
 
 
 def _failure_response(
     reply: base.Reply, outcome: outcomes.NotRun | outcomes.Unknown
-) -> web.Response:
+) -> messages.Response:
     body = wire.failure_reply(reply, outcome)
     if outcome.reason is outcomes.Reason.KEY_CONFLICT:
         return http_responses.json_response(body, status=_CONFLICT_STATUS)
@@ -135,7 +131,7 @@
     return http_responses.json_response(body, status=_UNKNOWN_STATUS)
 
 
-def _unknown_workspace_response(workspace: str) -> web.Response:
+def _unknown_workspace_response(workspace: str) -> messages.Response:
     return http_responses.error_response(
         404, "unknown_workspace", f"no workspace is named {workspace!r}"
     )
--- a/greengagedale/config/settings.py
+++ b/greengagedale/config/settings.py
@@ -44,6 +44,20 @@
     max_bytes_per_s: option_types.Count = 1800
 
 
+class ConnectionsSettings(Section):
+    """Connections of callers and operators to the host.
+
+    Attributes:
+        max_held_mib: Maximum memory of requests and responses that are being
+            received, run or sent, in MiB.
+        max_descriptors: Maximum number of open descriptors of the process; the
+            limit of the operating system is used if it is lower.
+    """
+
+    max_held_mib: option_types.Count = 32
+    max_descriptors: option_types.Count = 4096
+
+
 class CallersSettings(Section):
     """Limits of caller requests, and the lifetime of locate replies."""
 
@@ -123,6 +137,7 @@
     host: HostSettings
     platform: PlatformSettings
     peers: PeersSettings = PeersSettings()
+    connections: ConnectionsSettings = ConnectionsSettings()
     callers: CallersSettings = CallersSettings()
     actions: ActionsSettings = ActionsSettings()
     configuration: ConfigurationSettings = ConfigurationSettings()
--- a/greengagedale/graceful_shutdown.py
+++ b/greengagedale/graceful_shutdown.py
@@ -1,19 +1,21 @@
 """Graceful shutdown of an entry host: signals, waiting and closing."""
 
 import asyncio
+import contextlib
 import logging
 import os
 import signal
 from typing import Self
 
-from aiohttp import web
-
 from greengagedale.config import settings as settings_lib
+from greengagedale.http1 import server
 
 log = logging.getLogger(__name__)
 
 FORCED_EXIT_STATUS = 1
 _CONNECTION_CLOSE_S = 0.5
+# Time between checks whether any request still runs.
+_POLL_INTERVAL_S = 0.05
 _MS_PER_S = 1000.0
 
 
@@ -26,14 +28,14 @@
     answered.
 
     Attributes:
-        closing_connections: Whether answers close their connections.
+        servers: Servers whose answers close their connections in the end.
     """
 
     def __init__(self, leave_delay_s: float, hard_limit_s: float) -> None:
         self._leave_delay_s = leave_delay_s
         self._hard_limit_s = hard_limit_s
         self._signalled = asyncio.Event()
-        self.closing_connections = False
+        self.servers: list[server.Server] = []
 
     @classmethod
     def from_config(cls, settings: settings_lib.Settings) -> Self:
@@ -68,17 +70,24 @@
             "hard limit reached",
         )
         await asyncio.sleep(self._leave_delay_s)
-        self.closing_connections = True
+        for listener in self.servers:
+            listener.closing = True
         await asyncio.sleep(_CONNECTION_CLOSE_S)
 
-    async def close_connection(
-        self, request: web.Request, response: web.StreamResponse
-    ) -> None:
-        """Closes the connection after an answer in the closing phase."""
-        del request
-        if self.closing_connections:
-            response.headers["Connection"] = "close"
-            response.force_close()
+    async def close_server(self, listener: server.Server) -> None:
+        """Closes a server once its requests in flight are answered."""
+        listener.stop_accepting()
+        listener.close_idle()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self._hard_limit_s):
+                while listener.unanswered_requests:
+                    await asyncio.sleep(_POLL_INTERVAL_S)
+        if listener.unanswered_requests:
+            log.warning(
+                "ending with requests unanswered",
+                extra={"running": listener.unanswered_requests},
+            )
+        listener.close()
 
     def _on_signal(self) -> None:
         if self._signalled.is_set():
--- a/greengagedale/host_process.py
+++ b/greengagedale/host_process.py
@@ -8,8 +8,6 @@
 import time
 from typing import NamedTuple
 
-from aiohttp import web
-
 from greengagedale import action_dispatch
 from greengagedale import action_execution
 from greengagedale import action_forwarding
@@ -18,6 +16,7 @@
 from greengagedale import configuration_metrics
 from greengagedale import configuration_sync
 from greengagedale import configuration_writer
+from greengagedale import descriptors
 from greengagedale import drain_monitor
 from greengagedale import entry_host
 from greengagedale import garbage_collection
@@ -29,6 +28,8 @@
 from greengagedale import search_execution
 from greengagedale.callers import http_server as callers_http
 from greengagedale.config import settings as settings_lib
+from greengagedale.http1 import connection_budget
+from greengagedale.http1 import server
 from greengagedale.idempotency import claims
 from greengagedale.idempotency import key_table
 from greengagedale.idempotency import tickets
@@ -355,16 +356,21 @@
             settings.host.caller_port,
         ),
     )
+    bounds = connection_budget.Bounds.from_config(
+        settings.connections.max_held_mib,
+        descriptors.limit(settings.connections.max_descriptors),
+    )
+    turns = server.new_turns()
     for app, port in apps:
-        app.on_response_prepare.append(shutdown.close_connection)
-        runner = web.AppRunner(
+        listener = server.Server(
             app,
-            access_log=None,
-            shutdown_timeout=hard_limit_s,
+            clocks.MonotonicClock(),
+            bounds.share(1.0 / len(apps)),
+            turns,
         )
-        await runner.setup()
-        stack.push_async_callback(runner.cleanup)
-        await web.TCPSite(runner, settings.host.address, port).start()
+        shutdown.servers.append(listener)
+        stack.push_async_callback(shutdown.close_server, listener)
+        await listener.start(settings.host.address, port)
 
 
 async def _check_idle_connections(
--- a/greengagedale/http_responses.py
+++ b/greengagedale/http_responses.py
@@ -1,40 +1,58 @@
-"""JSON request and response helpers of the HTTP servers.
+"""JSON requests and responses of the servers for callers and operators."""
 
-The server for callers and the server for operators both use them.
-"""
-
-from collections.abc import Awaitable, Callable
-import logging
 import math
 from typing import Any
 
-from aiohttp import web
 import msgspec
 
 from greengagedale import exceptions
+from greengagedale import outcomes
 from greengagedale import untrusted_json
 from greengagedale.callers import wire
+from greengagedale.http1 import messages
 
-log = logging.getLogger(__name__)
-
-_JSON = "application/json"
+_JSON = b"application/json"
+_TEXT = b"text/plain; charset=utf-8"
+_TOO_LARGE_STATUS = 413
+_OVERLOAD_RETRY_MS = 1000
 _MS_PER_S = 1000
 
-Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
-
 
-def json_response(body: Any, status: int = 200) -> web.Response:
+def json_response(body: Any, status: int = 200) -> messages.Response:
     """Returns a JSON response."""
-    return web.Response(
-        body=msgspec.json.encode(body), status=status, content_type=_JSON
-    )
+    return _response(status, _JSON, msgspec.json.encode(body))
+
 
+def text_response(body: bytes) -> messages.Response:
+    """Returns a response with plain text."""
+    return _response(200, _TEXT, body)
 
-def retry_later_response(body: Any, retry_after_ms: int) -> web.Response:
+
+def with_header(
+    response: messages.Response, name: str, value: str
+) -> messages.Response:
+    """Returns a response with another header."""
+    header = (name.encode(), value.encode())
+    return response._replace(headers=(*response.headers, header))
+
+
+def retry_later_response(body: Any, retry_after_ms: int) -> messages.Response:
     """Returns a 503 response with a `Retry-After` header."""
-    response = json_response(body, status=503)
-    response.headers["Retry-After"] = str(math.ceil(retry_after_ms / _MS_PER_S))
-    return response
+    retry_after_s = math.ceil(retry_after_ms / _MS_PER_S)
+    return with_header(
+        json_response(body, status=503), "Retry-After", str(retry_after_s)
+    )
+
+
+def overload_response() -> messages.Response:
+    """Returns the response to a request for which the host has no room."""
+    body = wire.FailureReply(
+        request_id="",
+        outcome=outcomes.NotRun.tag,
+        reason=outcomes.Reason.OVERLOADED,
+        retry_after_ms=_OVERLOAD_RETRY_MS,
+    )
+    return retry_later_response(body, _OVERLOAD_RETRY_MS)
 
 
 def error_response(
@@ -42,21 +60,27 @@
     tag: str,
     message: str,
     field_errors: list[exceptions.FieldError] | None = None,
-) -> web.Response:
+) -> messages.Response:
     """Returns an error response for a request that was not run."""
     return json_response(
         wire.error_reply(tag, message, field_errors or []), status
     )
 
 
-async def read_json(request: web.Request, as_type: Any) -> Any:
+def refusal_response(status: int, reason: str) -> messages.Response:
+    """Returns the response to a request that the server does not receive."""
+    tag = "body_too_large" if status == _TOO_LARGE_STATUS else "http"
+    return error_response(status, tag, reason)
+
+
+def read_json(request: messages.Request, as_type: Any) -> Any:
     """Returns the JSON body of a request, decoded as the given type.
 
     Raises:
         InvalidInputError: The body is not valid JSON of that type.
     """
     try:
-        return untrusted_json.decode(await request.read(), as_type)
+        return untrusted_json.decode(request.body, as_type)
     except msgspec.ValidationError as invalid:
         message, _, key = str(invalid).partition(" - at ")
         field_error = exceptions.FieldError(
@@ -67,23 +91,7 @@
     raise exceptions.InvalidInputError("request", [field_error])
 
 
-@web.middleware
-async def error_middleware(
-    request: web.Request, handler: Handler
-) -> web.StreamResponse:
-    """Converts every exception of a handler to a typed JSON response."""
-    try:
-        return await handler(request)
-    except exceptions.InvalidInputError as invalid:
-        return error_response(
-            400, "invalid_request", str(invalid), invalid.field_errors
-        )
-    except web.HTTPRequestEntityTooLarge as large:
-        return error_response(413, "body_too_large", large.text or large.reason)
-    except web.HTTPException as other:
-        return error_response(other.status, "http", other.reason)
-    except Exception:
-        log.exception("unexpected error in request to %s", request.path)
-        return error_response(
-            500, "internal", "an internal error; see the host's log"
-        )
+def _response(
+    status: int, content_type: bytes, body: bytes
+) -> messages.Response:
+    return messages.Response(status, ((b"Content-Type", content_type),), body)
--- a/greengagedale/operators/http_server.py
+++ b/greengagedale/operators/http_server.py
@@ -1,15 +1,15 @@
-"""HTTP server for operators, based on aiohttp."""
+"""HTTP server for operators."""
 
 from typing import Any
 
-from aiohttp import web
-
 from greengagedale import configuration
 from greengagedale import exceptions
 from greengagedale import http_responses
+from greengagedale import http_routing
 from greengagedale.callers import wire as callers_wire
 from greengagedale.catalog import documents
 from greengagedale.catalog import edits
+from greengagedale.http1 import messages
 from greengagedale.operators import base
 from greengagedale.operators import preconditions
 from greengagedale.operators import wire
@@ -28,85 +28,103 @@
 _UNKNOWN_STATUS = 502
 
 
-def application(service: base.OperatorService) -> web.Application:
+def application(service: base.OperatorService) -> http_routing.Application:
     """Creates the application that serves operators."""
     handlers = _Handlers(service)
-    app = web.Application(
-        middlewares=[http_responses.error_middleware],
-        client_max_size=_MAX_BODY_BYTES,
-    )
-    app.add_routes(
+    return http_routing.Application(
         [
-            web.get("/v1/templates", handlers.templates),
-            web.get("/v1/templates/{name}", handlers.template),
-            web.put("/v1/templates/{name}", handlers.put_template),
-            web.delete("/v1/templates/{name}", handlers.delete_template),
-            web.get("/v1/workspaces", handlers.workspaces),
-            web.get("/v1/workspaces/{name}", handlers.workspace),
-            web.put("/v1/workspaces/{name}", handlers.put_workspace),
-            web.delete("/v1/workspaces/{name}", handlers.delete_workspace),
-            web.get("/v1/configuration", handlers.configuration),
-            web.post("/v1/changes", handlers.new_change),
-            web.get("/v1/changes/{change_id}", handlers.change),
-            web.get("/v1/fleet", handlers.fleet),
-        ]
+            http_routing.get("/v1/templates", handlers.templates),
+            http_routing.get("/v1/templates/{name}", handlers.template),
+            http_routing.put("/v1/templates/{name}", handlers.put_template),
+            http_routing.delete(
+                "/v1/templates/{name}", handlers.delete_template
+            ),
+            http_routing.get("/v1/workspaces", handlers.workspaces),
+            http_routing.get("/v1/workspaces/{name}", handlers.workspace),
+            http_routing.put("/v1/workspaces/{name}", handlers.put_workspace),
+            http_routing.delete(
+                "/v1/workspaces/{name}", handlers.delete_workspace
+            ),
+            http_routing.get("/v1/configuration", handlers.configuration),
+            http_routing.post("/v1/changes", handlers.new_change),
+            http_routing.get("/v1/changes/{change_id}", handlers.change),
+            http_routing.get("/v1/fleet", handlers.fleet),
+        ],
+        _MAX_BODY_BYTES,
     )
-    return app
 
 
 class _Handlers:
     def __init__(self, service: base.OperatorService) -> None:
         self._service = service
 
-    async def templates(self, request: web.Request) -> web.Response:
+    async def templates(
+        self, request: http_routing.Request
+    ) -> messages.Response:
         """Returns all active templates."""
         del request
         current = self._service.current()
         return _documents_response(current.revision, current.templates)
 
-    async def workspaces(self, request: web.Request) -> web.Response:
+    async def workspaces(
+        self, request: http_routing.Request
+    ) -> messages.Response:
         """Returns all active workspaces."""
         del request
         current = self._service.current()
         return _documents_response(current.revision, current.workspaces)
 
-    async def template(self, request: web.Request) -> web.Response:
+    async def template(
+        self, request: http_routing.Request
+    ) -> messages.Response:
         """Returns an active template."""
         current = self._service.current()
         return _document_response(
             request, current.templates, current.catalog["templates"]
         )
 
-    async def workspace(self, request: web.Request) -> web.Response:
+    async def workspace(
+        self, request: http_routing.Request
+    ) -> messages.Response:
         """Returns an active workspace."""
         current = self._service.current()
         return _document_response(
             request, current.workspaces, current.catalog["workspaces"]
         )
 
-    async def put_template(self, request: web.Request) -> web.Response:
+    async def put_template(
+        self, request: http_routing.Request
+    ) -> messages.Response:
         """Creates or replaces a template."""
-        body = await http_responses.read_json(request, dict[str, Any])
+        body = http_responses.read_json(request.message, dict[str, Any])
         template = documents.parse_template(_with_name(request, body))
         return await self._change(request, template=template)
 
-    async def delete_template(self, request: web.Request) -> web.Response:
+    async def delete_template(
+        self, request: http_routing.Request
+    ) -> messages.Response:
         """Deletes a template; it must not be used by any workspace."""
-        name = request.match_info["name"]
+        name = request.parameters["name"]
         return await self._change(request, delete_template=name)
 
-    async def put_workspace(self, request: web.Request) -> web.Response:
+    async def put_workspace(
+        self, request: http_routing.Request
+    ) -> messages.Response:
         """Creates or replaces a workspace."""
-        body = await http_responses.read_json(request, dict[str, Any])
+        body = http_responses.read_json(request.message, dict[str, Any])
         workspace = documents.parse_workspace(_with_name(request, body))
         return await self._change(request, workspace=workspace)
 
-    async def delete_workspace(self, request: web.Request) -> web.Response:
+    async def delete_workspace(
+        self, request: http_routing.Request
+    ) -> messages.Response:
         """Deletes a workspace."""
-        name = request.match_info["name"]
+        name = request.parameters["name"]
         return await self._change(request, delete_workspace=name)
 
-    async def configuration(self, request: web.Request) -> web.Response:
+    async def configuration(
+        self, request: http_routing.Request
+    ) -> messages.Response:
         """Returns the active revision of this host."""
         del request
         return http_responses.json_response(
@@ -116,7 +134,9 @@
             )
         )
 
-    async def new_change(self, request: web.Request) -> web.Response:
+    async def new_change(
+        self, request: http_routing.Request
+    ) -> messages.Response:
         """Returns a new id for a change."""
         del request
         revision = self._service.current().revision
@@ -125,9 +145,9 @@
             wire.ChangeIdReply(change_id=change_id, revision=revision)
         )
 
-    async def change(self, request: web.Request) -> web.Response:
+    async def change(self, request: http_routing.Request) -> messages.Response:
         """Returns whether a change was accepted."""
-        change_id = request.match_info["change_id"]
+        change_id = request.parameters["change_id"]
         edits.check_change_id(change_id)
         status = await self._service.change_status(change_id)
         body = wire.ChangeReply(outcome=status.tag, change_id=change_id)
@@ -140,7 +160,7 @@
             return http_responses.json_response(body, status=_UNKNOWN_STATUS)
         return http_responses.json_response(body)
 
-    async def fleet(self, request: web.Request) -> web.Response:
+    async def fleet(self, request: http_routing.Request) -> messages.Response:
         """Returns the status of every host."""
         del request
         hosts = await self._service.fleet()
@@ -156,7 +176,9 @@
         ]
         return http_responses.json_response({"hosts": statuses})
 
-    async def _change(self, request: web.Request, **parts: Any) -> web.Response:
+    async def _change(
+        self, request: http_routing.Request, **parts: Any
+    ) -> messages.Response:
         sent_id = request.headers.get(wire.HEADER_CHANGE_ID)
         attempt = request.headers.get(wire.HEADER_CHANGE_ATTEMPT)
         precondition = preconditions.from_headers(request.headers)
@@ -181,7 +203,7 @@
 
 def _change_response(
     change_id: str, result: configuration.ChangeResult
-) -> web.Response:
+) -> messages.Response:
     body = wire.ChangeReply(outcome=result.tag, change_id=change_id)
     if isinstance(result, configuration.Accepted):
         body["revision"] = result.revision
@@ -202,8 +224,10 @@
     return http_responses.json_response(body, _STATUS_OF_REASON[result.reason])
 
 
-def _with_name(request: web.Request, body: dict[str, Any]) -> dict[str, Any]:
-    name = request.match_info["name"]
+def _with_name(
+    request: http_routing.Request, body: dict[str, Any]
+) -> dict[str, Any]:
+    name = request.parameters["name"]
     if body.get("name", name) != name:
         raise exceptions.InvalidInputError(
             "request",
@@ -216,7 +240,9 @@
     return {**body, "name": name}
 
 
-def _documents_response(revision: int, items: dict[str, Any]) -> web.Response:
+def _documents_response(
+    revision: int, items: dict[str, Any]
+) -> messages.Response:
     return http_responses.json_response(
         wire.DocumentsReply(
             revision=revision,
@@ -226,13 +252,14 @@
 
 
 def _document_response(
-    request: web.Request, items: dict[str, Any], versions: dict[str, str]
-) -> web.Response:
-    name = request.match_info["name"]
+    request: http_routing.Request,
+    items: dict[str, Any],
+    versions: dict[str, str],
+) -> messages.Response:
+    name = request.parameters["name"]
     if name not in items:
         return http_responses.error_response(
             404, "not_found", f"{name!r} is not in the active configuration"
         )
     response = http_responses.json_response(items[name].model_dump())
-    response.headers["ETag"] = f'"{versions[name]}"'
-    return response
+    return http_responses.with_header(response, "ETag", f'"{versions[name]}"')
--- a/tests/test_untrusted_json.py
+++ b/tests/test_untrusted_json.py
@@ -10,6 +10,7 @@
 from greengagedale import untrusted_json
 from greengagedale.catalog import catalogs
 from greengagedale.catalog import services
+from greengagedale.http1 import messages
 from greengagedale.store import wire as store_wire
 from greengagedale.upstreams import wire as upstream_wire
 from standins import odd_json
@@ -107,10 +108,7 @@
         DECODERS[name].decode(document)
 
 
-async def test_nested_lists_of_a_caller_are_refused():
-    class Request:
-        async def read(self):
-            return odd_json.NESTED
-
+def test_nested_lists_of_a_caller_are_refused():
+    request = messages.Request(b"POST", b"/", (), odd_json.NESTED, 0.0)
     with pytest.raises(exceptions.InvalidInputError):
-        await http_responses.read_json(Request(), dict)
+        http_responses.read_json(request, dict)
