Take an answer without a valid status for no answer

Callers saw: the status of an upstream in trouble, such as 000, as the answer to their request (`HTTP/1.1 0 Unknown`): 000, 001, 099, 600 and 999, on requests that may be repeated and on those that may not; 600 and 999 also over another host.

Cause: the parser accepts any three digits, and nothing checked them.

Fix: the client accepts 100 to 599. Anything else is a malformed reply: the request may have run, so that callers get 502, another attempt where that is allowed, and a search leaves the part out. The check stands where all replies are read: of upstreams, of other hosts and of the store. Searches and the store were right before: neither takes a status other than a success for one.

--- a/greengagedale/http1/client.py
+++ b/greengagedale/http1/client.py
@@ -24,10 +24,18 @@
 # Maximum number of replies to other requests that are skipped while a request
 # waits for its own; upstreams may send an extra reply late, and repeat it.
 MAX_SKIPPED_REPLIES = 4
+_VALID_STATUSES = range(100, 600)
 _INFORMATIONAL = range(100, 200)
 _NO_BODY_STATUSES = frozenset({204, 304})
 
 
+class InvalidStatusError(Exception):
+    """Raised if a reply has a status that HTTP does not define.
+
+    Such a reply says nothing about its request.
+    """
+
+
 class ReplyLimits(NamedTuple):
     """Size limits of a reply; exceeding one closes the connection.
 
@@ -206,8 +214,11 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
             self._must_close = True
             if self._accepted_reply is None:
+                cause = exc.__context__
+                if not isinstance(cause, InvalidStatusError):
+                    cause = exc
                 self._resolve(
-                    ExchangeFailure(f"malformed reply: {exc!r}", sent=True)
+                    ExchangeFailure(f"malformed reply: {cause!r}", sent=True)
                 )
                 self.close()
                 return
@@ -231,6 +242,10 @@
         """Determines how the body is framed."""
         assert self._parser is not None
         self._status = self._parser.get_status_code()
+        if self._status not in _VALID_STATUSES:
+            raise InvalidStatusError(
+                f"expected a status from 100 to 599, got {self._status:03d}"
+            )
         names = {name for name, _ in self._headers}
         has_no_body = (
             self._status in _NO_BODY_STATUSES or self._status in _INFORMATIONAL
--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -1,6 +1,7 @@
 """Fixtures of the tests of the platform adapter."""
 
 import pytest
+import raw_upstreams
 
 from greengagedale.gateway import metrics
 from greengagedale.platform import store as store_lib
@@ -26,3 +27,12 @@
     )
     yield client
     await client.close()
+
+
+@pytest.fixture
+async def site():
+    """Hosts over an upstream that answers with given bytes."""
+    running = raw_upstreams.Site()
+    await running.start()
+    yield running
+    running.close()
