Share the turns to read among all ports of a gateway host

Each port had turns of its own, so that crowds on two ports could use all of the processor between them. Hosts with a catalog shared them already. The bound of half of the processor now holds for the process. Checked by reading and by the tests of crowds; no test tells the two apart, as none compares times.

--- a/greengagedale/gateway/daemon.py
+++ b/greengagedale/gateway/daemon.py
@@ -473,6 +473,7 @@
             self._settings.gateway.min_relative_power,
         )
         host = self._settings.host
+        turns = server.new_turns()
         bounds = connection_budget.Bounds.from_config(
             host.memory_mib * self._settings.connections.memory_share,
             descriptors.limit(int(host.max_descriptors)),
@@ -492,10 +493,10 @@
         ]
         return _Servers(
             server.Server(
-                self._edge, self._clock, bounds.share(_CALLERS_SHARE)
+                self._edge, self._clock, bounds.share(_CALLERS_SHARE), turns
             ),
             [
-                server.Server(handler, self._clock, bounds.share(share))
+                server.Server(handler, self._clock, bounds.share(share), turns)
                 for handler, share in others
             ],
         )
