Count headers of replies while they are parsed

The class of fault that clients showed, on the way to upstreams, other hosts and the store.

Cause: the limits of a reply were checked after a whole read had been parsed, 256 KiB of headers for a limit of 64 KiB.

Fix: each header and each part of a body is counted when it is parsed, and an exception stops the parser there, as in the server.

--- a/greengagedale/http1/client.py
+++ b/greengagedale/http1/client.py
@@ -24,6 +24,9 @@
 # Maximum number of replies to other requests that are skipped while a request
 # waits for its own; upstreams may send an extra reply late, and repeat it.
 MAX_SKIPPED_REPLIES = 4
+# Framing of a header: `: ` and CRLF; and the shortest status line.
+_HEADER_FRAMING_BYTES = 4
+_MIN_HEAD_BYTES = 17
 _VALID_STATUSES = range(100, 600)
 _INFORMATIONAL = range(100, 200)
 _NO_BODY_STATUSES = frozenset({204, 304})
@@ -36,6 +39,10 @@
     """
 
 
+class _ReplyTooLargeError(Exception):
+    """Raised by callbacks of the parser, which then stops at once."""
+
+
 class ReplyLimits(NamedTuple):
     """Size limits of a reply; exceeding one closes the connection.
 
@@ -84,6 +91,7 @@
         ) = None
         self._limits = limits or ReplyLimits()
         self._received_bytes = 0
+        self._header_bytes = 0
         self._skipped_replies = 0
         self._accept: ReplyPredicate = _accept_any
         self._is_head = False
@@ -153,6 +161,7 @@
         self._is_head = is_head
         self._parser = httptools.HttpResponseParser(self)
         self._received_bytes = 0
+        self._header_bytes = 0
         self._skipped_replies = 0
         self._reset_reply()
         self._transport.write(data)
@@ -213,6 +222,9 @@
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
             self._must_close = True
+            if isinstance(exc.__context__, _ReplyTooLargeError):
+                self._fail_too_large()
+                return
             if self._accepted_reply is None:
                 cause = exc.__context__
                 if not isinstance(cause, InvalidStatusError):
@@ -235,12 +247,14 @@
         self._reset_reply()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Adds a header."""
+        """Adds a header or trailer."""
         self._headers.append((name.lower(), value))
+        self._add_header_bytes(len(name) + len(value) + _HEADER_FRAMING_BYTES)
 
     def on_headers_complete(self) -> None:
         """Determines how the body is framed."""
         assert self._parser is not None
+        self._add_header_bytes(_MIN_HEAD_BYTES)
         self._status = self._parser.get_status_code()
         if self._status not in _VALID_STATUSES:
             raise InvalidStatusError(
@@ -263,6 +277,8 @@
 
     def on_body(self, body: bytes) -> None:
         """Appends a part of the body."""
+        if len(self._body) + len(body) > self._limits.max_body_bytes:
+            raise _ReplyTooLargeError
         self._body += body
 
     def on_message_complete(self) -> None:
@@ -298,14 +314,29 @@
             or head_bytes > limits.max_head_bytes + body_bytes
             or self._skipped_replies > MAX_SKIPPED_REPLIES
         )
-        if not is_too_large or self._future is None:
+        if is_too_large:
+            self._fail_too_large()
+
+    def _add_header_bytes(self, count: int) -> None:
+        # A single read may hold far more than the limit, and each header takes
+        # a multiple of its size, so each one is checked.
+        self._header_bytes += count
+        if self._header_bytes > self._limits.max_head_bytes:
+            raise _ReplyTooLargeError
+
+    def _fail_too_large(self) -> None:
+        """Fails the exchange, unless its reply is already complete."""
+        if self._accepted_reply is not None:
+            self._deliver_reply()
+            return
+        if self._future is None:
             return
         log.warning(
             "answer too large",
             extra={
                 "server": self._peer_address(),
-                "head_bytes": head_bytes,
-                "body_bytes": body_bytes,
+                "head_bytes": self._received_bytes - len(self._body),
+                "body_bytes": len(self._body),
                 "declared_bytes": self._declared_bytes,
                 "passed_over": self._skipped_replies,
             },
@@ -349,6 +380,7 @@
             self._must_close = True
             self._skipped_replies += 1
             self._received_bytes = 0
+            self._header_bytes = 0
 
     def _deliver_reply(self) -> None:
         """Returns the accepted reply after all received data is parsed."""
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -246,6 +246,25 @@
     assert len(connection._body) <= LIMITS.max_body_bytes
 
 
+# A host that parses all that a read holds stands still meanwhile: 256 KiB of
+# headers take ten times as long as the limit allows.
+@pytest.mark.parametrize("head", [b"", CHUNKED + b"0\r\n"])
+async def test_headers_beyond_the_limit_are_not_parsed(connect, head):
+    data = (head or b"HTTP/1.1 200 OK\r\n") + b"ab:c\r\n" * 40_000
+    connection = await connect(write_script(data), LIMITS)
+    parsed = []
+    on_header = connection.on_header
+
+    def record(name, value):
+        parsed.append(name)
+        on_header(name, value)
+
+    connection.on_header = record
+    reply = await connection.exchange(REQUEST)
+    assert isinstance(reply, client.ExchangeFailure)
+    assert len(parsed) <= LIMITS.max_head_bytes // len(b"ab: c\r\n") + 1
+
+
 @pytest.mark.parametrize("is_chunked", [False, True])
 async def test_largest_allowed_reply_is_accepted(connect, is_chunked):
     body = b"b" * LIMITS.max_body_bytes
