Test planned stops beside crowds

Clients that a stop finds in the middle of a request, or that don't read, must hold nobody up and cut nobody off, and a refusal must reach a client that still sends.

--- a/tests/crowds/test_gateway_crowds.py
+++ b/tests/crowds/test_gateway_crowds.py
@@ -5,7 +5,9 @@
 crowd still holds its connections.
 """
 
+import asyncio
 import contextlib
+import signal
 
 import client_behaviours as behaviours
 import pytest
@@ -115,3 +117,46 @@
     silent = crowds.Behaviour(b"")
     async with unharmed(site, silent, MACHINE["maxFds"] + 50, port):
         pass
+
+
+# Clients that a stop finds in the middle of a request, or that don't read, hold
+# nobody up and cut nobody off.
+@pytest.mark.parametrize(
+    "behaviour",
+    [
+        OPEN_ENDED["one-byte chunks"],
+        behaviours.held_body(b"/get/x"),
+        behaviours.requests_in_a_row(b"/get/x", 12),
+    ],
+    ids=["one-byte chunks", "held bodies", "requests in a row"],
+)
+async def test_planned_stop_beside_a_crowd(site, behaviour):
+    host = site.hosts[0]
+    kept = await host.connect()
+    async with crowds.holding_crowd(
+        # Fewer than the host has room for, as an idle connection is kept.
+        ADDRESS,
+        host.ports["http"],
+        behaviour,
+        behaviours.CLIENTS // 2,
+    ):
+        await behaviours.until(lambda: is_answering(host))
+        host.signal(signal.SIGTERM)
+        reply = await host.send_request(
+            kept, "/get/x", request_id="last", deadline_ms=5000
+        )
+        assert await host.wait_exit() == 0
+        assert reply.status == 200
+
+
+async def test_refusal_in_a_planned_stop_reaches_its_client(site):
+    host = site.hosts[0]
+    reader, writer = await asyncio.open_connection(ADDRESS, host.ports["http"])
+    host.signal(signal.SIGTERM)
+    too_large = behaviours.held_body(b"/get/x", 2 * behaviours.MAX_BODY_BYTES)
+    for piece in too_large.pieces():
+        writer.write(piece)
+    reply = await reader.read()
+    assert await host.wait_exit() == 0
+    assert reply.startswith(b"HTTP/1.1 413")
+    writer.close()
